--- /dev/null
+++ b/crates/base/src/logging.rs
@@ -0,0 +1,29 @@
+//! Structured logs: one JSON object a line on standard error.
+
+use slog::Drain;
+use slog::FnValue;
+use slog::Logger;
+use slog::PushFnValue;
+use slog::Record;
+use slog::o;
+
+/// A logger that writes JSON lines to standard error. `program` and `id` are in every line.
+pub fn json(program: &'static str, id: &str, level: slog::Level) -> Logger {
+    let drain = slog_json::Json::new(std::io::stderr())
+        .set_newlines(true)
+        .set_flush(true)
+        .add_key_value(o!(
+            "ts_ms" => FnValue(|_| crate::time::unix_millis()),
+            "level" => FnValue(|record: &Record<'_>| record.level().as_short_str()),
+            "msg" => PushFnValue(|record: &Record<'_>, serializer| serializer.emit(record.msg())),
+        ))
+        .build()
+        .fuse();
+    let drain = slog_async::Async::new(drain.filter_level(level).fuse()).build().fuse();
+    Logger::root(drain, o!("program" => program, "id" => id.to_owned()))
+}
+
+/// A logger that drops everything, for tests.
+pub fn discard() -> Logger {
+    Logger::root(slog::Discard, o!())
+}
--- /dev/null
+++ b/crates/base/src/server.rs
@@ -0,0 +1,182 @@
+//! HTTP serving of a gotham router with a shared application value and a graceful stop.
+//!
+//! gotham's own `bind_server` spawns connections that nobody tracks, so the connections are served
+//! here through `hyper-util` and watched: [`serve`] returns after the last byte of the last body.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gotham::helpers::http::Body;
+use gotham::router::Router;
+use gotham::service::call_handler;
+use gotham::state::State;
+use gotham::state::StateData;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use hyper_util::server::graceful::GracefulShutdown;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpListener;
+
+use crate::error;
+use crate::error::Error;
+use crate::error::Kind;
+
+/// Longest time a client may take to send its request head.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Pause after a failed accept, for example when file descriptors ran out.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Shared application value, available to handlers as `App::<A>::borrow_from(state)`.
+#[derive(Debug)]
+pub struct App<A>(pub Arc<A>);
+
+impl<A> Clone for App<A> {
+    fn clone(&self) -> Self {
+        Self(Arc::clone(&self.0))
+    }
+}
+
+impl<A: Send + Sync + 'static> StateData for App<A> {}
+
+/// Serves `router` until `stop` completes, then finishes the open requests.
+pub async fn serve<A: Send + Sync + 'static>(
+    listener: TcpListener,
+    router: Router,
+    app: Arc<A>,
+    stop: impl Future<Output = ()>,
+) {
+    let router = Arc::new(router);
+    let graceful = GracefulShutdown::new();
+    tokio::pin!(stop);
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = &mut stop => break,
+        };
+        let Ok((socket, peer)) = accepted else {
+            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            continue;
+        };
+        // Small streamed chunks must not wait for the peer's acknowledgement.
+        let _ = socket.set_nodelay(true);
+        let router = Arc::clone(&router);
+        let app = App(Arc::clone(&app));
+        let service =
+            service_fn(move |request| handle(Arc::clone(&router), app.clone(), request, peer));
+        let connection = hyper::server::conn::http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEADER_TIMEOUT)
+            .serve_connection(TokioIo::new(socket), service);
+        tokio::spawn(graceful.watch(connection));
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+async fn handle<A: Send + Sync + 'static>(
+    router: Arc<Router>,
+    app: App<A>,
+    request: Request<hyper::body::Incoming>,
+    peer: SocketAddr,
+) -> Result<Response<Body>, Infallible> {
+    let mut state = State::from_request(request, peer);
+    state.put(app);
+    let response = call_handler(router, AssertUnwindSafe(state)).await;
+    Ok(response
+        .unwrap_or_else(|cause| error_response(&Error::new(Kind::Internal, cause.to_string()))))
+}
+
+/// Completes on the first SIGTERM or SIGINT.
+pub async fn stop_signal() {
+    use tokio::signal::unix::SignalKind;
+    use tokio::signal::unix::signal;
+
+    let terminate = async {
+        match signal(SignalKind::terminate()) {
+            Ok(mut stream) => stream.recv().await,
+            Err(_) => std::future::pending().await,
+        }
+    };
+    tokio::select! {
+        _ = terminate => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+}
+
+/// Reads a whole body of at most `limit` bytes within `timeout`.
+pub async fn read_body<B>(body: B, limit: usize, timeout: Duration) -> error::Result<Bytes>
+where
+    B: hyper::body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let read = Limited::new(body, limit).collect();
+    match tokio::time::timeout(timeout, read).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(cause)) if cause.is::<LengthLimitError>() => {
+            Err(Error::new(Kind::RequestTooLarge, format!("the body is larger than {limit} bytes")))
+        }
+        Ok(Err(cause)) => {
+            Err(Error::new(Kind::MalformedRequest, format!("the body broke off: {cause}")))
+        }
+        Err(_) => Err(Error::new(
+            Kind::RequestTimeout,
+            format!("the body took longer than {} ms", timeout.as_millis()),
+        )),
+    }
+}
+
+/// Reads a JSON body of at most `limit` bytes within `timeout`.
+pub async fn read_json<T: DeserializeOwned>(
+    state: &mut State,
+    limit: usize,
+    timeout: Duration,
+) -> error::Result<T> {
+    let body = state.take::<Body>();
+    let bytes = read_body(body, limit, timeout).await?;
+    serde_json::from_slice(&bytes)
+        .map_err(|cause| Error::new(Kind::MalformedRequest, cause.to_string()))
+}
+
+/// A response with a whole body.
+pub fn whole(status: u16, content_type: &'static str, bytes: impl Into<Bytes>) -> Response<Body> {
+    let body = Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync();
+    let mut response = Response::new(body);
+    *response.status_mut() =
+        hyper::StatusCode::from_u16(status).unwrap_or(hyper::StatusCode::INTERNAL_SERVER_ERROR);
+    response
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, hyper::header::HeaderValue::from_static(content_type));
+    response
+}
+
+/// A JSON response.
+pub fn json(status: u16, value: &impl Serialize) -> Response<Body> {
+    match serde_json::to_vec(value) {
+        Ok(bytes) => whole(status, "application/json", bytes),
+        Err(cause) => whole(500, "text/plain", cause.to_string()),
+    }
+}
+
+/// The response that belongs to an error.
+pub fn error_response(error: &Error) -> Response<Body> {
+    let answer = error.kind.answer();
+    let mut response = json(answer.status, &error::Body::from(error));
+    if let Some(seconds) = answer.retry_after_s {
+        response.headers_mut().insert(hyper::header::RETRY_AFTER, seconds.into());
+    }
+    response
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder
