Add the control state machine, the wire messages and a single control process

The whole path needs a control process before the replicated log exists, so commands are applied by one thread behind a handle that the log will later feed.

Bundles travel as text: a map with a pair of regions as its key can't be written as JSON, and the text is the form operators sign off.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod name;
 pub mod rank;
 pub mod server;
+pub mod settings;
 pub mod time;
--- /dev/null
+++ b/crates/state/src/config.rs
@@ -0,0 +1,42 @@
+//! The configuration that entries route by.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use hickoryreel_base::name::Version;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::command::BundleId;
+use crate::command::Revision;
+
+/// Configuration in force at one revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Config {
+    /// Revision of this configuration.
+    pub revision: Revision,
+    /// The bundle in force.
+    pub active: Option<Published>,
+    /// The bundle that is being rolled out.
+    pub candidate: Option<Candidate>,
+    /// Versions that receive no new work.
+    pub withdrawn: BTreeSet<Version>,
+}
+
+/// A bundle as published to entries.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Published {
+    /// The bundle.
+    pub bundle: BundleId,
+    /// Its text.
+    pub text: Arc<str>,
+}
+
+/// A bundle under roll-out.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Candidate {
+    /// The bundle.
+    pub published: Published,
+    /// Share of requests that follow it, in percent.
+    pub percent: u8,
+}
--- /dev/null
+++ b/crates/wire/src/rpc.rs
@@ -0,0 +1,63 @@
+//! JSON-RPC between entries and control.
+
+use std::net::SocketAddr;
+
+use hickoryreel_base::error::Error;
+use hickoryreel_base::name::Endpoint;
+use hickoryreel_state::command::Holder;
+use hickoryreel_state::command::Revision;
+use hickoryreel_state::config::Config;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::endpoint::Announcement;
+
+/// Method names.
+pub mod method {
+    /// Renews an entry's lease: [`super::Renew`] to [`super::Grant`].
+    pub const LEASE_RENEW: &str = "lease_renew";
+    /// Submits record changes: `Vec<RecordChange>` to `Vec<record::Outcome>`.
+    pub const RECORD_SUBMIT: &str = "record_submit";
+    /// Passes on an announcement: `Announcement` to nothing.
+    pub const ANNOUNCE: &str = "announce";
+}
+
+/// Result of a call. A refusal is part of the result, so that its kind arrives typed.
+pub type Reply<T> = Result<T, Refusal>;
+
+/// A refused call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// Why.
+    pub error: Error,
+    /// Address of the leader, if known and another replica.
+    pub leader: Option<SocketAddr>,
+}
+
+/// Asks for a new lease.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Renew {
+    /// The entry.
+    pub holder: Holder,
+    /// Revision the entry routes by; 0 when it has none.
+    pub revision: Revision,
+    /// Newest directory change the entry knows.
+    pub directory: u64,
+}
+
+/// A granted lease.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Length in milliseconds, counted from before the call was sent.
+    pub length_ms: u64,
+    /// Newest committed revision.
+    pub revision: Revision,
+    /// The configuration, when the entry's is older.
+    pub config: Option<Config>,
+    /// Newest directory change in this answer.
+    pub directory: u64,
+    /// Endpoints whose announcement is newer than the entry's directory.
+    pub changed: Vec<Announcement>,
+    /// Endpoints that left the directory since.
+    pub gone: Vec<Endpoint>,
+}
