Serve a request end to end in separate processes

The parts could not be judged apart from each other before a whole path existed. scripts/demo starts a control replica, two entries, two engines and a plain service, walks a bundle from check to roll-out, streams a completion, sends a run-once call twice, compares the billing and withdraws a version.

The control state is in memory and has one replica until the log is merged. Ports are chosen by the kernel, because fixed ones clash between runs.

--- a/crates/base/src/name.rs
+++ b/crates/base/src/name.rs
@@ -30,6 +30,8 @@
             Clone, Debug, Display, Deref, AsRef, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
         )]
         #[serde(transparent)]
+        #[as_ref(forward)]
+        #[deref(forward)]
         pub struct $name(Arc<str>);
 
         impl From<&str> for $name {
--- /dev/null
+++ b/crates/entry/src/control.rs
@@ -0,0 +1,86 @@
+//! Calls to the control replicas.
+
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use hickoryreel_base::error::Error;
+use hickoryreel_base::error::Kind;
+use hickoryreel_wire::rpc::Refusal;
+use hickoryreel_wire::rpc::Reply;
+use jsonrpsee::core::client::ClientT;
+use jsonrpsee::http_client::HttpClient;
+use jsonrpsee::http_client::HttpClientBuilder;
+use jsonrpsee::rpc_params;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Longest time for one call. A call that times out drops its connection.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Client of the control replicas: remembers which one answered last.
+pub struct Control {
+    replicas: Vec<(SocketAddr, HttpClient)>,
+    preferred: AtomicUsize,
+}
+
+impl Control {
+    /// A client of the replicas at `addresses`.
+    pub fn new(addresses: &[SocketAddr]) -> eyre::Result<Self> {
+        let replicas = addresses
+            .iter()
+            .map(|address| {
+                let client = HttpClientBuilder::default()
+                    .request_timeout(CALL_TIMEOUT)
+                    .build(format!("http://{address}"))?;
+                Ok::<_, eyre::Report>((*address, client))
+            })
+            .collect::<Result<_, _>>()?;
+        Ok(Self { replicas, preferred: AtomicUsize::new(0) })
+    }
+
+    /// Calls the leader, following hints and trying each replica once.
+    pub async fn call<T: DeserializeOwned>(
+        &self,
+        method: &'static str,
+        parameter: &(impl Serialize + Sync),
+    ) -> Reply<T> {
+        let mut last = refusal(Kind::NoQuorum, "no control replica is configured");
+        for _ in 0..self.replicas.len() {
+            let index = self.preferred.load(Ordering::Relaxed) % self.replicas.len();
+            let client = &self.replicas[index].1;
+            let reply = client.request::<Reply<T>, _>(method, rpc_params![parameter]).await;
+            match reply {
+                Ok(Ok(value)) => return Ok(value),
+                Ok(Err(refused)) if refused.error.kind != Kind::NotLeader => return Err(refused),
+                Ok(Err(refused)) => {
+                    self.prefer(index, refused.leader);
+                    last = refused;
+                }
+                Err(cause) => {
+                    self.prefer(index, None);
+                    last = refusal(Kind::NoQuorum, &cause.to_string());
+                }
+            }
+        }
+        Err(last)
+    }
+
+    /// Passes `parameter` to every replica; lost messages are not repeated.
+    pub async fn broadcast(&self, method: &'static str, parameter: &(impl Serialize + Sync)) {
+        let calls = self.replicas.iter().map(|(_, client)| async move {
+            let _ = client.request::<(), _>(method, rpc_params![parameter]).await;
+        });
+        futures_util::future::join_all(calls).await;
+    }
+
+    fn prefer(&self, failed: usize, leader: Option<SocketAddr>) {
+        let hinted = self.replicas.iter().position(|(address, _)| Some(*address) == leader);
+        self.preferred.store(hinted.unwrap_or(failed + 1), Ordering::Relaxed);
+    }
+}
+
+fn refusal(kind: Kind, message: &str) -> Refusal {
+    Refusal { error: Error::new(kind, message), leader: None }
+}
--- /dev/null
+++ b/crates/operator/src/cli/roll_out.rs
@@ -0,0 +1,24 @@
+//! `hickoryreel roll-out`.
+
+use bpaf::Bpaf;
+use hickoryreel_state::command::BundleId;
+use hickoryreel_state::command::Change;
+
+use crate::cli::Context;
+use crate::ops::write;
+use crate::ops::write::Basis;
+
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(generate(cli))]
+pub(super) struct RollOut {
+    #[bpaf(external(write::basis))]
+    basis: Basis,
+    /// Bundle id
+    #[bpaf(positional("BUNDLE"))]
+    bundle: BundleId,
+}
+
+pub(super) async fn exec(context: &Context, arguments: &RollOut) -> eyre::Result<()> {
+    let change = Change::RollOut { bundle: arguments.bundle };
+    write::run(context, &arguments.basis, change).await
+}
--- /dev/null
+++ b/crates/operator/src/cli/withdraw.rs
@@ -0,0 +1,30 @@
+//! `hickoryreel withdraw`.
+
+use bpaf::Bpaf;
+use hickoryreel_base::name::Version;
+use hickoryreel_state::command::Change;
+
+use crate::cli::Context;
+use crate::ops::write;
+use crate::ops::write::Basis;
+
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(generate(cli))]
+pub(super) struct Withdraw {
+    #[bpaf(external(write::basis))]
+    basis: Basis,
+    /// Why, for the record
+    #[bpaf(argument("TEXT"), fallback(String::new()))]
+    reason: String,
+    /// Version to withdraw
+    #[bpaf(positional("MODEL/LABEL"))]
+    version: Version,
+}
+
+pub(super) async fn exec(context: &Context, arguments: &Withdraw) -> eyre::Result<()> {
+    let change = Change::Withdraw {
+        version: arguments.version.clone(),
+        reason: arguments.reason.as_str().into(),
+    };
+    write::run(context, &arguments.basis, change).await
+}
--- /dev/null
+++ b/crates/operator/src/main.rs
@@ -0,0 +1,7 @@
+//! `hickoryreel`: the operator command.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    hickoryreel_operator::cli::main()
+}
--- /dev/null
+++ b/crates/operator/src/ops/mod.rs
@@ -0,0 +1,5 @@
+//! Operations behind the subcommands.
+
+pub mod admin;
+pub mod print;
+pub mod write;
--- /dev/null
+++ b/crates/operator/src/ops/print.rs
@@ -0,0 +1,27 @@
+//! Tables and JSON on standard output.
+
+use serde::Serialize;
+
+/// Prints `value` as JSON.
+pub fn json(value: &impl Serialize) -> eyre::Result<()> {
+    println!("{}", serde_json::to_string_pretty(value)?);
+    Ok(())
+}
+
+/// Prints rows under a head, with columns as wide as their widest cell.
+pub fn table(head: &[&str], rows: impl Iterator<Item = Vec<String>>) {
+    let head: Vec<String> = head.iter().map(|cell| (*cell).to_owned()).collect();
+    let mut lines = vec![head];
+    lines.extend(rows);
+    let columns = lines.iter().map(Vec::len).max().unwrap_or(0);
+    let widths: Vec<usize> = (0..columns)
+        .map(|column| {
+            let cells = lines.iter().filter_map(|line| line.get(column));
+            cells.map(|cell| cell.chars().count()).max().unwrap_or(0)
+        })
+        .collect();
+    for line in lines {
+        let cells = line.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}"));
+        println!("{}", cells.collect::<Vec<_>>().join("  ").trim_end());
+    }
+}
--- /dev/null
+++ b/crates/standin/src/announce.rs
@@ -0,0 +1,83 @@
+//! Announcements of a stand-in endpoint.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hickoryreel_base::client;
+use hickoryreel_base::client::Call;
+use hickoryreel_base::name::Endpoint;
+use hickoryreel_base::name::Region;
+use hickoryreel_base::name::Zone;
+use hickoryreel_base::time::unix_millis;
+use hickoryreel_wire::endpoint::Announcement;
+use hickoryreel_wire::endpoint::Load;
+use hickoryreel_wire::endpoint::Role;
+use hickoryreel_wire::endpoint::State;
+use hyper::Method;
+
+/// Time between two announcements.
+const PERIOD: Duration = Duration::from_millis(500);
+
+/// Who the endpoint is and where it announces itself.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Name of the endpoint.
+    pub name: Endpoint,
+    /// Address to listen on.
+    pub listen: SocketAddr,
+    /// Region.
+    pub region: Region,
+    /// Availability zone.
+    pub zone: Zone,
+    /// Addresses to announce to.
+    pub announce: Vec<SocketAddr>,
+}
+
+/// Announces the endpoint until `leaving` completes, then announces that it is leaving.
+pub async fn run(
+    identity: Identity,
+    address: SocketAddr,
+    role: impl Fn() -> Role,
+    load: impl Fn() -> Load,
+    leaving: impl Future<Output = ()>,
+) {
+    let client = client::http_client();
+    let incarnation = unix_millis();
+    let mut sequence = 0;
+    let mut ticks = tokio::time::interval(PERIOD);
+    tokio::pin!(leaving);
+    loop {
+        let state = tokio::select! {
+            _ = ticks.tick() => State::Serving,
+            () = &mut leaving => State::Leaving,
+        };
+        sequence += 1;
+        let announcement = Announcement {
+            endpoint: identity.name.clone(),
+            incarnation,
+            sequence,
+            address,
+            region: identity.region.clone(),
+            zone: identity.zone.clone(),
+            role: role(),
+            state,
+            load: load(),
+        };
+        let body = serde_json::to_vec(&announcement).unwrap_or_default();
+        let calls = identity.announce.iter().map(|target| {
+            let call = Call {
+                method: Method::POST,
+                url: format!("http://{target}/v1/announce"),
+                body: body.clone().into(),
+                timeout: PERIOD,
+                ..Call::default()
+            };
+            call.send(&client)
+        });
+        // A lost announcement is replaced by the next one.
+        let _ = futures_util::future::join_all(calls).await;
+        if state == State::Leaving {
+            return;
+        }
+    }
+}
