Add the open-loop load command

Latencies measured by a closed loop hide the delays of a slow system, because a late answer delays the next request.

--- /dev/null
+++ b/crates/load/src/call.rs
@@ -0,0 +1,121 @@
+//! One request of the load and what became of it.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use hickoryreel_base::client::HttpClient;
+use hickoryreel_base::error::Body;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use serde_json::json;
+
+use crate::mix::Work;
+use crate::plan::Arrival;
+use crate::tally::Outcome;
+
+/// Where and as whom a request is sent.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// `ADDRESS:PORT` of the entry.
+    pub entry: String,
+    /// Key of the workspace.
+    pub key: String,
+    /// Plain service and path of run-once calls.
+    pub run_once_path: &'static str,
+    /// Sets the request ids of this run apart from those of other runs.
+    pub run: u64,
+}
+
+/// Longest time for one request.
+const TIMEOUT: Duration = Duration::from_secs(120);
+
+/// Marks the end of a whole streamed answer.
+const END: &[u8] = b"data: [DONE]";
+
+/// Sends one request and waits for the end of its answer.
+pub async fn send(
+    client: &HttpClient,
+    target: &Target,
+    arrival: &Arrival,
+    planned: Instant,
+) -> Outcome {
+    let mut outcome = Outcome {
+        rank: arrival.kind.rank,
+        code: "broken".to_owned(),
+        first: None,
+        gaps: Vec::new(),
+    };
+    let exchange = async {
+        let response = client.request(request(target, arrival)?).await?;
+        if response.status().is_success() {
+            read(response, planned, &mut outcome).await
+        } else {
+            outcome.code = refusal(response).await?;
+            Ok(())
+        }
+    };
+    match tokio::time::timeout(TIMEOUT, exchange).await {
+        Ok(Ok(())) => {}
+        Ok(Err(_)) => outcome.code = "broken".to_owned(),
+        Err(_) => outcome.code = "timeout".to_owned(),
+    }
+    outcome
+}
+
+fn request(target: &Target, arrival: &Arrival) -> eyre::Result<Request<Full<Bytes>>> {
+    let (path, body) = match arrival.kind.work {
+        Work::Completion { prompt_words, max_tokens, .. } => {
+            let prompt =
+                format!("question {} {}", arrival.number, "word ".repeat(prompt_words as usize));
+            let body = json!({"prompt": prompt, "max_tokens": max_tokens, "stream": true});
+            ("completions".to_owned(), body)
+        }
+        Work::RunOnce => {
+            (format!("services/{}", target.run_once_path), json!({"number": arrival.number}))
+        }
+    };
+    let mut request = Request::post(format!("http://{}/v1/{path}", target.entry))
+        .header("authorization", format!("Bearer {}", target.key))
+        .header("x-request-id", format!("load-{}-{}", target.run, arrival.number))
+        .header("x-request-time", hickoryreel_base::time::unix_millis())
+        .header("x-rank", arrival.kind.rank.to_string());
+    if let Work::Completion { session: true, .. } = arrival.kind.work {
+        request = request.header("x-session", format!("load-{}-{}", target.run, arrival.session));
+    }
+    Ok(request.body(Full::new(Bytes::from(body.to_string())))?)
+}
+
+/// Reads a whole answer; a stream that ends without its end marker is broken.
+async fn read(
+    response: Response<Incoming>,
+    planned: Instant,
+    outcome: &mut Outcome,
+) -> eyre::Result<()> {
+    let content_type = response.headers().get("content-type");
+    let streamed = content_type.is_some_and(|kind| kind == "text/event-stream");
+    let mut body = response.into_body();
+    let mut last: Option<Instant> = None;
+    let mut whole = !streamed;
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else { continue };
+        let now = Instant::now();
+        match last.replace(now) {
+            None => outcome.first = Some(now.saturating_duration_since(planned)),
+            Some(previous) => outcome.gaps.push(now - previous),
+        }
+        whole |= data.windows(END.len()).any(|window| window == END);
+    }
+    outcome.code = if whole { "ok" } else { "broken" }.to_owned();
+    Ok(())
+}
+
+async fn refusal(response: Response<Incoming>) -> eyre::Result<String> {
+    let status = response.status();
+    let body = response.into_body().collect().await?.to_bytes();
+    let code = serde_json::from_slice::<Body>(&body).map(|body| body.error.code);
+    Ok(code.unwrap_or_else(|_| format!("status {status}")))
+}
