--- a/crates/base/src/ini.rs
+++ b/crates/base/src/ini.rs
@@ -48,13 +48,31 @@
                 problem: format!("not an INI file: {}", error.msg),
             }]
         })?;
-        Ok(Self {
+        let document = Self {
             file: file.to_owned(),
             text: text.to_owned(),
             ini,
             used: RefCell::default(),
             mistakes: RefCell::default(),
-        })
+        };
+        document.check_repetitions();
+        Ok(document)
+    }
+
+    /// Records sections and keys that stand twice: only one of the two values could be used.
+    fn check_repetitions(&self) {
+        let mut seen = BTreeSet::new();
+        for (section, properties) in self.ini.iter() {
+            let section = section.unwrap_or_default();
+            if !section.is_empty() && !seen.insert((section, "")) {
+                self.mistake(section, "", "the section stands twice");
+            }
+            for (key, _) in properties {
+                if !seen.insert((section, key)) {
+                    self.mistake(section, key, "the key stands twice");
+                }
+            }
+        }
     }
 
     /// The section called `name`; keys of a missing section read as absent.
