Extend the command shapes

The two other crates that use the command and record types need the new variants early, so they come before the behaviour behind them.

- Commands: roll-out steps, lapse of a holder, fencing numbers, order lease and orders, limits.
Changes: pause, resume, revert.
- An attempt number is needed because a duplicated close of an earlier dispatch by the same holder would otherwise close a later one.
- Bundle: a version section may name the withdrawal that the bundle lifts (restores = REVISION).

The new commands answer an internal error until the behaviour is added.

--- a/crates/base/src/bundle.rs
+++ b/crates/base/src/bundle.rs
@@ -85,6 +85,9 @@
     pub price_per_1k: f64,
     /// The version it replaces, against which its health is judged.
     pub replaces: Option<Version>,
+    /// Revision of the withdrawal that the bundle lifts when it comes into force. It has to name
+    /// the newest withdrawal of the version, so that no bundle lifts a withdrawal unknowingly.
+    pub restores: Option<u64>,
 }
 
 /// What one rank is owed.
@@ -288,6 +291,7 @@
         let terms = VersionTerms {
             price_per_1k: positive(&section, "price-per-1k", 1.0),
             replaces: section.optional("replaces", "a version name"),
+            restores: section.optional("restores", "the revision of a withdrawal"),
         };
         versions.insert(Version::from(name), terms);
     }
--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -83,9 +83,7 @@
     };
     match control.core.propose(Action::Operate(operation)).await? {
         Outcome::Operation(answer) => answer,
-        Outcome::Records(_) => {
-            Err(Error::new(Kind::Internal, "the outcome does not fit the command"))
-        }
+        _ => Err(Error::new(Kind::Internal, "the outcome does not fit the command")),
     }
 }
 
--- a/crates/control/src/rpc.rs
+++ b/crates/control/src/rpc.rs
@@ -65,9 +65,7 @@
 ) -> Reply<Vec<record::Outcome>> {
     match control.core.propose(Action::Records(changes)).await.map_err(refusal)? {
         Outcome::Records(outcomes) => Ok(outcomes),
-        Outcome::Operation(_) => {
-            Err(refusal(Error::new(Kind::Internal, "the outcome does not fit the command")))
-        }
+        _ => Err(refusal(Error::new(Kind::Internal, "the outcome does not fit the command"))),
     }
 }
 
--- /dev/null
+++ b/crates/fuzz/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stateful fuzzing of the control state machine against a simple oracle.
--- /dev/null
+++ b/crates/fuzz/src/main.rs
@@ -0,0 +1,3 @@
+//! `hickoryreel-fuzz`: parses arguments and runs the fuzzing.
+
+fn main() {}
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -9,8 +9,16 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::limits::Limits;
+use crate::order;
 use crate::record::Close;
+use crate::record::Move;
 use crate::record::Open;
+use crate::record::Settle;
+
+/// Operator name of control's own writes, such as the withdrawal of a version that fails its
+/// health test. No person may have this name.
+pub const SYSTEM: &str = "system";
 
 /// Revision of the configuration: a counter of accepted configuration changes.
 pub type Revision = u64;
@@ -34,6 +42,29 @@
     Operate(Operation),
     /// A batch of request record changes.
     Records(Vec<RecordChange>),
+    /// Enters one step of the running roll-out. Resending a step that was entered has no effect.
+    Step(Step),
+    /// Ends a holder for good once its lease has lapsed: it opens no more records, its open
+    /// records may be settled, and it must not be granted another lease.
+    Lapse(Holder),
+    /// Takes the next fencing number.
+    TakeFence {
+        /// What it is for, for the log.
+        purpose: Arc<str>,
+    },
+    /// A change of the order lease or of an order.
+    Order(order::Change),
+    /// Replaces the limits.
+    SetLimits(Limits),
+}
+
+/// A controller's wish to enter a step of a roll-out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Step {
+    /// The bundle that is being rolled out.
+    pub bundle: BundleId,
+    /// The step to enter, counted from 1 in the bundle's list of steps.
+    pub number: u32,
 }
 
 /// A write by an operator.
@@ -74,7 +105,23 @@
         /// New share of traffic, in percent.
         percent: u8,
     },
-    /// Withdraws a version: it receives no new work.
+    /// Pauses the running roll-out at its present share of traffic.
+    Pause {
+        /// The bundle.
+        bundle: BundleId,
+    },
+    /// Resumes a paused roll-out.
+    Resume {
+        /// The bundle.
+        bundle: BundleId,
+    },
+    /// Puts the content of a bundle that was in force before into force again, as a new bundle.
+    /// A running roll-out ends.
+    Revert {
+        /// The bundle with the content.
+        bundle: BundleId,
+    },
+    /// Withdraws a version: it receives no new work. By [`SYSTEM`] it is based on no revision.
     Withdraw {
         /// The version.
         version: Version,
@@ -90,6 +137,10 @@
     Open(Open),
     /// Closes a record.
     Close(Close),
+    /// Moves an open record to another target or endpoint.
+    Move(Move),
+    /// Settles a record whose holder has lapsed.
+    Settle(Settle),
 }
 
 /// Which process wrote a record: an entry in one of its lives.
@@ -97,6 +148,7 @@
 pub struct Holder {
     /// The entry.
     pub entry: Entry,
-    /// Chosen anew at each start.
+    /// Larger at each start, and after each lapse of the lease; for example the start time in
+    /// milliseconds since the Unix epoch.
     pub incarnation: u64,
 }
--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -39,4 +39,8 @@
     pub published: Published,
     /// Share of requests that follow it, in percent.
     pub percent: u8,
+    /// The step it is in, counted from 1 in the bundle's list; 0 before the first step.
+    pub step: u32,
+    /// Whether the roll-out is paused.
+    pub paused: bool,
 }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -7,5 +7,7 @@
 
 pub mod command;
 pub mod config;
+pub mod limits;
 pub mod machine;
+pub mod order;
 pub mod record;
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -24,6 +24,8 @@
 use crate::config::Candidate;
 use crate::config::Config;
 use crate::config::Published;
+use crate::order;
+use crate::order::Fence;
 use crate::record;
 use crate::record::Bill;
 use crate::record::Close;
@@ -60,6 +62,10 @@
     pub signed_off_by: Option<Operator>,
     /// Where it stands.
     pub stage: Stage,
+    /// The bundle whose content a revert brought back.
+    pub revert_of: Option<BundleId>,
+    /// Revision at which it came into force.
+    pub activated: Option<Revision>,
 }
 
 /// Answer to an accepted operator write.
@@ -78,6 +84,14 @@
     Operation(Result<Accepted, Error>),
     /// Answers to record changes, in the order of the batch.
     Records(Vec<record::Outcome>),
+    /// The fencing number that was taken.
+    Fence(Fence),
+    /// Answer to a change of the order lease or of an order.
+    Order(Result<order::Accepted, Error>),
+    /// The command was applied and has no answer.
+    Applied,
+    /// The index was applied before; the command had no effect.
+    AlreadyApplied,
 }
 
 /// The control state.
@@ -99,6 +113,9 @@
                 let changes = changes.iter();
                 Outcome::Records(changes.map(|change| self.record(command.at_ms, change)).collect())
             }
+            Action::Step(_) => Outcome::Operation(Err(missing())),
+            Action::Order(_) => Outcome::Order(Err(missing())),
+            Action::Lapse(_) | Action::TakeFence { .. } | Action::SetLimits(_) => Outcome::Applied,
         }
     }
 
@@ -117,9 +134,12 @@
         let records = self.records.iter();
         records
             .filter_map(|(key, record)| match record.end {
-                Some(End::Answered(usage)) => {
-                    Some(Bill { key: key.clone(), target: record.target.clone(), usage })
-                }
+                Some(End::Answered(usage)) => Some(Bill {
+                    key: key.clone(),
+                    target: record.target.clone(),
+                    usage,
+                    runs_cost: record.runs_cost,
+                }),
                 _ => None,
             })
             .collect()
@@ -151,6 +171,9 @@
                 self.config.withdrawn.insert(version.clone());
                 None
             }
+            Change::Pause { .. } | Change::Resume { .. } | Change::Revert { .. } => {
+                return Err(missing());
+            }
         };
         self.config.revision += 1;
         Ok(Accepted { revision: self.config.revision, bundle })
@@ -167,6 +190,8 @@
             submitted_by: operator.clone(),
             signed_off_by: None,
             stage: Stage::Submitted,
+            revert_of: None,
+            activated: None,
         };
         self.submissions.insert(id, submission);
         Ok(id)
@@ -192,7 +217,7 @@
         let submission = self.expect(id, Stage::SignedOff)?;
         submission.stage = Stage::RollingOut;
         let published = Published { bundle: id, text: Arc::clone(&submission.text) };
-        self.config.candidate = Some(Candidate { published, percent: 0 });
+        self.config.candidate = Some(Candidate { published, percent: 0, step: 0, paused: false });
         if self.config.active.is_none() {
             self.advance(id, 100)?;
         }
@@ -233,6 +258,7 @@
         match change {
             RecordChange::Open(open) => self.open(at_ms, open),
             RecordChange::Close(close) => self.close(close),
+            RecordChange::Move(_) | RecordChange::Settle(_) => record::Outcome::Refused(missing()),
         }
     }
 
@@ -252,6 +278,10 @@
         }
         let record = Record {
             opened_ms: at_ms,
+            request_ms: open.request_ms,
+            attempt: open.attempt,
+            moved: false,
+            runs_cost: 0.0,
             holder: open.holder.clone(),
             target: open.target.clone(),
             endpoint: open.endpoint.clone(),
@@ -277,6 +307,10 @@
     }
 }
 
+fn missing() -> Error {
+    Error::new(Kind::Internal, "the state machine doesn't support this command yet")
+}
+
 /// Answer to an open whose request id is known already.
 fn resend(record: &Record, open: &Open) -> record::Outcome {
     let request = &open.key.request;
