--- a/crates/base/src/client.rs
+++ b/crates/base/src/client.rs
@@ -47,6 +47,8 @@
     pub url: String,
     /// Bearer key, if any.
     pub key: Option<String>,
+    /// Further headers.
+    pub headers: Vec<(&'static str, String)>,
     /// Body.
     pub body: Bytes,
     /// Longest time for the whole call.
@@ -59,6 +61,7 @@
             method: Method::GET,
             url: String::new(),
             key: None,
+            headers: Vec::new(),
             body: Bytes::new(),
             timeout: Duration::from_secs(2),
         }
@@ -75,6 +78,9 @@
         if let Some(key) = &self.key {
             request = request.header(hyper::header::AUTHORIZATION, format!("Bearer {key}"));
         }
+        for (name, value) in &self.headers {
+            request = request.header(*name, value);
+        }
         let request = request.body(Full::new(self.body)).wrap_err("the URL is not valid")?;
         let exchange = async {
             let response = client.request(request).await?;
--- a/crates/operator/src/ops/admin.rs
+++ b/crates/operator/src/ops/admin.rs
@@ -59,6 +59,7 @@
                 key: Some(self.key.clone()),
                 body: body.clone().into(),
                 timeout: CALL_TIMEOUT,
+                ..Call::default()
             };
             match call.send(&self.client).await {
                 Ok(answer) if answer.status == 503 => last = refusal(&answer),
