--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -5,11 +5,13 @@
 //! process keeps those values, and [`error`] turns every failure into one of a closed list of
 //! kinds, each with one answer.
 
+pub mod admin;
 pub mod bundle;
 pub mod client;
 pub mod error;
 pub mod ini;
 pub mod logging;
+pub mod metrics;
 pub mod name;
 pub mod rank;
 pub mod server;
--- /dev/null
+++ b/crates/base/src/metrics.rs
@@ -0,0 +1,22 @@
+//! Metrics in the Prometheus text format.
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::registry::Registry;
+
+/// Content type of [`text`].
+pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// The metrics of `registry` as text.
+pub fn text(registry: &Registry) -> String {
+    let mut text = String::new();
+    // Writing to a string doesn't fail.
+    let _ = encode(&mut text, registry);
+    text
+}
+
+/// A histogram of seconds with buckets from 0.1 ms to about 13 s, each twice the one before.
+pub fn seconds() -> Histogram {
+    Histogram::new(exponential_buckets(0.0001, 2.0, 18))
+}
