Complete the control state machine

The first version kept every map forever, ran a repeatable request without a bill after an unbilled end, answered a run-once request that was confirmed as not run with outcome_unknown, accepted opens for withdrawn and disallowed versions, pinned a session to a version its workspace had lost, gave a reused operator request id the first answer of another write, and let an operator advance a roll-out backwards.

New behaviour:

- pause, resume, revert, controller steps with a number, exposure counters;
- withdrawals with reason, by system based on no revision; a version is restored only by a bundle whose section names its newest withdrawal (restores = REVISION), when that bundle comes into force;
- opens are refused for a withdrawn or disallowed target, for a revision older than a withdrawal of the version, for an ended incarnation, for a request time that is not newer than a pruned record;
- move, settle after lapse, attempt numbers, totals, cost of runs beside the bill;
- fencing numbers, order lease, orders keyed by their number;
- exact diff of two bundles.

--- a/crates/base/src/bundle.rs
+++ b/crates/base/src/bundle.rs
@@ -400,3 +400,135 @@
         document.mistake("rank urgent", "floor", format!("floors add up to {floors}, above 1"));
     }
 }
+
+/// One difference between two bundles.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Difference {
+    /// Section and key, for example `version quill/v2: price-per-1k`. The key is empty for the
+    /// section itself.
+    pub path: String,
+    /// Value in the old bundle; `None` when the key or section is new.
+    pub old: Option<String>,
+    /// Value in the new bundle; `None` when the key or section is gone.
+    pub new: Option<String>,
+}
+
+/// What differs between two bundles, in order of path. Two bundles are equal if and only if there
+/// is no difference.
+pub fn diff(old: &Bundle, new: &Bundle) -> Vec<Difference> {
+    let (old, new) = (old.values(), new.values());
+    let paths: BTreeSet<&String> = old.keys().chain(new.keys()).collect();
+    let changed = paths.into_iter().filter(|path| old.get(*path) != new.get(*path));
+    changed
+        .map(|path| Difference {
+            path: path.clone(),
+            old: old.get(path).cloned(),
+            new: new.get(path).cloned(),
+        })
+        .collect()
+}
+
+/// Values of one section under construction.
+struct Values<'a> {
+    section: String,
+    into: &'a mut BTreeMap<String, String>,
+}
+
+impl Values<'_> {
+    fn set(&mut self, key: &str, value: impl std::fmt::Display) -> &mut Self {
+        self.into.insert(format!("{}: {key}", self.section), value.to_string());
+        self
+    }
+
+    fn optional(&mut self, key: &str, value: Option<&impl std::fmt::Display>) -> &mut Self {
+        if let Some(value) = value {
+            self.set(key, value);
+        }
+        self
+    }
+
+    fn list<T: std::fmt::Display>(
+        &mut self,
+        key: &str,
+        values: impl IntoIterator<Item = T>,
+    ) -> &mut Self {
+        let values: Vec<String> = values.into_iter().map(|value| value.to_string()).collect();
+        self.set(key, values.join(", "))
+    }
+}
+
+impl Bundle {
+    /// Every value of the bundle by its path, as written in a file.
+    fn values(&self) -> BTreeMap<String, String> {
+        let mut into = BTreeMap::new();
+        let mut section = |name: String, fill: &dyn Fn(&mut Values<'_>)| {
+            fill(&mut Values { section: name, into: &mut into });
+        };
+        section("bundle".to_owned(), &|values| {
+            values.optional("deployment", self.deployment.as_ref());
+            values.set("quality-target", self.quality_target);
+        });
+        section("weights".to_owned(), &|values| self.weights.list_in(values));
+        section("roll-out".to_owned(), &|values| self.roll_out.list_in(values));
+        for (name, terms) in &self.versions {
+            section(format!("version {name}"), &|values| terms.list_in(values));
+        }
+        for rank in Rank::ALL {
+            section(format!("rank {rank}"), &|values| self.rank(rank).list_in(values));
+        }
+        for (name, terms) in &self.workspaces {
+            section(format!("workspace {name}"), &|values| terms.list_in(values));
+        }
+        for (name, terms) in &self.services {
+            section(format!("service {name}"), &|values| {
+                values.set("", "").list("run-once", &terms.run_once);
+            });
+        }
+        section("region-prices".to_owned(), &|values| {
+            for ((from, to), price) in &self.region_prices {
+                values.set(&format!("{from}-{to}"), price);
+            }
+        });
+        into
+    }
+}
+
+impl Weights {
+    fn list_in(&self, values: &mut Values<'_>) {
+        values.set("urgent-latency", self.urgent_latency);
+        values.set("exposure", self.exposure).set("flood", self.flood);
+    }
+}
+
+impl RollOut {
+    fn list_in(&self, values: &mut Values<'_>) {
+        values.list("steps", &self.steps).set("exposure-budget", self.exposure_budget);
+        values.set("step-s", self.step_s);
+    }
+}
+
+impl VersionTerms {
+    fn list_in(&self, values: &mut Values<'_>) {
+        values.set("", "").set("price-per-1k", self.price_per_1k);
+        values.optional("replaces", self.replaces.as_ref());
+        values.optional("restores", self.restores.as_ref());
+    }
+}
+
+impl RankTerms {
+    fn list_in(&self, values: &mut Values<'_>) {
+        values.set("first-token-ms", self.first_token_ms);
+        values.set("between-tokens-ms", self.between_tokens_ms);
+        values.set("floor", self.floor).set("objective", self.objective);
+    }
+}
+
+impl WorkspaceTerms {
+    fn list_in(&self, values: &mut Values<'_>) {
+        values.set("", "").set("key-sha256", &self.key_sha256).set("weight", self.weight);
+        values.list("ranks", self.ranks.iter());
+        let versions =
+            self.versions.iter().map(|share| format!("{}:{}", share.version, share.weight));
+        values.list("versions", versions).list("services", self.services.iter());
+    }
+}
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -1,39 +1,45 @@
 //! The state machine: applies commands one after the other.
+//!
+//! [`Machine::apply`] hands each command to the module that owns its part of the state: operator
+//! writes to `operations` and `roll_out`, request records to `records`, orders to `orders`. After
+//! each command `retention` prunes what the command touched. Nothing here reads a clock or a
+//! random source, so replicas that apply the same commands hold equal states.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use hickoryreel_base::bundle;
+use hickoryreel_base::error;
 use hickoryreel_base::error::Error;
-use hickoryreel_base::error::Kind;
 use hickoryreel_base::name::Operator;
-use hickoryreel_base::name::Request;
 use hickoryreel_base::name::Session;
 use hickoryreel_base::name::Version;
 use hickoryreel_base::name::Workspace;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::account::Account;
+use crate::admission::Rules;
 use crate::command::Action;
 use crate::command::BundleId;
-use crate::command::Change;
 use crate::command::Command;
-use crate::command::Operation;
+use crate::command::Holder;
 use crate::command::RecordChange;
 use crate::command::Revision;
-use crate::config::Candidate;
 use crate::config::Config;
-use crate::config::Published;
+use crate::holders::Holders;
+use crate::limits::Limits;
+use crate::operations::Answers;
 use crate::order;
 use crate::order::Fence;
+use crate::order::Order;
+use crate::orders::Book;
 use crate::record;
 use crate::record::Bill;
-use crate::record::Close;
-use crate::record::End;
 use crate::record::Key;
-use crate::record::Open;
 use crate::record::Record;
-use crate::record::Target;
+use crate::record::Totals;
+use crate::roll_out::RollOut;
 
 /// State of a submitted bundle.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -47,7 +53,7 @@
     RollingOut,
     /// In force.
     Active,
-    /// Replaced by a later bundle.
+    /// Replaced by a later bundle, or its roll-out was ended by a revert.
     Superseded,
 }
 
@@ -68,6 +74,21 @@
     pub activated: Option<Revision>,
 }
 
+/// The newest withdrawal of a version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Withdrawal {
+    /// Revision of the withdrawal.
+    pub revision: Revision,
+    /// When, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// Who withdrew the version.
+    pub by: Operator,
+    /// Why.
+    pub reason: Arc<str>,
+    /// Revision of the bundle that restored the version.
+    pub lifted: Option<Revision>,
+}
+
 /// Answer to an accepted operator write.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Accepted {
@@ -80,8 +101,8 @@
 /// Answer to a command.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Outcome {
-    /// Answer to an operator write.
-    Operation(Result<Accepted, Error>),
+    /// Answer to an operator write or a roll-out step.
+    Operation(error::Result<Accepted>),
     /// Answers to record changes, in the order of the batch.
     Records(Vec<record::Outcome>),
     /// The fencing number that was taken.
@@ -94,242 +115,164 @@
     AlreadyApplied,
 }
 
-/// The control state.
+/// The replicated contents of the machine, as kept in snapshots.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Contents {
+    pub(crate) applied: u64,
+    pub(crate) limits: Limits,
+    pub(crate) config: Config,
+    /// Id of the newest bundle; ids are not used again after a bundle is pruned.
+    pub(crate) newest_bundle: BundleId,
+    pub(crate) submissions: BTreeMap<BundleId, Submission>,
+    pub(crate) roll_out: Option<RollOut>,
+    pub(crate) withdrawals: BTreeMap<Version, Withdrawal>,
+    pub(crate) answers: Answers,
+    pub(crate) holders: Holders,
+    pub(crate) accounts: BTreeMap<Workspace, Account>,
+    pub(crate) orders: Book,
+}
+
+/// The control state.
+#[derive(Clone, Debug, Default)]
 pub struct Machine {
-    config: Config,
-    submissions: BTreeMap<BundleId, Submission>,
-    answers: BTreeMap<(Operator, Request), Result<Accepted, Error>>,
-    records: BTreeMap<Key, Record>,
-    pins: BTreeMap<(Workspace, Session), Version>,
+    pub(crate) contents: Contents,
+    /// The parsed bundles; derived from the contents.
+    pub(crate) rules: Rules,
 }
 
 impl Machine {
-    /// Applies the command at `index` of the log.
-    pub fn apply(&mut self, _index: u64, command: &Command) -> Outcome {
-        match &command.action {
-            Action::Operate(operation) => Outcome::Operation(self.operate(operation)),
+    /// Applies the command at `index` of the log. An index that was applied before has no effect.
+    pub fn apply(&mut self, index: u64, command: &Command) -> Outcome {
+        if index <= self.contents.applied {
+            return Outcome::AlreadyApplied;
+        }
+        self.contents.applied = index;
+        let outcome = self.act(command.at_ms, &command.action);
+        self.prune(command);
+        outcome
+    }
+
+    fn act(&mut self, at_ms: u64, action: &Action) -> Outcome {
+        match action {
+            Action::Operate(operation) => Outcome::Operation(self.operate(at_ms, operation)),
+            Action::Step(step) => Outcome::Operation(self.step(at_ms, *step)),
             Action::Records(changes) => {
                 let changes = changes.iter();
-                Outcome::Records(changes.map(|change| self.record(command.at_ms, change)).collect())
+                Outcome::Records(changes.map(|change| self.record(at_ms, change)).collect())
+            }
+            Action::Lapse(holder) => {
+                self.contents.holders.lapse(holder, at_ms);
+                Outcome::Applied
+            }
+            Action::TakeFence { .. } => Outcome::Fence(self.contents.orders.take_fence()),
+            Action::Order(change) => {
+                let wait_ms = self.contents.limits.order_send_ms;
+                Outcome::Order(self.contents.orders.change(at_ms, wait_ms, change))
+            }
+            Action::SetLimits(limits) => {
+                self.contents.limits = limits.clone();
+                Outcome::Applied
             }
-            Action::Step(_) => Outcome::Operation(Err(missing())),
-            Action::Order(_) => Outcome::Order(Err(missing())),
-            Action::Lapse(_) | Action::TakeFence { .. } | Action::SetLimits(_) => Outcome::Applied,
         }
     }
 
+    fn record(&mut self, at_ms: u64, change: &RecordChange) -> record::Outcome {
+        let result = match change {
+            RecordChange::Open(open) => self.open(at_ms, open),
+            RecordChange::Close(close) => self.close(at_ms, close),
+            RecordChange::Move(change) => self.change_target(at_ms, change),
+            RecordChange::Settle(settle) => self.settle(at_ms, settle),
+        };
+        result.unwrap_or_else(record::Outcome::Refused)
+    }
+
+    /// Index of the newest applied command.
+    pub fn applied(&self) -> u64 {
+        self.contents.applied
+    }
+
     /// The configuration in force.
     pub fn config(&self) -> &Config {
-        &self.config
+        &self.contents.config
     }
 
-    /// All submitted bundles.
-    pub fn submissions(&self) -> &BTreeMap<BundleId, Submission> {
-        &self.submissions
+    /// The limits in force.
+    pub fn limits(&self) -> &Limits {
+        &self.contents.limits
     }
 
-    /// Billed requests, in order of workspace and request id.
-    pub fn bills(&self) -> Vec<Bill> {
-        let records = self.records.iter();
-        records
-            .filter_map(|(key, record)| match record.end {
-                Some(End::Answered(usage)) => Some(Bill {
-                    key: key.clone(),
-                    target: record.target.clone(),
-                    usage,
-                    runs_cost: record.runs_cost,
-                }),
-                _ => None,
-            })
-            .collect()
+    /// The submitted bundles that are kept.
+    pub fn submissions(&self) -> &BTreeMap<BundleId, Submission> {
+        &self.contents.submissions
     }
 
-    fn operate(&mut self, operation: &Operation) -> Result<Accepted, Error> {
-        let id = (operation.operator.clone(), operation.request.clone());
-        if let Some(answer) = self.answers.get(&id) {
-            return answer.clone();
-        }
-        let answer = self.change(operation);
-        self.answers.insert(id, answer.clone());
-        answer
+    /// The running roll-out.
+    pub fn roll_out(&self) -> Option<&RollOut> {
+        self.contents.roll_out.as_ref()
     }
 
-    fn change(&mut self, operation: &Operation) -> Result<Accepted, Error> {
-        let newest = self.config.revision;
-        if operation.based_on != newest {
-            let message =
-                format!("based on revision {}, the newest is {newest}", operation.based_on);
-            return Err(Error::new(Kind::StaleRevision, message));
-        }
-        let bundle = match &operation.change {
-            Change::Submit { text } => Some(self.submit(&operation.operator, text)?),
-            Change::SignOff { bundle } => Some(self.sign_off(&operation.operator, *bundle)?),
-            Change::RollOut { bundle } => Some(self.roll_out(*bundle)?),
-            Change::Advance { bundle, percent } => Some(self.advance(*bundle, *percent)?),
-            Change::Withdraw { version, .. } => {
-                self.config.withdrawn.insert(version.clone());
-                None
-            }
-            Change::Pause { .. } | Change::Resume { .. } | Change::Revert { .. } => {
-                return Err(missing());
-            }
-        };
-        self.config.revision += 1;
-        Ok(Accepted { revision: self.config.revision, bundle })
+    /// The newest withdrawal of each version that was ever withdrawn.
+    pub fn withdrawals(&self) -> &BTreeMap<Version, Withdrawal> {
+        &self.contents.withdrawals
     }
 
-    fn submit(&mut self, operator: &Operator, text: &Arc<str>) -> Result<BundleId, Error> {
-        bundle::parse("bundle", text).map_err(|mistakes| {
-            let lines: Vec<String> = mistakes.iter().map(ToString::to_string).collect();
-            Error::new(Kind::InvalidBundle, lines.join("\n"))
-        })?;
-        let id = self.submissions.len() as BundleId + 1;
-        let submission = Submission {
-            text: Arc::clone(text),
-            submitted_by: operator.clone(),
-            signed_off_by: None,
-            stage: Stage::Submitted,
-            revert_of: None,
-            activated: None,
-        };
-        self.submissions.insert(id, submission);
-        Ok(id)
+    /// The record of a request, while it is kept.
+    pub fn record_of(&self, key: &Key) -> Option<&Record> {
+        self.contents.accounts.get(&key.workspace)?.record(&key.request)
     }
 
-    fn sign_off(&mut self, operator: &Operator, id: BundleId) -> Result<BundleId, Error> {
-        let submission = self.expect(id, Stage::Submitted)?;
-        if submission.submitted_by == *operator {
-            let message =
-                format!("operator {operator} submitted bundle {id}; another signs it off");
-            return Err(Error::new(Kind::WrongState, message));
-        }
-        submission.signed_off_by = Some(operator.clone());
-        submission.stage = Stage::SignedOff;
-        Ok(id)
+    /// The version a session is pinned to.
+    pub fn pin(&self, workspace: &Workspace, session: &Session) -> Option<&Version> {
+        self.contents.accounts.get(workspace)?.pin(session)
     }
 
-    fn roll_out(&mut self, id: BundleId) -> Result<BundleId, Error> {
-        if let Some(candidate) = &self.config.candidate {
-            let message = format!("bundle {} is being rolled out", candidate.published.bundle);
-            return Err(Error::new(Kind::WrongState, message));
-        }
-        let submission = self.expect(id, Stage::SignedOff)?;
-        submission.stage = Stage::RollingOut;
-        let published = Published { bundle: id, text: Arc::clone(&submission.text) };
-        self.config.candidate = Some(Candidate { published, percent: 0, step: 0, paused: false });
-        if self.config.active.is_none() {
-            self.advance(id, 100)?;
-        }
-        Ok(id)
+    /// Open records of holders that have lapsed, in order of workspace and request id.
+    pub fn unsettled(&self) -> Vec<(Key, Record)> {
+        self.open_records(|holder| self.has_lapsed(holder))
     }
 
-    fn advance(&mut self, id: BundleId, percent: u8) -> Result<BundleId, Error> {
-        self.expect(id, Stage::RollingOut)?;
-        let Some(mut candidate) = self.config.candidate.take() else {
-            return Err(Error::new(Kind::WrongState, "no roll-out is running"));
-        };
-        candidate.percent = percent.max(candidate.percent);
-        if candidate.percent < 100 {
-            self.config.candidate = Some(candidate);
-            return Ok(id);
-        }
-        let active = self.config.active.replace(candidate.published);
-        if let Some(previous) = active.and_then(|old| self.submissions.get_mut(&old.bundle)) {
-            previous.stage = Stage::Superseded;
-        }
-        self.expect(id, Stage::RollingOut)?.stage = Stage::Active;
-        Ok(id)
+    /// Holders with open records.
+    pub fn active_holders(&self) -> BTreeSet<Holder> {
+        self.open_records(|_| true).into_iter().map(|(_, record)| record.holder).collect()
     }
 
-    fn expect(&mut self, id: BundleId, stage: Stage) -> Result<&mut Submission, Error> {
-        let submission = self
-            .submissions
-            .get_mut(&id)
-            .ok_or_else(|| Error::new(Kind::NotFound, format!("there is no bundle {id}")))?;
-        if submission.stage != stage {
-            let message = format!("bundle {id} is {:?}, expected {stage:?}", submission.stage);
-            return Err(Error::new(Kind::WrongState, message));
-        }
-        Ok(submission)
+    fn open_records(&self, of: impl Fn(&Holder) -> bool) -> Vec<(Key, Record)> {
+        let accounts = self.contents.accounts.iter();
+        let open = accounts.flat_map(|(workspace, account)| {
+            account.open().map(move |(request, record)| {
+                let key = Key { workspace: workspace.clone(), request: request.clone() };
+                (key, record)
+            })
+        });
+        open.filter(|(_, record)| of(&record.holder))
+            .map(|(key, record)| (key, record.clone()))
+            .collect()
     }
 
-    fn record(&mut self, at_ms: u64, change: &RecordChange) -> record::Outcome {
-        match change {
-            RecordChange::Open(open) => self.open(at_ms, open),
-            RecordChange::Close(close) => self.close(close),
-            RecordChange::Move(_) | RecordChange::Settle(_) => record::Outcome::Refused(missing()),
-        }
+    /// Whether a holder has lapsed; it must not be granted a lease.
+    pub fn has_lapsed(&self, holder: &Holder) -> bool {
+        self.contents.holders.has_lapsed(holder)
     }
 
-    fn open(&mut self, at_ms: u64, open: &Open) -> record::Outcome {
-        if let Some(record) = self.records.get(&open.key) {
-            return resend(record, open);
-        }
-        if let (Some(session), Target::Version(version)) = (&open.session, &open.target) {
-            let pin = (open.key.workspace.clone(), session.clone());
-            let pinned = self.pins.entry(pin).or_insert_with(|| version.clone());
-            if self.config.withdrawn.contains(pinned) {
-                *pinned = version.clone();
-            }
-            if pinned != version {
-                return record::Outcome::Pinned(pinned.clone());
-            }
-        }
-        let record = Record {
-            opened_ms: at_ms,
-            request_ms: open.request_ms,
-            attempt: open.attempt,
-            moved: false,
-            runs_cost: 0.0,
-            holder: open.holder.clone(),
-            target: open.target.clone(),
-            endpoint: open.endpoint.clone(),
-            run_once: open.run_once,
-            digest: open.digest,
-            end: None,
-            answer: None,
-        };
-        self.records.insert(open.key.clone(), record);
-        record::Outcome::Opened
+    /// The order lease.
+    pub fn order_lease(&self) -> Option<&order::Lease> {
+        self.contents.orders.lease()
     }
 
-    fn close(&mut self, close: &Close) -> record::Outcome {
-        let Some(record) = self.records.get_mut(&close.key) else {
-            let message = format!("there is no record of request {}", close.key.request);
-            return record::Outcome::Refused(Error::new(Kind::NotFound, message));
-        };
-        if record.end.is_none() && record.holder == close.holder {
-            record.end = Some(close.end);
-            record.answer = close.answer.clone();
-        }
-        record::Outcome::Closed
+    /// The orders that are kept, by fencing number.
+    pub fn orders(&self) -> &BTreeMap<Fence, Order> {
+        self.contents.orders.orders()
     }
-}
 
-fn missing() -> Error {
-    Error::new(Kind::Internal, "the state machine doesn't support this command yet")
-}
+    /// Billed requests whose records are kept, in order of workspace and request id.
+    pub fn bills(&self) -> Vec<Bill> {
+        let accounts = self.contents.accounts.iter();
+        accounts.flat_map(|(workspace, account)| account.bills(workspace)).collect()
+    }
 
-/// Answer to an open whose request id is known already.
-fn resend(record: &Record, open: &Open) -> record::Outcome {
-    let request = &open.key.request;
-    if record.digest != open.digest {
-        let message = format!("request id {request} was used for another request");
-        return record::Outcome::Refused(Error::new(Kind::RequestIdReused, message));
+    /// Sums per workspace over all records, kept and pruned.
+    pub fn totals(&self) -> BTreeMap<Workspace, Totals> {
+        let accounts = self.contents.accounts.iter();
+        accounts.map(|(workspace, account)| (workspace.clone(), account.totals)).collect()
     }
-    let (kind, message) = match (record.end, &record.answer) {
-        (Some(End::Answered(_)), Some(answer)) => return record::Outcome::Answered(answer.clone()),
-        (Some(End::Answered(_)), None) if !record.run_once => return record::Outcome::Repeat,
-        (Some(End::Answered(_)), None) => {
-            (Kind::AlreadyAnswered, format!("request {request} ran; its answer is not kept"))
-        }
-        (Some(_), _) if !record.run_once => return record::Outcome::Repeat,
-        (Some(End::NotRun), _) => (Kind::OutcomeUnknown, format!("request {request} did not run")),
-        (Some(End::Unknown), _) => {
-            (Kind::OutcomeUnknown, format!("the outcome of request {request} is not known"))
-        }
-        (None, _) => (Kind::StillRunning, format!("request {request} is still running")),
-    };
-    record::Outcome::Refused(Error::new(kind, message))
 }
