--- a/crates/base/src/settings.rs
+++ b/crates/base/src/settings.rs
@@ -1,10 +1,15 @@
 //! Settings files: reading one and reporting all its mistakes at once.
 
+use std::fmt::Display;
+use std::ops::RangeInclusive;
 use std::path::Path;
+use std::str::FromStr;
+use std::time::Duration;
 
 use eyre::WrapErr;
 
 use crate::ini::Document;
+use crate::ini::Section;
 
 /// Reads the settings file at `path` with `read` and fails with every mistake, one a line.
 pub fn load<T>(path: &Path, read: impl FnOnce(&Document) -> Option<T>) -> eyre::Result<T> {
@@ -18,6 +23,38 @@
     value.ok_or_else(|| eyre::eyre!("settings file {file} is incomplete"))
 }
 
+/// The number at `key` within `range`, or `default` when it is absent. A value outside is recorded
+/// as a mistake.
+pub fn number<T>(
+    section: Section<'_>,
+    key: &str,
+    unit: &str,
+    default: T,
+    range: RangeInclusive<T>,
+) -> T
+where
+    T: FromStr + PartialOrd + Display + Copy,
+{
+    let expected = format!("{} to {} {unit}", range.start(), range.end());
+    let value = section.or(key, &expected, default);
+    if !range.contains(&value) {
+        section.mistake(key, format!("found {value}, expected {expected}"));
+        return default;
+    }
+    value
+}
+
+/// The duration at `key`, in milliseconds within `range`, or `default` when it is absent.
+pub fn milliseconds(
+    section: Section<'_>,
+    key: &str,
+    default: Duration,
+    range: RangeInclusive<u64>,
+) -> Duration {
+    let default = u64::try_from(default.as_millis()).unwrap_or(u64::MAX);
+    Duration::from_millis(number(section, key, "milliseconds", default, range))
+}
+
 fn lines(mistakes: &[crate::ini::Mistake]) -> String {
     let lines: Vec<String> = mistakes.iter().map(ToString::to_string).collect();
     lines.join("\n")
--- /dev/null
+++ b/crates/control/src/admin/mod.rs
@@ -0,0 +1,131 @@
+//! Administration interface over HTTP.
+//!
+//! Every request carries an operator's key. Writes and reads go through the leader; another replica
+//! answers `not_leader` and names the leader's address in the header `x-leader`. Errors come from
+//! the closed table.
+
+mod bundles;
+mod members;
+mod read;
+mod write;
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use gotham::helpers::http::Body;
+use gotham::hyper::HeaderMap;
+use gotham::hyper::Response;
+use gotham::hyper::header::HeaderValue;
+use gotham::prelude::DefineSingleRoute;
+use gotham::prelude::DrawRoutes;
+use gotham::router::Router;
+use gotham::router::builder::build_simple_router;
+use gotham::state::FromState;
+use gotham::state::State;
+use hickoryreel_base::admin;
+use hickoryreel_base::bundle::key_sha256;
+use hickoryreel_base::error;
+use hickoryreel_base::error::Error;
+use hickoryreel_base::error::Kind;
+use hickoryreel_base::name::Operator;
+use hickoryreel_base::server;
+use hickoryreel_base::server::App;
+use hickoryreel_wire::endpoint::Announcement;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::address::Address;
+use crate::core::Failure;
+use crate::run::Control;
+
+/// Largest body of an operator's request, in bytes.
+const MAX_BODY: usize = 1 << 20;
+
+/// Largest announcement, in bytes.
+const MAX_ANNOUNCEMENT: usize = 64 << 10;
+
+/// Longest time a request body may take.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Header with the address of the leader's administration interface.
+const LEADER: &str = "x-leader";
+
+/// The routes of the administration interface.
+pub fn router() -> Router {
+    build_simple_router(|route| {
+        route.post("/admin/v1/operations").to_async_borrowing(write::operations);
+        route.post("/admin/v1/check").to_async_borrowing(bundles::check);
+        route.post("/admin/v1/diff").to_async_borrowing(bundles::diff);
+        route.get("/admin/v1/status").to_async_borrowing(read::status);
+        route.get("/admin/v1/endpoints").to_async_borrowing(read::endpoints);
+        route.get("/admin/v1/billing").to_async_borrowing(read::billing);
+        route.get("/admin/v1/in-force/*").to_async_borrowing(read::in_force);
+        route.post("/admin/v1/replicas/add").to_async_borrowing(members::add);
+        route.post("/admin/v1/replicas/remove").to_async_borrowing(members::remove);
+        route.post("/v1/announce").to_async_borrowing(announce);
+        admin::routes::<Control, _, _>(route);
+    })
+}
+
+type Handled = Result<Response<Body>, gotham::handler::HandlerError>;
+
+async fn announce(state: &mut State) -> Handled {
+    Ok(answer(take_announcement(state).await))
+}
+
+async fn take_announcement(state: &mut State) -> Result<&'static str, Failure> {
+    let control = control(state);
+    if let Some(expected) = &control.settings.announce_key
+        && bearer(state).map(key_sha256) != Some(key_sha256(expected))
+    {
+        return Err(
+            Error::new(Kind::Unauthenticated, "the announce key is missing or wrong").into()
+        );
+    }
+    let announcement: Announcement =
+        server::read_json(state, MAX_ANNOUNCEMENT, BODY_TIMEOUT).await?;
+    control.directory.announce(announcement, Instant::now());
+    Ok("announced")
+}
+
+fn control(state: &State) -> Arc<Control> {
+    App::<Control>::borrow_from(state).clone().0
+}
+
+fn bearer(state: &State) -> Option<&str> {
+    let header = HeaderMap::borrow_from(state).get("authorization")?;
+    header.to_str().ok()?.strip_prefix("Bearer ")
+}
+
+/// The operator whose key the request carries.
+fn operator(state: &State) -> error::Result<Operator> {
+    let control = control(state);
+    let key = bearer(state)
+        .ok_or_else(|| Error::new(Kind::Unauthenticated, "the operator key is missing"))?;
+    let hash = key_sha256(key);
+    let found = control.settings.operators.iter().find(|(_, known)| **known == hash);
+    found
+        .map(|(operator, _)| operator.clone())
+        .ok_or_else(|| Error::new(Kind::Unauthenticated, "the key belongs to no operator"))
+}
+
+/// Reads the JSON body of an operator's request.
+async fn body<T: DeserializeOwned>(state: &mut State) -> error::Result<T> {
+    server::read_json(state, MAX_BODY, BODY_TIMEOUT).await
+}
+
+fn answer(result: Result<impl Serialize, Failure>) -> Response<Body> {
+    let failure = match result {
+        Ok(value) => return server::json(200, &value),
+        Err(failure) => failure,
+    };
+    let mut response = server::error_response(&failure.error);
+    let leader = failure.leader.and_then(|leader| leader.address.parse::<Address>().ok());
+    if let Some(address) = leader
+        && let Ok(value) = HeaderValue::from_str(&address.admin.to_string())
+    {
+        response.headers_mut().insert(LEADER, value);
+    }
+    response
+}
--- /dev/null
+++ b/crates/control/src/controllers/roll_out.rs
@@ -0,0 +1,187 @@
+//! Advances roll-outs by steps.
+//!
+//! A step lasts at least the bundle's `step-s`, and ends when every version that is new in the
+//! bundle is healthy. A bad version is withdrawn. When the exposure budget of a step is spent
+//! without enough evidence, the roll-out is paused until an operator resumes or advances it.
+
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use hickoryreel_base::bundle;
+use hickoryreel_base::bundle::Bundle;
+use hickoryreel_base::name::Operator;
+use hickoryreel_base::name::Request;
+use hickoryreel_base::name::Version;
+use hickoryreel_state::command::Action;
+use hickoryreel_state::command::BundleId;
+use hickoryreel_state::command::Change;
+use hickoryreel_state::command::Operation;
+use hickoryreel_state::command::SYSTEM;
+use hickoryreel_state::command::Step;
+use hickoryreel_state::machine::Outcome;
+use hickoryreel_state::roll_out;
+use slog::info;
+use slog::warn;
+
+use super::Blackboard;
+use super::Controller;
+use crate::core::Failure;
+use crate::health::Verdict;
+use crate::run::Control;
+
+/// Roll-out controller.
+#[derive(Default)]
+pub(super) struct RollOut {
+    /// The bundle that is being rolled out, parsed.
+    candidate: Option<(BundleId, Bundle)>,
+}
+
+/// What to do about a roll-out.
+#[derive(Debug, PartialEq)]
+enum Decision {
+    Wait,
+    Advance,
+    Hold,
+    Withdraw(Version, String),
+}
+
+impl Controller for RollOut {
+    fn name(&self) -> &'static str {
+        "roll-out"
+    }
+
+    fn act<'a>(
+        &'a mut self,
+        control: &'a Control,
+        board: &'a Blackboard,
+    ) -> BoxFuture<'a, Result<(), Failure>> {
+        async move {
+            let Some(running) = &board.roll_out else { return Ok(()) };
+            let Some(candidate) = self.candidate(board, running.bundle) else { return Ok(()) };
+            match decide(control, board, running, candidate) {
+                Decision::Wait => Ok(()),
+                Decision::Advance => advance(control, running).await,
+                Decision::Hold => hold(control, board, running).await,
+                Decision::Withdraw(version, reason) => {
+                    withdraw(control, running, version, &reason).await
+                }
+            }
+        }
+        .boxed()
+    }
+}
+
+impl RollOut {
+    fn candidate(&mut self, board: &Blackboard, id: BundleId) -> Option<&Bundle> {
+        if self.candidate.as_ref().is_none_or(|(known, _)| *known != id) {
+            let published = &board.config.candidate.as_ref()?.published;
+            let parsed = bundle::parse("candidate", &published.text).ok()?;
+            self.candidate = Some((id, parsed));
+        }
+        self.candidate.as_ref().map(|(_, bundle)| bundle)
+    }
+}
+
+fn decide(
+    control: &Control,
+    board: &Blackboard,
+    running: &roll_out::RollOut,
+    candidate: &Bundle,
+) -> Decision {
+    let active = board.config.active.as_ref();
+    let active = active.and_then(|published| bundle::parse("active", &published.text).ok());
+    let is_new = |version: &Version| {
+        !active.as_ref().is_some_and(|bundle| bundle.versions.contains_key(version))
+    };
+    let new: Vec<&Version> = candidate.versions.keys().filter(|one| is_new(one)).collect();
+    let plan = &candidate.roll_out;
+    let verdicts = new.iter().map(|version| {
+        let replaces = candidate.versions.get(*version).and_then(|terms| terms.replaces.as_ref());
+        let verdict = control.health.verdict(
+            running.bundle,
+            running.step,
+            version,
+            replaces,
+            plan.exposure_budget,
+        );
+        (*version, verdict)
+    });
+    let verdicts: Vec<(&Version, Verdict)> = verdicts.collect();
+    let bad = verdicts.iter().find_map(|(version, verdict)| match verdict {
+        Verdict::Bad(cause) if !board.config.withdrawn.contains(*version) => {
+            Some(((*version).clone(), format!("{cause:?}").to_lowercase()))
+        }
+        _ => None,
+    });
+    if let Some((version, cause)) = bad {
+        return Decision::Withdraw(version, format!("failed its health test: {cause}"));
+    }
+    if running.paused {
+        return Decision::Wait;
+    }
+    if running.step == 0 {
+        return Decision::Advance;
+    }
+    let least_ms = u64::from(plan.step_s) * 1000;
+    let long_enough = board.read_at_ms >= running.started_ms.saturating_add(least_ms);
+    let healthy = verdicts.iter().all(|(_, verdict)| *verdict == Verdict::Healthy);
+    match (healthy, long_enough) {
+        (true, true) => Decision::Advance,
+        (false, _) if running.exposed >= u64::from(plan.exposure_budget) => Decision::Hold,
+        _ => Decision::Wait,
+    }
+}
+
+async fn advance(control: &Control, running: &roll_out::RollOut) -> Result<(), Failure> {
+    let step = Step { bundle: running.bundle, number: running.step + 1 };
+    if let Outcome::Operation(answer) = control.propose(Action::Step(step)).await? {
+        let accepted = answer?;
+        info!(control.log, "roll-out entered a step"; "bundle" => step.bundle,
+            "step" => step.number, "revision" => accepted.revision);
+    }
+    Ok(())
+}
+
+async fn hold(
+    control: &Control,
+    board: &Blackboard,
+    running: &roll_out::RollOut,
+) -> Result<(), Failure> {
+    let change = Change::Pause { bundle: running.bundle };
+    let request = format!("hold-{}-{}", running.bundle, running.step);
+    operate(control, &request, board.config.revision, change).await?;
+    warn!(control.log, "the exposure budget is spent; the roll-out is paused";
+        "bundle" => running.bundle, "step" => running.step, "exposed" => running.exposed);
+    Ok(())
+}
+
+async fn withdraw(
+    control: &Control,
+    running: &roll_out::RollOut,
+    version: Version,
+    reason: &str,
+) -> Result<(), Failure> {
+    warn!(control.log, "a version is withdrawn"; "version" => %version, "reason" => reason);
+    let request = format!("health-{}-{version}", running.bundle);
+    let change = Change::Withdraw { version, reason: reason.into() };
+    operate(control, &request, 0, change).await
+}
+
+/// Writes as the system. The request id follows from the decision, so that the next leader's write
+/// of the same decision gets the first answer.
+async fn operate(
+    control: &Control,
+    request: &str,
+    based_on: u64,
+    change: Change,
+) -> Result<(), Failure> {
+    let operation = Operation {
+        operator: Operator::from(SYSTEM),
+        request: Request::from(request),
+        based_on,
+        change,
+    };
+    if let Outcome::Operation(answer) = control.propose(Action::Operate(operation)).await? {
+        answer?;
+    }
+    Ok(())
+}
--- a/crates/control/src/core/owner.rs
+++ b/crates/control/src/core/owner.rs
@@ -275,7 +275,7 @@
     }
 
     fn restore(&mut self, snapshot: &Snapshot) -> eyre::Result<()> {
-        self.machine = postcard::from_bytes(&snapshot.data)
+        self.machine = Machine::restore(&snapshot.data)
             .wrap_err_with(|| format!("the snapshot at {} is not usable", snapshot.index))?;
         self.applied = snapshot.index;
         self.snapshot_at = snapshot.index;
@@ -292,7 +292,7 @@
             return Ok(());
         }
         let started = Instant::now();
-        let data = postcard::to_stdvec(&self.machine).wrap_err("cannot encode a snapshot")?;
+        let data = self.machine.snapshot();
         let (index, bytes) = (self.applied, data.len());
         self.snapshot_at = index;
         self.bytes_since_snapshot = 0;
@@ -305,6 +305,7 @@
     fn report(&mut self) {
         let metrics = &self.start.metrics;
         let standing = (self.replica.role(), self.replica.term());
+        metrics.leader_known.set(i64::from(self.replica.leader().is_some()));
         metrics.leading.set(i64::from(standing.0 == Role::Leader));
         metrics.term.set(i64::try_from(standing.1).unwrap_or(i64::MAX));
         metrics.applied.set(i64::try_from(self.applied).unwrap_or(i64::MAX));
--- a/crates/control/src/guard.rs
+++ b/crates/control/src/guard.rs
@@ -72,4 +72,3 @@
         Either::Right(ready(Ok(response)))
     }
 }
-
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -11,6 +11,8 @@
 pub struct Metrics {
     /// 1 while this replica leads.
     pub leading: Gauge,
+    /// 1 while a leader is known.
+    pub leader_known: Gauge,
     /// Term.
     pub term: Gauge,
     /// Last applied index.
@@ -42,6 +44,7 @@
     fn default() -> Self {
         let mut metrics = Self {
             leading: Gauge::default(),
+            leader_known: Gauge::default(),
             term: Gauge::default(),
             applied: Gauge::default(),
             revision: Gauge::default(),
@@ -70,6 +73,7 @@
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register("leading", "1 while this replica leads", self.leading.clone());
+        registry.register("leader_known", "1 while a leader is known", self.leader_known.clone());
         registry.register("term", "Term of the log", self.term.clone());
         registry.register("applied_index", "Last applied index", self.applied.clone());
         registry.register("revision", "Revision of the configuration", self.revision.clone());
--- a/crates/control/src/rpc.rs
+++ b/crates/control/src/rpc.rs
@@ -1,5 +1,6 @@
-//! JSON-RPC interface for entries and endpoints.
+//! JSON-RPC interface for entries, endpoints and other replicas.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -10,13 +11,20 @@
 use hickoryreel_state::machine::Outcome;
 use hickoryreel_state::record;
 use hickoryreel_wire::endpoint::Announcement;
+use hickoryreel_wire::rpc::Directory;
 use hickoryreel_wire::rpc::Grant;
+use hickoryreel_wire::rpc::Identity;
 use hickoryreel_wire::rpc::Refusal;
 use hickoryreel_wire::rpc::Renew;
 use hickoryreel_wire::rpc::Reply;
 use hickoryreel_wire::rpc::method;
 use jsonrpsee::RpcModule;
+use jsonrpsee::core::RpcResult;
 
+use crate::address::Address;
+use crate::core::Failure;
+use crate::leases;
+use crate::peers;
 use crate::run::Control;
 
 /// The JSON-RPC methods of a control replica.
@@ -24,36 +32,59 @@
     let mut module = RpcModule::new(control);
     module.register_async_method(method::LEASE_RENEW, |params, control, _| async move {
         let renew: Renew = params.one()?;
-        jsonrpsee::core::RpcResult::Ok(lease_renew(&control, renew).await)
+        RpcResult::Ok(lease_renew(&control, renew).await)
     })?;
     module.register_async_method(method::RECORD_SUBMIT, |params, control, _| async move {
         let changes: Vec<RecordChange> = params.one()?;
-        jsonrpsee::core::RpcResult::Ok(record_submit(&control, changes).await)
+        RpcResult::Ok(record_submit(&control, changes).await)
     })?;
-    module.register_async_method(method::ANNOUNCE, |params, control, _| async move {
+    module.register_method(method::ANNOUNCE, |params, control, _| {
         let announcement: Announcement = params.one()?;
         control.directory.announce(announcement, Instant::now());
-        jsonrpsee::core::RpcResult::Ok(())
+        RpcResult::Ok(())
+    })?;
+    module.register_method(method::CONSENSUS_STEP, |params, control, _| {
+        let (sender, payload): (SocketAddr, String) = params.parse()?;
+        consensus_step(control, sender, &payload);
+        RpcResult::Ok(())
+    })?;
+    module.register_async_method(method::REPLICA_IDENTITY, |_, control, _| async move {
+        RpcResult::Ok(identity(&control).await)
+    })?;
+    module.register_method(method::DIRECTORY, |params, control, _| {
+        let since: u64 = params.one()?;
+        let (change, heard) = control.directory.heard(since, Instant::now());
+        RpcResult::Ok(Directory { change, heard })
     })?;
     Ok(module)
 }
 
-async fn lease_renew(control: &Control, renew: Renew) -> Reply<Grant> {
-    let known = renew.revision;
-    let (revision, config) = control
-        .core
-        .query(move |machine| {
-            let config = machine.config();
-            (config.revision, (config.revision != known).then(|| config.clone()))
-        })
-        .await
-        .map_err(refusal)?;
-    let delta = control.directory.delta(renew.directory, Instant::now());
+async fn lease_renew(control: &Arc<Control>, renew: Renew) -> Reply<Grant> {
+    let granting = Arc::clone(control);
+    let (known, directory) = (renew.revision, renew.directory);
+    let read = control.core.read(move |view| {
+        let holder = &renew.holder;
+        if view.machine.has_lapsed(holder) {
+            return Err(leases::lapsed(holder));
+        }
+        let config = view.machine.config();
+        if known > config.revision {
+            let message = format!("revision {known} is newer than {}", config.revision);
+            return Err(Error::new(Kind::MalformedRequest, message));
+        }
+        granting.leases.grant(view.term(), holder, known, Instant::now())?;
+        Ok((config.revision, (config.revision != known).then(|| config.clone())))
+    });
+    let granted = read.await.map_err(refusal)?;
+    let (revision, config) = granted.map_err(|error| refusal(error.into()))?;
+    control.metrics.renewals.inc();
+    let delta = control.directory.delta(directory, Instant::now());
     Ok(Grant {
         length_ms: u64::try_from(control.settings.lease.as_millis()).unwrap_or(u64::MAX),
         revision,
         config,
         directory: delta.change,
+        whole: delta.whole,
         changed: delta.changed,
         gone: delta.gone,
     })
@@ -63,12 +94,40 @@
     control: &Control,
     changes: Vec<RecordChange>,
 ) -> Reply<Vec<record::Outcome>> {
-    match control.core.propose(Action::Records(changes)).await.map_err(refusal)? {
+    // Only control itself settles records, after it has asked the endpoint.
+    if changes.iter().any(|change| matches!(change, RecordChange::Settle(_))) {
+        let error = Error::new(Kind::NotAllowed, "an entry may not settle records");
+        return Err(refusal(error.into()));
+    }
+    match control.propose(Action::Records(changes)).await.map_err(refusal)? {
         Outcome::Records(outcomes) => Ok(outcomes),
-        _ => Err(refusal(Error::new(Kind::Internal, "the outcome does not fit the command"))),
+        _ => {
+            let error = Error::new(Kind::Internal, "the outcome does not fit the command");
+            Err(refusal(error.into()))
+        }
     }
 }
 
-fn refusal(error: Error) -> Refusal {
-    Refusal { error, leader: None }
+fn consensus_step(control: &Control, sender: SocketAddr, payload: &str) {
+    let Some(messages) = peers::decode(payload) else {
+        slog::warn!(control.log, "messages can't be decoded"; "peer" => %sender);
+        return;
+    };
+    if let Some(message) = messages.first() {
+        control.outbox.heard(message.from, sender);
+    }
+    control.core.messages(messages);
+}
+
+async fn identity(control: &Control) -> Reply<Identity> {
+    let standing = control.core.inspect(|view| view.standing()).await.map_err(refusal)?;
+    let first_members = standing.first_members.map(|members| {
+        members.iter().map(|one| (one.id.to_string(), one.address.to_string())).collect()
+    });
+    Ok(Identity { id: standing.id.to_string(), empty: standing.last == 0, first_members })
+}
+
+fn refusal(failure: Failure) -> Refusal {
+    let address = failure.leader.and_then(|leader| leader.address.parse::<Address>().ok());
+    Refusal { error: failure.error, leader: address.map(|address| address.rpc) }
 }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -1,4 +1,4 @@
-//! Settings of a control replica.
+//! Settings of a control replica. docs/settings.md lists every key.
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -7,8 +7,21 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use hickoryreel_base::ini::Document;
+use hickoryreel_base::ini::Section;
 use hickoryreel_base::name::Operator;
 use hickoryreel_base::settings;
+use hickoryreel_base::settings::milliseconds;
+use hickoryreel_base::settings::number;
+use hickoryreel_consensus as consensus;
+use hickoryreel_state::command::SYSTEM;
+use hickoryreel_state::limits::Limits;
+
+use crate::address::Address;
+
+/// Numbers of replicas a new cluster may have. Even numbers survive no more failures than the odd
+/// number below.
+const CLUSTER_SIZES: [usize; 3] = [1, 3, 5];
 
 /// Settings of a control replica.
 #[derive(Clone, Debug)]
@@ -17,12 +30,40 @@
     pub rpc: SocketAddr,
     /// Address of the administration interface.
     pub admin: SocketAddr,
+    /// Address at which others reach this replica; differs from `rpc` and `admin` behind a relay.
+    pub advertise: Address,
     /// Folder for the state that survives a restart.
     pub data: PathBuf,
+    /// Replicas of a new cluster; used only while the data folder is empty.
+    pub replicas: Vec<Address>,
+    /// Key between processes.
+    pub cluster_key: Option<String>,
+    /// Key of endpoints that announce themselves here.
+    pub announce_key: Option<String>,
     /// SHA-256 of each operator's key.
     pub operators: BTreeMap<Operator, String>,
     /// Length of an entry's lease.
     pub lease: Duration,
+    /// Added to the leader's count of a lease for clocks that run at different rates.
+    pub lease_margin: Duration,
+    /// Limit for one call to another replica.
+    pub call_timeout: Duration,
+    /// Limit for a write or read whose quorum is lost.
+    pub request_timeout: Duration,
+    /// Work that may wait for the control-state thread.
+    pub queue: usize,
+    /// Messages that may wait for one other replica.
+    pub peer_queue: usize,
+    /// Applied entries after which a snapshot is written.
+    pub snapshot_entries: u64,
+    /// Bytes of applied commands after which a snapshot is written.
+    pub snapshot_bytes: usize,
+    /// Settings of the log.
+    pub consensus: consensus::Settings,
+    /// Limits on the replicated state.
+    pub limits: Limits,
+    /// Time between two rounds of the controllers.
+    pub controller_period: Duration,
     /// Lowest level of log lines.
     pub log_level: slog::Level,
 }
@@ -33,9 +74,23 @@
         Self {
             rpc: any_port,
             admin: any_port,
+            advertise: Address { rpc: any_port, admin: any_port },
             data: PathBuf::new(),
+            replicas: Vec::new(),
+            cluster_key: None,
+            announce_key: None,
             operators: BTreeMap::new(),
             lease: Duration::from_secs(3),
+            lease_margin: Duration::from_millis(50),
+            call_timeout: Duration::from_millis(250),
+            request_timeout: Duration::from_secs(3),
+            queue: 16_384,
+            peer_queue: 1_024,
+            snapshot_entries: 50_000,
+            snapshot_bytes: 16 << 20,
+            consensus: consensus::Settings::default(),
+            limits: Limits::default(),
+            controller_period: Duration::from_millis(250),
             log_level: slog::Level::Info,
         }
     }
@@ -43,21 +98,145 @@
 
 /// Reads a settings file.
 pub fn load(path: &Path) -> eyre::Result<Settings> {
-    settings::load(path, |document| {
-        let standard = Settings::default();
-        let control = document.section("control");
-        let operators = document.section("operators");
-        Some(Settings {
-            rpc: control.required("rpc", "ADDRESS:PORT")?,
-            admin: control.required("admin", "ADDRESS:PORT")?,
-            data: control.required("data", "a folder")?,
-            operators: document
-                .keys("operators")
-                .into_iter()
-                .filter_map(|name| Some((Operator::from(name.as_str()), operators.text(&name)?)))
-                .collect(),
-            log_level: control.or("log-level", "a log level", standard.log_level),
-            ..standard
-        })
+    settings::load(path, read)
+}
+
+fn read(document: &Document) -> Option<Settings> {
+    let standard = Settings::default();
+    let control = document.section("control");
+    let rpc = control.required("rpc", "ADDRESS:PORT");
+    let admin = control.required("admin", "ADDRESS:PORT");
+    let data = control.required("data", "a folder");
+    let cluster_key = control.text("cluster-key").filter(|key| !key.is_empty());
+    let announce_key = control.text("announce-key").filter(|key| !key.is_empty());
+    let advertise = control.optional("advertise", "RPC/ADMIN");
+    let operators = operators(document);
+    let limits = limits(document.section("records"));
+    let tuned = tuning(control, standard);
+    let (rpc, admin, data) = (rpc?, admin?, data?);
+    let advertise = advertise.unwrap_or(Address { rpc, admin });
+    if cluster_key.is_none() && !rpc.ip().is_loopback() {
+        control.mistake("cluster-key", "missing; it is optional only on a loopback address");
+    }
+    Some(Settings {
+        rpc,
+        admin,
+        advertise,
+        data,
+        replicas: replicas(control, advertise),
+        cluster_key,
+        announce_key,
+        operators,
+        limits,
+        ..tuned
     })
 }
+
+/// The replicas of a new cluster. Without the key, a replica on a loopback address is a cluster of
+/// its own unless it joins one.
+fn replicas(control: Section<'_>, own: Address) -> Vec<Address> {
+    let join = control.or("join", "true or false", false);
+    let listed: Vec<Address> = control.list("replicas", "RPC/ADMIN, RPC/ADMIN, ...");
+    if join {
+        return Vec::new();
+    }
+    if listed.is_empty() {
+        if !own.rpc.ip().is_loopback() {
+            control
+                .mistake("replicas", "missing; list the replicas of the new cluster or set join");
+        }
+        return vec![own];
+    }
+    if !CLUSTER_SIZES.contains(&listed.len()) {
+        control.mistake("replicas", format!("found {} replicas, expected 1, 3 or 5", listed.len()));
+    }
+    if !listed.contains(&own) {
+        control.mistake("replicas", format!("expected this replica, {own}, among them"));
+    }
+    listed
+}
+
+fn tuning(control: Section<'_>, standard: Settings) -> Settings {
+    let log = standard.consensus.clone();
+    let heartbeat = milliseconds(control, "heartbeat-ms", log.heartbeat, 10..=5_000);
+    let election_min = milliseconds(control, "election-min-ms", log.election_min, 50..=60_000);
+    let election_max = milliseconds(control, "election-max-ms", log.election_max, 100..=120_000);
+    if election_min < 2 * heartbeat {
+        control.mistake("election-min-ms", "expected at least two heartbeats");
+    }
+    if election_max <= election_min {
+        control.mistake("election-max-ms", "expected more than election-min-ms");
+    }
+    let count = "items";
+    Settings {
+        lease: milliseconds(control, "lease-ms", standard.lease, 500..=60_000),
+        lease_margin: milliseconds(control, "lease-margin-ms", standard.lease_margin, 0..=5_000),
+        call_timeout: milliseconds(control, "call-timeout-ms", standard.call_timeout, 20..=10_000),
+        request_timeout: milliseconds(
+            control,
+            "request-timeout-ms",
+            standard.request_timeout,
+            100..=60_000,
+        ),
+        queue: number(control, "queue", count, standard.queue, 64..=1_000_000),
+        peer_queue: number(control, "peer-queue", count, standard.peer_queue, 16..=100_000),
+        snapshot_entries: number(
+            control,
+            "snapshot-entries",
+            "log entries",
+            standard.snapshot_entries,
+            100..=100_000_000,
+        ),
+        snapshot_bytes: number(
+            control,
+            "snapshot-bytes",
+            "bytes",
+            standard.snapshot_bytes,
+            10_000..=1 << 32,
+        ),
+        consensus: consensus::Settings { heartbeat, election_min, election_max, ..log },
+        controller_period: milliseconds(
+            control,
+            "controller-period-ms",
+            standard.controller_period,
+            20..=10_000,
+        ),
+        log_level: control.or("log-level", "a log level", standard.log_level),
+        ..standard
+    }
+}
+
+fn limits(section: Section<'_>) -> Limits {
+    let standard = Limits::default();
+    let seconds = |key, default_ms: u64| {
+        number(section, key, "seconds", default_ms / 1000, 60..=90 * 24 * 3600) * 1000
+    };
+    let many = 1..=100_000_000;
+    Limits {
+        records: number(section, "records", "per workspace", standard.records, many.clone()),
+        record_age_ms: seconds("record-age-s", standard.record_age_ms),
+        pins: number(section, "pins", "per workspace", standard.pins, many),
+        pin_age_ms: seconds("pin-age-s", standard.pin_age_ms),
+        stored_bytes: number(section, "stored-bytes", "bytes", standard.stored_bytes, 0..=1 << 20),
+        ..standard
+    }
+}
+
+fn operators(document: &Document) -> BTreeMap<Operator, String> {
+    let section = document.section("operators");
+    let mut operators = BTreeMap::new();
+    for name in document.keys("operators") {
+        let Some(hash) = section.text(&name) else { continue };
+        if name == SYSTEM {
+            section.mistake(&name, "this name stands for the system's own writes");
+        }
+        if hash.len() != 64 || !hash.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            section.mistake(&name, "expected the SHA-256 of the key, 64 hexadecimal digits");
+        }
+        if operators.values().any(|known| *known == hash) {
+            section.mistake(&name, "two operators have the same key");
+        }
+        operators.insert(Operator::from(name.as_str()), hash.to_lowercase());
+    }
+    operators
+}
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -20,6 +20,13 @@
     pub const RECORD_SUBMIT: &str = "record_submit";
     /// Passes on an announcement: `Announcement` to nothing.
     pub const ANNOUNCE: &str = "announce";
+    /// Passes on messages of the replicated log: the sender's JSON-RPC address and the messages in
+    /// base64, to nothing.
+    pub const CONSENSUS_STEP: &str = "consensus_step";
+    /// Asks a replica who it is: nothing to [`super::Identity`].
+    pub const REPLICA_IDENTITY: &str = "replica_identity";
+    /// Asks a replica for announcements it heard itself: a change number to [`super::Directory`].
+    pub const DIRECTORY: &str = "directory";
 }
 
 /// Result of a call. A refusal is part of the result, so that its kind arrives typed.
@@ -54,10 +61,42 @@
     pub revision: Revision,
     /// The configuration, when the entry's is older.
     pub config: Option<Config>,
-    /// Newest directory change in this answer.
+    /// Newest directory change in this answer. Numbers of different replicas never compare; the
+    /// entry only sends the number back.
     pub directory: u64,
+    /// Whether `changed` is the whole directory: the entry drops all other endpoints.
+    pub whole: bool,
     /// Endpoints whose announcement is newer than the entry's directory.
     pub changed: Vec<Announcement>,
     /// Endpoints that left the directory since.
     pub gone: Vec<Endpoint>,
 }
+
+/// Who a replica is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Identity {
+    /// Its id, 32 hexadecimal digits.
+    pub id: String,
+    /// Whether its log is empty.
+    pub empty: bool,
+    /// Ids and addresses of the first members, if its log still names them.
+    pub first_members: Option<Vec<(String, String)>>,
+}
+
+/// Announcements that a replica heard from entries and endpoints.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Directory {
+    /// Newest change number of the replica.
+    pub change: u64,
+    /// Announcements after the number asked for.
+    pub heard: Vec<Heard>,
+}
+
+/// One announcement and its age.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Heard {
+    /// The announcement.
+    pub announcement: Announcement,
+    /// How long ago it was heard, in milliseconds.
+    pub age_ms: u64,
+}
