Test the control state machine by feature

The history now moves request ids and incarnations on with the time, and the test checks that records were billed and dropped.

--- /dev/null
+++ b/crates/state/tests/settling.rs
@@ -0,0 +1,110 @@
+//! Settling the records of a dead entry.
+
+mod common;
+
+use hickoryreel_base::error::Kind;
+use hickoryreel_state::command::Action;
+use hickoryreel_state::command::RecordChange;
+use hickoryreel_state::record::End;
+use hickoryreel_state::record::Finding;
+use hickoryreel_state::record::Open;
+use hickoryreel_state::record::Outcome;
+use hickoryreel_state::record::Settle;
+
+use common::Log;
+use common::close;
+use common::holder;
+use common::kind;
+use common::run_once;
+use common::stored;
+use common::usage;
+
+fn settle(open: &Open, finding: Finding) -> RecordChange {
+    let (key, holder) = (open.key.clone(), open.holder.clone());
+    RecordChange::Settle(Settle { key, holder, attempt: open.attempt, finding })
+}
+
+fn finished() -> Finding {
+    Finding::Finished { usage: usage(), answer: Some(stored()) }
+}
+
+/// Guards against a rule of the design page that is applied wrongly: a false "not run" (G6), a
+/// second run of a run-once request (G7), a lost bill (G4).
+#[yare::parameterized(
+    ran = { finished(), End::Answered(usage()), false },
+    never_started = { Finding::NeverStarted { may_start: false }, End::NotRun, true },
+    may_start = { Finding::NeverStarted { may_start: true }, End::Unknown, false },
+    cancelled = { Finding::Cancelled, End::Unknown, false },
+    unreachable = { Finding::Unreachable, End::Unknown, false },
+)]
+fn a_finding_decides_the_end_and_whether_run_once_work_may_run_again(
+    finding: Finding,
+    end: End,
+    runs_again: bool,
+) {
+    let mut log = Log::with(&["quill/v1"]);
+    let open = run_once(log.opening("a"));
+    log.open(&open);
+    log.apply(Action::Lapse(holder(1)));
+
+    let outcome = log.record(settle(&open, finding));
+    let resent = log.open(&Open { holder: holder(2), ..open.clone() });
+
+    assert_eq!(outcome, Outcome::Closed);
+    assert_eq!(resent == Outcome::Opened, runs_again);
+    if !runs_again {
+        assert_eq!(log.machine.record_of(&open.key).and_then(|record| record.end), Some(end));
+    }
+}
+
+/// Guards against a record that is settled while its entry may still work on it.
+#[test]
+fn a_holder_lapses_before_its_records_are_settled() {
+    let mut log = Log::with(&["quill/v1"]);
+    let open = log.opening("a");
+    log.open(&open);
+
+    let early = log.record(settle(&open, finished()));
+    log.apply(Action::Lapse(holder(1)));
+    let unsettled = log.machine.unsettled();
+
+    assert_eq!(kind(&early), Some(Kind::WrongState));
+    assert_eq!(unsettled.len(), 1);
+    assert!(log.machine.has_lapsed(&holder(1)) && !log.machine.has_lapsed(&holder(2)));
+}
+
+/// Guards against a record that is settled and closed, or settled twice: two bills or two ends.
+#[test]
+fn the_first_of_settle_and_close_wins() {
+    let mut log = Log::with(&["quill/v1"]);
+    let (first, second) = (log.opening("a"), log.opening("b"));
+    log.open(&first);
+    log.open(&second);
+    log.apply(Action::Lapse(holder(1)));
+    log.record(settle(&first, Finding::Unreachable));
+    log.close(&close(&second, End::Answered(usage())));
+
+    let late_close = log.close(&close(&first, End::Answered(usage())));
+    let late_settle = log.record(settle(&second, Finding::Unreachable));
+    let again = log.record(settle(&first, finished()));
+
+    assert_eq!([late_close, late_settle, again], [const { Outcome::AlreadyClosed }; 3]);
+    assert_eq!(log.machine.bills().len(), 1);
+    assert!(log.machine.unsettled().is_empty());
+}
+
+/// Guards against a late close by a dead entry ending the run of the entry that took over.
+#[test]
+fn a_late_close_does_not_end_the_next_holders_run() {
+    let mut log = Log::with(&["quill/v1"]);
+    let open = run_once(log.opening("a"));
+    log.open(&open);
+    log.apply(Action::Lapse(holder(1)));
+    log.record(settle(&open, Finding::NeverStarted { may_start: false }));
+    log.open(&Open { holder: holder(2), ..open.clone() });
+
+    let late = log.close(&close(&open, End::NotRun));
+
+    assert_eq!(late, Outcome::AlreadyClosed);
+    assert_eq!(log.machine.record_of(&open.key).map(|record| record.end), Some(None));
+}
--- /dev/null
+++ b/crates/state/tests/snapshots.rs
@@ -0,0 +1,185 @@
+//! Snapshots: replay from any of them gives the same state, outcomes and revision.
+
+mod common;
+
+use hickoryreel_state::command::Action;
+use hickoryreel_state::command::Change;
+use hickoryreel_state::command::Command;
+use hickoryreel_state::command::Operation;
+use hickoryreel_state::command::RecordChange;
+use hickoryreel_state::limits::Limits;
+use hickoryreel_state::machine::Machine;
+use hickoryreel_state::machine::Outcome;
+use hickoryreel_state::order;
+use hickoryreel_state::record::Close;
+use hickoryreel_state::record::End;
+use hickoryreel_state::record::Finding;
+use hickoryreel_state::record::Open;
+use hickoryreel_state::record::Settle;
+use hickoryreel_state::snapshot::Fault;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use common::START_MS;
+use common::bundle;
+use common::bundle_with;
+use common::close;
+use common::holder;
+use common::open;
+use common::stored;
+use common::usage;
+use common::version;
+
+const LENGTH: usize = 400;
+
+/// A history of [`LENGTH`] commands that reaches every part of the state.
+fn history(seed: u64) -> Vec<Command> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut at_ms = START_MS;
+    let mut live = Machine::default();
+    let mut commands = Vec::new();
+    for index in 1..=LENGTH as u64 {
+        at_ms += random.random_range(0..3_000);
+        let action = if index == 1 {
+            Action::SetLimits(Limits { records: 10, pins: 3, answers: 5, ..Limits::default() })
+        } else {
+            action(&mut random, &live, at_ms)
+        };
+        let command = Command { at_ms, action };
+        live.apply(index, &command);
+        commands.push(command);
+    }
+    commands
+}
+
+fn action(random: &mut StdRng, live: &Machine, at_ms: u64) -> Action {
+    match random.random_range(0..10) {
+        0..3 => operation(random, live),
+        3..8 => Action::Records((0..8).map(|_| record(random, live, at_ms)).collect()),
+        8 => Action::Lapse(holder(life(at_ms))),
+        _ => Action::Order(match random.random_range(0..2) {
+            0 => order::Change::Lease { holder: "a".into(), length_ms: 3_000 },
+            _ => order::Change::Send {
+                holder: "a".into(),
+                endpoint: "engine-1".into(),
+                body: random.random_range(0..9).to_string().into(),
+                expires_ms: at_ms + 1_000,
+            },
+        }),
+    }
+}
+
+/// Incarnation of the entry that ends next.
+fn life(at_ms: u64) -> u64 {
+    (at_ms - START_MS) / 60_000
+}
+
+fn operation(random: &mut StdRng, live: &Machine) -> Action {
+    let newest = live.submissions().keys().last().copied().unwrap_or(0);
+    let withdrawn = live.withdrawals().get("quill/v1").map(|found| found.revision);
+    let restores = withdrawn.map(|found| format!("restores = {found}")).unwrap_or_default();
+    let change = match random.random_range(0..10) {
+        0..2 => Change::Submit { text: bundle(&["quill/v1", "quill/v2"]).into() },
+        2 => Change::Submit { text: bundle_with(&["quill/v1"], &restores).into() },
+        3..5 => Change::SignOff { bundle: newest },
+        5..7 => Change::RollOut { bundle: newest },
+        7 => Change::Advance { bundle: newest, percent: random.random_range(1..=100) },
+        8 => Change::Revert { bundle: random.random_range(1..=newest.max(1)) },
+        _ => Change::Withdraw { version: "quill/v1".into(), reason: "bad answers".into() },
+    };
+    Action::Operate(Operation {
+        operator: ["ann", "ben"][random.random_range(0..2)].into(),
+        request: random.random_range(0..1_000).to_string().into(),
+        based_on: live.config().revision,
+        change,
+    })
+}
+
+fn record(random: &mut StdRng, live: &Machine, at_ms: u64) -> RecordChange {
+    // Request ids move on with the time, so that most records are closed after a while.
+    let newest = (at_ms - START_MS) / 10_000;
+    let open = Open {
+        holder: holder(life(at_ms) + random.random_range(0..2)),
+        attempt: random.random_range(1..4),
+        target: version(["quill/v1", "quill/v2"][random.random_range(0..2)]),
+        run_once: random.random_bool(0.5),
+        session: random.random_bool(0.5).then(|| random.random_range(0..5).to_string().into()),
+        revision: live.config().revision,
+        request_ms: at_ms,
+        ..open(&(newest + random.random_range(0..8)).to_string())
+    };
+    let held = live.record_of(&open.key).map(|record| (record.holder.clone(), record.attempt));
+    let (holder, attempt) = held.unwrap_or((open.holder.clone(), open.attempt));
+    match random.random_range(0..8) {
+        0..5 => RecordChange::Open(open),
+        5..7 => {
+            let closing = close(&open, End::Answered(usage()));
+            RecordChange::Close(Close { holder, attempt, answer: Some(stored()), ..closing })
+        }
+        _ => {
+            let finding = Finding::NeverStarted { may_start: false };
+            RecordChange::Settle(Settle { key: open.key, holder, attempt, finding })
+        }
+    }
+}
+
+fn replay(machine: &mut Machine, first: usize, commands: &[Command]) -> Vec<Outcome> {
+    let numbered = commands.iter().enumerate();
+    numbered.map(|(n, command)| machine.apply((first + n) as u64, command)).collect()
+}
+
+/// Guards against state that a snapshot leaves out: a replica that catches up by snapshot would
+/// answer differently from the others.
+#[test]
+fn replay_from_a_snapshot_at_every_index_equals_replay_without() {
+    let commands = history(7);
+    let mut whole = Machine::default();
+    let outcomes = replay(&mut whole, 1, &commands);
+    let mut prefix = Machine::default();
+
+    for index in 0..=commands.len() {
+        let mut restored = Machine::restore(&prefix.snapshot()).expect("the snapshot is read");
+        assert_eq!(restored.digest(), prefix.digest(), "at index {index}");
+        let rest = replay(&mut restored, index + 1, &commands[index..]);
+        assert_eq!(rest, outcomes[index..], "after index {index}");
+        assert_eq!(restored, whole, "after index {index}");
+        assert_eq!(restored.config().revision, whole.config().revision);
+        assert_eq!(restored.digest(), whole.digest());
+        if let Some(command) = commands.get(index) {
+            prefix.apply(index as u64 + 1, command);
+        }
+    }
+    // The history has to reach the parts of the state that matter.
+    let billed = whole.totals()["stall"].billed;
+    assert!(whole.config().revision > 20 && billed > 20, "{billed} bills");
+    assert!(whole.bills().len() < billed as usize, "no record was dropped");
+}
+
+/// Guards against a command that is applied twice when a replica reads its log again.
+#[test]
+fn an_index_is_applied_once() {
+    let commands = history(8);
+    let mut machine = Machine::default();
+    replay(&mut machine, 1, &commands);
+    let before = machine.clone();
+
+    let outcomes = replay(&mut machine, 1, &commands);
+
+    assert!(outcomes.iter().all(|outcome| *outcome == Outcome::AlreadyApplied));
+    assert_eq!(machine, before);
+}
+
+/// Guards against a snapshot of another encoding, or a cut one, that is read as a state.
+#[test]
+fn an_unreadable_snapshot_is_refused() {
+    let mut snapshot = Machine::default().snapshot();
+    let cut = Machine::restore(&snapshot[..snapshot.len() - 1]);
+    snapshot[0] = 0;
+
+    let other = Machine::restore(&snapshot);
+
+    assert_eq!(cut.err(), Some(Fault::Contents));
+    assert_eq!(other.err(), Some(Fault::Version { found: 0 }));
+    assert_eq!(Machine::restore(&[]).err(), Some(Fault::Empty));
+}
