--- /dev/null
+++ b/crates/policy/src/queue.rs
@@ -0,0 +1,420 @@
+//! Admission: bounded queues per rank, rank floors, and fairness over workspaces.
+//!
+//! [`Queue::offer`] queues a request or refuses it at once. [`Queue::next`] returns the request to
+//! dispatch now. Costs are predicted slot-seconds at an endpoint. Between ranks, a rank that is
+//! owed its floor goes first, then the most urgent. Inside a rank, deficit round robin runs over
+//! workspaces; a workspace's weight at this entry is its weight times the part of its demand that
+//! arrives here, so that a workspace that uses all entries does not receive a share at each.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use hickoryreel_base::name::Workspace;
+use hickoryreel_base::rank::Rank;
+
+use crate::share::Demand;
+
+/// Settings of the queue.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Most requests in each rank's queue.
+    pub capacity: [usize; 3],
+    /// Share of capacity guaranteed to each rank.
+    pub floors: [f64; 3],
+    /// Longest wait in the queue for each rank. The rank's target less the time to the first token.
+    pub targets: [Duration; 3],
+    /// Slot-seconds per weight and round of the round robin.
+    pub quantum: f64,
+    /// Most floor credit that a rank saves up, in slot-seconds.
+    pub credit: f64,
+    /// Time constant of the measured rates.
+    pub window: Duration,
+    /// Lowest factor that the digest applies to a workspace's weight. A workspace that was quiet
+    /// here until now must still be served before the next digest.
+    pub least_part: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            capacity: [2_048, 2_048, 8_192],
+            floors: [0.5, 0.2, 0.05],
+            targets: [
+                Duration::from_millis(200),
+                Duration::from_millis(1_500),
+                Duration::from_secs(25),
+            ],
+            quantum: 2.0,
+            credit: 20.0,
+            window: Duration::from_secs(2),
+            least_part: 0.02,
+        }
+    }
+}
+
+/// One request in the queue.
+#[derive(Clone, Debug)]
+pub struct Item<T> {
+    /// Rank of the request.
+    pub rank: Rank,
+    /// Workspace of the request.
+    pub workspace: Workspace,
+    /// Predicted slot-seconds at an endpoint.
+    pub cost: f64,
+    /// When it was offered.
+    pub offered_at: Duration,
+    /// The caller's handle.
+    pub payload: T,
+}
+
+/// Why a request was refused. Nothing ran.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Refusal {
+    /// The rank's queue is full and the workspace holds its share of it.
+    Full,
+    /// The predicted wait exceeds the rank's target.
+    Wait {
+        /// Predicted wait.
+        predicted: Duration,
+        /// Longest wait for the rank.
+        target: Duration,
+    },
+}
+
+/// Answer to an offer.
+#[derive(Debug)]
+pub enum Offer<T> {
+    /// The request is queued. `displaced` was pushed out by it and has to be refused as not run.
+    Queued {
+        /// The newest request of the workspace that holds the most of a full queue.
+        displaced: Option<Item<T>>,
+    },
+    /// The request is refused.
+    Refused {
+        /// Why.
+        reason: Refusal,
+        /// The request.
+        item: Item<T>,
+    },
+}
+
+/// The request to dispatch now.
+#[derive(Clone, Debug)]
+pub struct Next<T> {
+    /// The request.
+    pub item: Item<T>,
+    /// Whether the rank's floor, not its order, selected it.
+    pub floor: bool,
+}
+
+#[derive(Debug)]
+struct Flow<T> {
+    items: VecDeque<Item<T>>,
+    backlog: f64,
+    deficit: f64,
+    weight: f64,
+    /// Part of the workspace's demand in this rank that arrives at this entry.
+    part: f64,
+    arrivals: Rate,
+}
+
+impl<T> Flow<T> {
+    fn new(weight: f64) -> Self {
+        let arrivals = Rate::default();
+        Self { items: VecDeque::new(), backlog: 0.0, deficit: 0.0, weight, part: 1.0, arrivals }
+    }
+
+    fn local_weight(&self) -> f64 {
+        self.weight * self.part
+    }
+}
+
+#[derive(Debug)]
+struct Lane<T> {
+    flows: BTreeMap<Workspace, Flow<T>>,
+    /// Workspaces with queued requests, in round-robin order.
+    round: VecDeque<Workspace>,
+    len: usize,
+    backlog: f64,
+    credit: f64,
+}
+
+impl<T> Default for Lane<T> {
+    fn default() -> Self {
+        Self { flows: BTreeMap::new(), round: VecDeque::new(), len: 0, backlog: 0.0, credit: 0.0 }
+    }
+}
+
+/// A rate smoothed with an exponential window.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rate {
+    per_s: f64,
+    at: Duration,
+}
+
+impl Rate {
+    fn add(&mut self, amount: f64, window: Duration, now: Duration) {
+        self.per_s = self.get(window, now) + amount / window.as_secs_f64();
+        self.at = now;
+    }
+
+    fn get(&self, window: Duration, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        self.per_s * (-age / window.as_secs_f64()).exp()
+    }
+}
+
+/// The admission queue of one entry.
+#[derive(Debug)]
+pub struct Queue<T> {
+    settings: Settings,
+    lanes: [Lane<T>; 3],
+    weights: BTreeMap<Workspace, f64>,
+    /// Slots this entry can expect, in slot-seconds per second.
+    slots: f64,
+}
+
+impl<T> Queue<T> {
+    /// An empty queue. Workspaces without an entry in `weights` have weight 1.
+    pub fn new(settings: Settings, weights: BTreeMap<Workspace, f64>) -> Self {
+        Self { settings, lanes: Default::default(), weights, slots: f64::INFINITY }
+    }
+
+    /// Sets the slots that this entry can expect, used to predict waits.
+    pub fn set_slots(&mut self, slots: f64) {
+        self.slots = slots.max(f64::EPSILON);
+    }
+
+    /// Requests queued in `rank`.
+    pub fn len(&self, rank: Rank) -> usize {
+        self.lanes[rank.index()].len
+    }
+
+    /// Whether nothing is queued.
+    pub fn is_empty(&self) -> bool {
+        self.lanes.iter().all(|lane| lane.len == 0)
+    }
+
+    /// This entry's demand for the digest, in slots: arrivals, refused ones included.
+    pub fn demand(&self, now: Duration) -> Demand {
+        let mut demand = Demand::new();
+        for rank in Rank::ALL {
+            for (workspace, flow) in &self.lanes[rank.index()].flows {
+                let want = flow.arrivals.get(self.settings.window, now);
+                if want > 1e-6 {
+                    demand.insert((rank, workspace.clone()), want);
+                }
+            }
+        }
+        demand
+    }
+
+    /// Takes in the demand of all entries, this one included.
+    pub fn on_digest(&mut self, total: &Demand, now: Duration) {
+        let Settings { window, least_part, .. } = self.settings;
+        for rank in Rank::ALL {
+            for (workspace, flow) in &mut self.lanes[rank.index()].flows {
+                let own = flow.arrivals.get(window, now);
+                let all = total.get(&(rank, workspace.clone())).copied().unwrap_or(own);
+                flow.part = (own / all.max(f64::EPSILON)).clamp(least_part, 1.0);
+            }
+        }
+    }
+
+    /// Queues the request or refuses it.
+    pub fn offer(&mut self, item: Item<T>, now: Duration) -> Offer<T> {
+        let rank = item.rank.index();
+        let weight = self.weights.get(&item.workspace).copied().unwrap_or(1.0);
+        let window = self.settings.window;
+        let lane = &mut self.lanes[rank];
+        if !lane.flows.contains_key(&item.workspace) {
+            lane.flows.insert(item.workspace.clone(), Flow::new(weight));
+        }
+        if let Some(flow) = lane.flows.get_mut(&item.workspace) {
+            flow.arrivals.add(item.cost, window, now);
+        }
+        let predicted = self.predicted_wait(item.rank, &item.workspace);
+        let target = self.settings.targets[rank];
+        if predicted > target {
+            return Offer::Refused { reason: Refusal::Wait { predicted, target }, item };
+        }
+        let mut displaced = None;
+        if self.lanes[rank].len >= self.settings.capacity[rank] {
+            let Some(largest) = self.lanes[rank].largest() else {
+                return Offer::Refused { reason: Refusal::Full, item };
+            };
+            if largest == item.workspace {
+                return Offer::Refused { reason: Refusal::Full, item };
+            }
+            displaced = self.lanes[rank].pop_newest(&largest);
+        }
+        self.lanes[rank].push(item);
+        Offer::Queued { displaced }
+    }
+
+    /// Predicted wait of a new request of `workspace` in `rank`.
+    ///
+    /// The smaller of two bounds: all work of the rank goes first, or the workspace's own work is
+    /// served at the workspace's fair share of the rank.
+    pub fn predicted_wait(&self, rank: Rank, workspace: &Workspace) -> Duration {
+        let lane = &self.lanes[rank.index()];
+        let rate = self.rank_slots(rank);
+        let whole = lane.backlog / rate;
+        let own = lane.flows.get(workspace).map_or(0.0, |flow| {
+            let weight = flow.local_weight();
+            let others = lane.round.iter().filter(|other| *other != workspace);
+            let sum: f64 = others.map(|other| lane.flows[other].local_weight()).sum();
+            flow.backlog * (weight + sum) / (weight * rate)
+        });
+        Duration::try_from_secs_f64(whole.min(own)).unwrap_or(Duration::MAX)
+    }
+
+    /// Slots that `rank` can expect: what more urgent backlog leaves, and never below its floor.
+    fn rank_slots(&self, rank: Rank) -> f64 {
+        let index = rank.index();
+        let busy = |other: usize| self.lanes[other].len > 0;
+        let lower: f64 = (index + 1..3).filter(|o| busy(*o)).map(|o| self.settings.floors[o]).sum();
+        let higher = (0..index).any(busy);
+        let share = if higher { self.settings.floors[index] } else { 1.0 - lower };
+        self.slots * share.max(1e-3)
+    }
+
+    /// The order in which ranks should be served now. The flag tells whether the floor decided.
+    pub fn order(&self) -> impl Iterator<Item = (Rank, bool)> + use<T> {
+        let owed = Rank::ALL.map(|rank| {
+            let lane = &self.lanes[rank.index()];
+            rank != Rank::Urgent && lane.len > 0 && lane.credit > 0.0
+        });
+        let waiting = Rank::ALL.map(|rank| self.lanes[rank.index()].len > 0);
+        let floors = Rank::ALL.into_iter().filter(move |rank| owed[rank.index()]);
+        let rest = Rank::ALL.into_iter().filter(move |rank| waiting[rank.index()]);
+        floors.map(|rank| (rank, true)).chain(rest.map(|rank| (rank, false)))
+    }
+
+    /// Removes and returns the request to dispatch now. `fits` says whether some endpoint has a
+    /// slot for a request of the rank, served from its floor or not.
+    pub fn next(&mut self, fits: &mut dyn FnMut(&Item<T>, bool) -> bool) -> Option<Next<T>> {
+        let order: smallvec::SmallVec<[(Rank, bool); 6]> = self.order().collect();
+        for (rank, floor) in order {
+            let lane = &mut self.lanes[rank.index()];
+            let Some(workspace) = lane.turn(self.settings.quantum) else { continue };
+            let fit = lane.flows[&workspace].items.front().is_some_and(|item| fits(item, floor));
+            if fit && let Some(item) = lane.take(&workspace) {
+                self.charge(rank, item.cost);
+                return Some(Next { item, floor });
+            }
+        }
+        None
+    }
+
+    /// Puts back a request that could not be dispatched after all.
+    pub fn put_back(&mut self, item: Item<T>) {
+        let lane = &mut self.lanes[item.rank.index()];
+        if let Some(flow) = lane.flows.get_mut(&item.workspace) {
+            flow.deficit += item.cost;
+            flow.backlog += item.cost;
+            lane.backlog += item.cost;
+            lane.len += 1;
+            if !lane.round.contains(&item.workspace) {
+                lane.round.push_front(item.workspace.clone());
+            }
+            flow.items.push_front(item);
+        }
+    }
+
+    /// Removes the requests that waited longer than their rank's target. They did not run.
+    pub fn expire(&mut self, now: Duration) -> Vec<Item<T>> {
+        let mut expired = Vec::new();
+        for rank in Rank::ALL {
+            let target = self.settings.targets[rank.index()];
+            let lane = &mut self.lanes[rank.index()];
+            let workspaces: Vec<Workspace> = lane.round.iter().cloned().collect();
+            for workspace in workspaces {
+                while lane.flows[&workspace]
+                    .items
+                    .front()
+                    .is_some_and(|item| now.saturating_sub(item.offered_at) > target)
+                {
+                    expired.extend(lane.remove(&workspace, true));
+                }
+            }
+        }
+        expired
+    }
+
+    /// Charges a dispatch: each waiting rank earns its floor, and the served rank pays.
+    fn charge(&mut self, served: Rank, cost: f64) {
+        let Settings { floors, credit, .. } = self.settings;
+        for rank in Rank::ALL {
+            let lane = &mut self.lanes[rank.index()];
+            if lane.len > 0 || rank == served {
+                lane.credit = (lane.credit + floors[rank.index()] * cost).min(credit);
+            }
+            if rank == served {
+                lane.credit = (lane.credit - cost).max(-credit);
+            }
+        }
+    }
+}
+
+impl<T> Lane<T> {
+    fn push(&mut self, item: Item<T>) {
+        let Some(flow) = self.flows.get_mut(&item.workspace) else { return };
+        if flow.items.is_empty() {
+            flow.deficit = 0.0;
+            self.round.push_back(item.workspace.clone());
+        }
+        flow.backlog += item.cost;
+        self.backlog += item.cost;
+        self.len += 1;
+        flow.items.push_back(item);
+    }
+
+    /// The workspace whose turn it is. Moves the round on until one can pay for its first request.
+    fn turn(&mut self, quantum: f64) -> Option<Workspace> {
+        let heaviest =
+            self.round.iter().map(|w| self.flows[w].local_weight()).fold(0.0_f64, f64::max);
+        while let Some(workspace) = self.round.front().cloned() {
+            let flow = self.flows.get_mut(&workspace)?;
+            let cost = flow.items.front().map_or(0.0, |item| item.cost);
+            if flow.deficit >= cost {
+                return Some(workspace);
+            }
+            flow.deficit += quantum * flow.local_weight() / heaviest.max(f64::EPSILON);
+            self.round.rotate_left(1);
+        }
+        None
+    }
+
+    fn take(&mut self, workspace: &Workspace) -> Option<Item<T>> {
+        let item = self.remove(workspace, true)?;
+        if let Some(flow) = self.flows.get_mut(workspace) {
+            flow.deficit -= item.cost;
+        }
+        Some(item)
+    }
+
+    fn pop_newest(&mut self, workspace: &Workspace) -> Option<Item<T>> {
+        self.remove(workspace, false)
+    }
+
+    fn remove(&mut self, workspace: &Workspace, oldest: bool) -> Option<Item<T>> {
+        let flow = self.flows.get_mut(workspace)?;
+        let item = if oldest { flow.items.pop_front() } else { flow.items.pop_back() }?;
+        flow.backlog = (flow.backlog - item.cost).max(0.0);
+        self.backlog = (self.backlog - item.cost).max(0.0);
+        self.len -= 1;
+        if flow.items.is_empty() {
+            flow.backlog = 0.0;
+            self.round.retain(|other| other != workspace);
+        }
+        Some(item)
+    }
+
+    /// The workspace that holds the most of the queue for its weight.
+    fn largest(&self) -> Option<Workspace> {
+        let held = |w: &Workspace| self.flows[w].backlog / self.flows[w].local_weight();
+        self.round.iter().max_by(|a, b| held(a).total_cmp(&held(b))).cloned()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/view.rs
@@ -0,0 +1,368 @@
+//! What one entry knows about the endpoints.
+//!
+//! The entry feeds announcements, load reports, cache events and the outcomes of its own requests
+//! into the [`View`]. All of it is soft state: it may be late, incomplete or wrong.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use hickoryreel_base::name;
+use hickoryreel_base::name::Region;
+use hickoryreel_base::name::Version;
+use hickoryreel_base::name::Zone;
+use rand::Rng;
+use smallvec::SmallVec;
+
+use crate::eject;
+use crate::eject::Ejection;
+use crate::limit;
+use crate::limit::Limit;
+
+/// Most prefixes remembered for one endpoint; the oldest is forgotten first.
+const MAX_PREFIXES: usize = 4_096;
+
+/// Load as an endpoint reports it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Requests in the running batch.
+    pub running: u32,
+    /// Requests that wait inside the endpoint.
+    pub waiting: u32,
+    /// Largest batch the endpoint runs.
+    pub max_running: u32,
+    /// Prompt tokens still to be prefilled.
+    pub prefill_backlog: u32,
+    /// Mean time between tokens of one running request; zero when idle.
+    pub token_gap: Duration,
+}
+
+/// Estimated speed of an endpoint when it is healthy.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rates {
+    /// Prompt tokens prefilled per second.
+    pub prefill_per_s: f64,
+    /// Output tokens per second of one running request.
+    pub tokens_per_s: f64,
+}
+
+impl Default for Rates {
+    fn default() -> Self {
+        Self { prefill_per_s: 8_000.0, tokens_per_s: 33.0 }
+    }
+}
+
+/// One endpoint as seen by this entry.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// Name of the endpoint.
+    pub id: name::Endpoint,
+    /// Region of the endpoint.
+    pub region: Region,
+    /// Availability zone of the endpoint.
+    pub zone: Zone,
+    /// Versions that it serves. A plain service appears under its service name.
+    pub versions: SmallVec<[Version; 2]>,
+    /// Whether the endpoint announced that it is leaving.
+    pub leaving: bool,
+    /// Estimated speed.
+    pub rates: Rates,
+    /// Last load report.
+    pub report: Option<Report>,
+    /// When the last report was measured.
+    pub measured_at: Duration,
+    /// Ejection state.
+    pub ejection: Ejection,
+    /// Concurrency limit.
+    pub limit: Limit,
+    /// This entry's open requests at the endpoint.
+    pub open: u32,
+    /// Own sends (+1) and completions (-1) since the last report.
+    recent: VecDeque<(Duration, i8)>,
+    recent_sum: i64,
+    prefixes: HashSet<u64>,
+    prefix_order: VecDeque<u64>,
+}
+
+impl Endpoint {
+    /// An endpoint without load, report or prefixes.
+    pub fn new(id: name::Endpoint, region: Region, zone: Zone, rates: Rates) -> Self {
+        Self {
+            id,
+            region,
+            zone,
+            versions: SmallVec::new(),
+            leaving: false,
+            rates,
+            report: None,
+            measured_at: Duration::ZERO,
+            ejection: Ejection::default(),
+            limit: Limit::default(),
+            open: 0,
+            recent: VecDeque::new(),
+            recent_sum: 0,
+            prefixes: HashSet::new(),
+            prefix_order: VecDeque::new(),
+        }
+    }
+
+    /// The same endpoint serving `version` as well.
+    pub fn serving(mut self, version: Version) -> Self {
+        self.versions.push(version);
+        self
+    }
+
+    /// Change of this entry's open requests since the last report was measured.
+    pub fn own_change(&self) -> i64 {
+        self.recent_sum
+    }
+
+    /// Estimated requests at the endpoint: the report corrected by own sends and completions, and
+    /// never below this entry's own open requests.
+    pub fn load(&self) -> u32 {
+        let report = self.report.unwrap_or_default();
+        let total = i64::from(report.running + report.waiting) + self.recent_sum;
+        u32::try_from(total.max(i64::from(self.open))).unwrap_or(0)
+    }
+
+    /// Records that the endpoint holds the prefix with hash `prefix`.
+    pub fn add_prefix(&mut self, prefix: u64) {
+        if !self.prefixes.insert(prefix) {
+            return;
+        }
+        self.prefix_order.push_back(prefix);
+        if self.prefix_order.len() > MAX_PREFIXES
+            && let Some(oldest) = self.prefix_order.pop_front()
+        {
+            self.prefixes.remove(&oldest);
+        }
+    }
+
+    /// Records that the endpoint dropped the prefix with hash `prefix`.
+    pub fn remove_prefix(&mut self, prefix: u64) {
+        if self.prefixes.remove(&prefix) {
+            self.prefix_order.retain(|held| *held != prefix);
+        }
+    }
+
+    /// Whether the endpoint is believed to hold the prefix.
+    pub fn holds(&self, prefix: u64) -> bool {
+        self.prefixes.contains(&prefix)
+    }
+
+    fn record(&mut self, now: Duration, change: i8) {
+        self.recent.push_back((now, change));
+        self.recent_sum += i64::from(change);
+    }
+
+    fn forget_before(&mut self, measured_at: Duration) {
+        while let Some((at, change)) = self.recent.front().copied()
+            && at <= measured_at
+        {
+            self.recent.pop_front();
+            self.recent_sum -= i64::from(change);
+        }
+    }
+}
+
+/// Settings of the view.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Most endpoints of one version that this entry uses. More would make load reports and probes
+    /// of rarely used endpoints dominate what the entry learns.
+    pub subset: usize,
+    /// Concurrency limits.
+    pub limit: limit::Settings,
+    /// Ejection.
+    pub eject: eject::Settings,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { subset: 64, limit: limit::Settings::default(), eject: eject::Settings::default() }
+    }
+}
+
+/// Everything one entry knows about the endpoints.
+#[derive(Clone, Debug)]
+pub struct View {
+    /// Settings.
+    pub settings: Settings,
+    /// Region of this entry.
+    pub region: Region,
+    /// This entry's share of the slots of each endpoint, 0 to 1, from [`crate::share`].
+    pub share: f64,
+    salt: u64,
+    endpoints: Vec<Endpoint>,
+    by_name: HashMap<name::Endpoint, usize>,
+    by_version: HashMap<Version, Vec<u32>>,
+    holders: HashMap<u64, SmallVec<[name::Endpoint; 2]>>,
+}
+
+impl View {
+    /// An empty view of the entry `entry` in `region`.
+    pub fn new(entry: &name::Entry, region: Region, settings: Settings) -> Self {
+        Self {
+            settings,
+            region,
+            share: 1.0,
+            salt: xxhash_rust::xxh3::xxh3_64(entry.as_bytes()),
+            endpoints: Vec::new(),
+            by_name: HashMap::new(),
+            by_version: HashMap::new(),
+            holders: HashMap::new(),
+        }
+    }
+
+    /// Adds an endpoint, or updates the announced facts of a known one and keeps what was learned.
+    pub fn announce(&mut self, endpoint: Endpoint) {
+        let Some(&slot) = self.by_name.get(&endpoint.id) else {
+            self.by_name.insert(endpoint.id.clone(), self.endpoints.len());
+            self.endpoints.push(endpoint);
+            self.index();
+            return;
+        };
+        let known = &mut self.endpoints[slot];
+        known.leaving = endpoint.leaving;
+        if known.versions != endpoint.versions {
+            known.versions = endpoint.versions;
+            self.index();
+        }
+    }
+
+    /// Adds many endpoints with one rebuild of the index.
+    pub fn extend(&mut self, endpoints: impl IntoIterator<Item = Endpoint>) {
+        for endpoint in endpoints {
+            self.by_name.insert(endpoint.id.clone(), self.endpoints.len());
+            self.endpoints.push(endpoint);
+        }
+        self.index();
+    }
+
+    /// Removes an endpoint whose announcement expired.
+    pub fn remove(&mut self, id: &name::Endpoint) {
+        if let Some(slot) = self.by_name.remove(id) {
+            self.endpoints.swap_remove(slot);
+            if let Some(moved) = self.endpoints.get(slot) {
+                self.by_name.insert(moved.id.clone(), slot);
+            }
+            self.index();
+        }
+    }
+
+    /// The endpoint called `id`.
+    pub fn get(&self, id: &name::Endpoint) -> Option<&Endpoint> {
+        self.by_name.get(id).map(|slot| &self.endpoints[*slot])
+    }
+
+    /// The endpoint called `id`, for updates.
+    pub fn get_mut(&mut self, id: &name::Endpoint) -> Option<&mut Endpoint> {
+        self.by_name.get(id).map(|slot| &mut self.endpoints[*slot])
+    }
+
+    /// All endpoints.
+    pub fn endpoints(&self) -> &[Endpoint] {
+        &self.endpoints
+    }
+
+    /// Slots of the endpoints that serve `version` and belong to this entry's subset.
+    pub fn serving(&self, version: &Version) -> &[u32] {
+        self.by_version.get(version).map_or(&[], Vec::as_slice)
+    }
+
+    /// The endpoint in `slot`, as returned by [`Self::serving`].
+    pub fn at(&self, slot: u32) -> &Endpoint {
+        &self.endpoints[slot as usize]
+    }
+
+    /// Takes in a load report that was measured at `measured_at`. Older reports are ignored.
+    pub fn on_report(
+        &mut self,
+        id: &name::Endpoint,
+        report: Report,
+        measured_at: Duration,
+        random: &mut dyn Rng,
+    ) {
+        let settings = self.settings.limit.clone();
+        let Some(endpoint) = self.get_mut(id) else { return };
+        if endpoint.report.is_some() && measured_at <= endpoint.measured_at {
+            return;
+        }
+        endpoint.forget_before(measured_at);
+        endpoint.report = Some(report);
+        endpoint.measured_at = measured_at;
+        endpoint.limit.on_report(&settings, &report, random);
+    }
+
+    /// Records that a request was sent to `id`.
+    pub fn on_sent(&mut self, id: &name::Endpoint, now: Duration) {
+        if let Some(endpoint) = self.get_mut(id) {
+            endpoint.open += 1;
+            endpoint.record(now, 1);
+            endpoint.ejection.on_sent(now);
+        }
+    }
+
+    /// Records that a request at `id` ended, and what it showed about the endpoint.
+    pub fn on_done(&mut self, id: &name::Endpoint, outcome: eject::Outcome, now: Duration) {
+        let settings = self.settings.eject.clone();
+        if let Some(endpoint) = self.get_mut(id) {
+            endpoint.open = endpoint.open.saturating_sub(1);
+            endpoint.record(now, -1);
+            endpoint.ejection.observe(&settings, outcome, now);
+        }
+    }
+
+    /// Records what an open request showed about the endpoint: its first token, or a missed
+    /// progress deadline.
+    pub fn on_progress(&mut self, id: &name::Endpoint, outcome: eject::Outcome, now: Duration) {
+        let settings = self.settings.eject.clone();
+        if let Some(endpoint) = self.get_mut(id) {
+            endpoint.ejection.observe(&settings, outcome, now);
+        }
+    }
+
+    /// Records a cache event: `id` holds, or no longer holds, the prefix with hash `prefix`.
+    pub fn on_cache(&mut self, id: &name::Endpoint, prefix: u64, held: bool) {
+        let Some(&slot) = self.by_name.get(id) else { return };
+        let holders = self.holders.entry(prefix).or_default();
+        holders.retain(|holder| holder != id);
+        if held {
+            holders.push(id.clone());
+            self.endpoints[slot].add_prefix(prefix);
+        } else {
+            self.endpoints[slot].remove_prefix(prefix);
+        }
+        if self.holders.get(&prefix).is_some_and(SmallVec::is_empty) {
+            self.holders.remove(&prefix);
+        }
+    }
+
+    /// Slots of the endpoints that are believed to hold `prefix`, latest first.
+    pub fn holders(&self, prefix: u64) -> impl Iterator<Item = u32> {
+        let holders = self.holders.get(&prefix).into_iter().flatten().rev();
+        holders
+            .filter_map(|id| self.by_name.get(id))
+            .filter(move |slot| self.endpoints[**slot].holds(prefix))
+            .filter_map(|slot| u32::try_from(*slot).ok())
+    }
+
+    /// Rebuilds the subset of each version: the endpoints with the smallest hash of entry and name.
+    fn index(&mut self) {
+        let mut ranked: HashMap<Version, Vec<(u64, u32)>> = HashMap::new();
+        for (slot, endpoint) in (0_u32..).zip(&self.endpoints) {
+            let hash = xxhash_rust::xxh3::xxh3_64_with_seed(endpoint.id.as_bytes(), self.salt);
+            for version in &endpoint.versions {
+                ranked.entry(version.clone()).or_default().push((hash, slot));
+            }
+        }
+        let subset = self.settings.subset;
+        let first = |mut list: Vec<(u64, u32)>| {
+            list.sort_unstable();
+            list.truncate(subset);
+            list.into_iter().map(|(_, slot)| slot).collect()
+        };
+        self.by_version = ranked.into_iter().map(|(v, list)| (v, first(list))).collect();
+    }
+}
--- /dev/null
+++ b/crates/policy/src/weights.rs
@@ -0,0 +1,53 @@
+//! What the weights of a deployment's bundle change.
+
+use hickoryreel_base::bundle::Weights;
+
+use crate::health;
+use crate::limit;
+
+/// Share of the three weights above which one of them counts as dominant.
+const DOMINANT: f64 = 0.4;
+
+/// Settings that follow from the weights.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tuning {
+    /// Share of each endpoint's limit kept free of normal and of bulk work.
+    pub headroom: [f64; 2],
+    /// Factor on the exposure budget of a roll-out step.
+    pub exposure: f64,
+    /// Factor on the evidence that withdraws a version.
+    pub evidence: f64,
+    /// Whether urgent requests may use a cascade.
+    pub urgent_cascade: bool,
+}
+
+impl Tuning {
+    /// Settings for `weights`; only the ratio of the weights matters.
+    pub fn new(weights: &Weights) -> Self {
+        let total = weights.urgent_latency + weights.exposure + weights.flood;
+        let urgent = weights.urgent_latency / total;
+        let exposure = weights.exposure / total;
+        let flood = weights.flood / total;
+        Self {
+            headroom: [0.05 + 0.15 * urgent, 0.1 + 0.3 * urgent - 0.1 * flood],
+            exposure: (1.0 / (3.0 * exposure)).clamp(0.25, 2.0),
+            evidence: if exposure > DOMINANT { 0.9 } else { 1.0 },
+            urgent_cascade: urgent <= DOMINANT,
+        }
+    }
+
+    /// Applies the headroom to the concurrency limits.
+    pub fn limit(&self, settings: limit::Settings) -> limit::Settings {
+        limit::Settings { fill: [1.0, 1.0 - self.headroom[0], 1.0 - self.headroom[1]], ..settings }
+    }
+
+    /// Applies the caution to the health test.
+    pub fn health(&self, settings: health::Settings) -> health::Settings {
+        let budget = f64::from(settings.exposure_budget) * self.exposure;
+        health::Settings {
+            exposure_budget: budget.round() as u32,
+            threshold: settings.threshold * self.evidence,
+            ..settings
+        }
+    }
+}
