--- a/crates/policy/src/eject.rs
+++ b/crates/policy/src/eject.rs
@@ -14,6 +14,8 @@
     pub slow_ratio: f64,
     /// Observations before a slow endpoint can be ejected.
     pub least_samples: u32,
+    /// Slow load reports in a row that eject.
+    pub slow_reports: u32,
     /// Weight of a new observation in the smoothed ratio.
     pub smoothing: f64,
     /// Failures in a row that eject.
@@ -36,6 +38,7 @@
         Self {
             slow_ratio: 4.0,
             least_samples: 3,
+            slow_reports: 2,
             smoothing: 0.3,
             failures: 3,
             first: Duration::from_secs(2),
@@ -93,6 +96,7 @@
     samples: u32,
     failures: u32,
     times: u32,
+    slow_reports: u32,
 }
 
 impl Ejection {
@@ -144,6 +148,19 @@
         }
     }
 
+    /// Takes in the ratio of reported to expected time between tokens. A report alone ejects, since
+    /// it covers all requests at the endpoint, but it never returns an endpoint to service.
+    pub fn on_report(&mut self, settings: &Settings, ratio: f64, now: Duration) {
+        if ratio <= settings.slow_ratio {
+            self.slow_reports = 0;
+            return;
+        }
+        self.slow_reports += 1;
+        if self.is_serving() && self.slow_reports >= settings.slow_reports {
+            self.eject(settings, now);
+        }
+    }
+
     fn on_ratio(&mut self, settings: &Settings, ratio: f64) -> bool {
         self.failures = 0;
         self.samples = self.samples.saturating_add(1);
--- a/crates/policy/src/pick.rs
+++ b/crates/policy/src/pick.rs
@@ -164,7 +164,7 @@
         Use::Full | Use::Probe | Use::No => {}
     }
     let limits = &view.settings.limit;
-    let free = limit::admits(limits, endpoint, view.share, ask.rank, ask.floor, now);
+    let free = limit::admits(limits, endpoint, view.share(ask.version), ask.rank, ask.floor, now);
     if free { Use::Full } else { Use::No }
 }
 
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -28,6 +28,9 @@
     pub quantum: f64,
     /// Most floor credit that a rank saves up, in slot-seconds.
     pub credit: f64,
+    /// Most debt that a rank served above its floor carries, in slot-seconds. A larger debt would
+    /// delay the floor when a flood of more urgent work begins.
+    pub debt: f64,
     /// Time constant of the measured rates.
     pub window: Duration,
     /// Lowest factor that the digest applies to a workspace's weight. A workspace that was quiet
@@ -47,6 +50,7 @@
             ],
             quantum: 2.0,
             credit: 20.0,
+            debt: 4.0,
             window: Duration::from_secs(2),
             least_part: 0.02,
         }
@@ -345,14 +349,14 @@
 
     /// Charges a dispatch: each waiting rank earns its floor, and the served rank pays.
     fn charge(&mut self, served: Rank, cost: f64) {
-        let Settings { floors, credit, .. } = self.settings;
+        let Settings { floors, credit, debt, .. } = self.settings;
         for rank in Rank::ALL {
             let lane = &mut self.lanes[rank.index()];
             if lane.len > 0 || rank == served {
                 lane.credit = (lane.credit + floors[rank.index()] * cost).min(credit);
             }
             if rank == served {
-                lane.credit = (lane.credit - cost).max(-credit);
+                lane.credit = (lane.credit - cost).max(-debt);
             }
         }
     }
--- a/crates/policy/src/view.rs
+++ b/crates/policy/src/view.rs
@@ -172,6 +172,8 @@
     /// Most endpoints of one version that this entry uses. More would make load reports and probes
     /// of rarely used endpoints dominate what the entry learns.
     pub subset: usize,
+    /// Least share of the slots of an endpoint, 0 to 1.
+    pub least_share: f64,
     /// Concurrency limits.
     pub limit: limit::Settings,
     /// Ejection.
@@ -180,7 +182,12 @@
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { subset: 64, limit: limit::Settings::default(), eject: eject::Settings::default() }
+        Self {
+            subset: 64,
+            least_share: 0.03,
+            limit: limit::Settings::default(),
+            eject: eject::Settings::default(),
+        }
     }
 }
 
@@ -191,8 +198,9 @@
     pub settings: Settings,
     /// Region of this entry.
     pub region: Region,
-    /// This entry's share of the slots of each endpoint, 0 to 1, from [`crate::share`].
-    pub share: f64,
+    /// Share of the slots while no digest has arrived, 0 to 1; one divided by the entries.
+    pub default_share: f64,
+    shares: HashMap<Version, f64>,
     salt: u64,
     endpoints: Vec<Endpoint>,
     by_name: HashMap<name::Endpoint, usize>,
@@ -206,7 +214,8 @@
         Self {
             settings,
             region,
-            share: 1.0,
+            default_share: 1.0,
+            shares: HashMap::new(),
             salt: xxhash_rust::xxh3::xxh3_64(entry.as_bytes()),
             endpoints: Vec::new(),
             by_name: HashMap::new(),
@@ -276,15 +285,36 @@
         &self.endpoints[slot as usize]
     }
 
+    /// This entry's share of the slots of the endpoints that serve `version`, 0 to 1.
+    pub fn share(&self, version: &Version) -> f64 {
+        self.shares.get(version).copied().unwrap_or(self.default_share)
+    }
+
+    /// Sets this entry's share of the slots, from [`crate::share::of_entry`]. A least share remains
+    /// so that an entry without demand can serve its first requests before the next digest.
+    pub fn set_share(&mut self, version: &Version, share: f64) {
+        let least = self.settings.least_share;
+        self.shares.insert(version.clone(), share.clamp(least, 1.0));
+    }
+
+    /// Slots of all endpoints in service that serve `version`, for all entries together.
+    pub fn slots(&self, version: &Version) -> f64 {
+        let serving = self.serving(version).iter().map(|slot| self.at(*slot));
+        let in_service = serving.filter(|e| !e.leaving && e.ejection.is_serving());
+        in_service.map(|endpoint| endpoint.limit.slots()).sum()
+    }
+
     /// Takes in a load report that was measured at `measured_at`. Older reports are ignored.
     pub fn on_report(
         &mut self,
         id: &name::Endpoint,
         report: Report,
         measured_at: Duration,
+        now: Duration,
         random: &mut dyn Rng,
     ) {
         let settings = self.settings.limit.clone();
+        let eject = self.settings.eject.clone();
         let Some(endpoint) = self.get_mut(id) else { return };
         if endpoint.report.is_some() && measured_at <= endpoint.measured_at {
             return;
@@ -293,6 +323,10 @@
         endpoint.report = Some(report);
         endpoint.measured_at = measured_at;
         endpoint.limit.on_report(&settings, &report, random);
+        if !report.token_gap.is_zero() {
+            let ratio = report.token_gap.as_secs_f64() * endpoint.rates.tokens_per_s;
+            endpoint.ejection.on_report(&eject, ratio, now);
+        }
     }
 
     /// Records that a request was sent to `id`.
