--- a/crates/control/src/first_start.rs
+++ b/crates/control/src/first_start.rs
@@ -67,7 +67,7 @@
     own_id: ReplicaId,
     identities: &[(Address, Option<Identity>)],
 ) -> Option<Members> {
-    let started = identities.iter().flat_map(|(_, identity)| &identity.as_ref()?.first_members);
+    let started = identities.iter().filter_map(|(_, one)| one.as_ref()?.first_members.as_deref());
     for members in started {
         let members = parse(members);
         if members.as_ref().is_some_and(|members| members.is_voter(own_id)) {
--- a/crates/control/src/guard.rs
+++ b/crates/control/src/guard.rs
@@ -68,7 +68,7 @@
             return Either::Left(self.inner.call(request));
         }
         let mut response = HttpResponse::new(HttpBody::from("the cluster key is missing or wrong"));
-        *response.status_mut() = jsonrpsee::server::http::StatusCode::UNAUTHORIZED;
+        *response.status_mut() = http::StatusCode::UNAUTHORIZED;
         Either::Right(ready(Ok(response)))
     }
 }
