--- a/crates/control/src/admin/mod.rs
+++ b/crates/control/src/admin/mod.rs
@@ -7,11 +7,11 @@
 mod bundles;
 mod members;
 mod read;
+mod soft;
 mod write;
 
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use gotham::helpers::http::Body;
 use gotham::hyper::HeaderMap;
@@ -31,7 +31,6 @@
 use hickoryreel_base::name::Operator;
 use hickoryreel_base::server;
 use hickoryreel_base::server::App;
-use hickoryreel_wire::endpoint::Announcement;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -42,9 +41,6 @@
 /// Largest body of an operator's request, in bytes.
 const MAX_BODY: usize = 1 << 20;
 
-/// Largest announcement, in bytes.
-const MAX_ANNOUNCEMENT: usize = 64 << 10;
-
 /// Longest time a request body may take.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -63,32 +59,14 @@
         route.get("/admin/v1/in-force/*").to_async_borrowing(read::in_force);
         route.post("/admin/v1/replicas/add").to_async_borrowing(members::add);
         route.post("/admin/v1/replicas/remove").to_async_borrowing(members::remove);
-        route.post("/v1/announce").to_async_borrowing(announce);
+        route.post("/v1/announce").to_async_borrowing(soft::announce);
+        route.post("/v1/ratings").to_async_borrowing(soft::ratings);
         admin::routes::<Control, _, _>(route);
     })
 }
 
 type Handled = Result<Response<Body>, gotham::handler::HandlerError>;
 
-async fn announce(state: &mut State) -> Handled {
-    Ok(answer(take_announcement(state).await))
-}
-
-async fn take_announcement(state: &mut State) -> Result<&'static str, Failure> {
-    let control = control(state);
-    if let Some(expected) = &control.settings.announce_key
-        && bearer(state).map(key_sha256) != Some(key_sha256(expected))
-    {
-        return Err(
-            Error::new(Kind::Unauthenticated, "the announce key is missing or wrong").into()
-        );
-    }
-    let announcement: Announcement =
-        server::read_json(state, MAX_ANNOUNCEMENT, BODY_TIMEOUT).await?;
-    control.directory.announce(announcement, Instant::now());
-    Ok("announced")
-}
-
 fn control(state: &State) -> Arc<Control> {
     App::<Control>::borrow_from(state).clone().0
 }
--- a/crates/control/src/controllers/roll_out.rs
+++ b/crates/control/src/controllers/roll_out.rs
@@ -25,6 +25,7 @@
 use super::Blackboard;
 use super::Controller;
 use crate::core::Failure;
+use crate::health::Subject;
 use crate::health::Verdict;
 use crate::run::Control;
 
@@ -55,7 +56,10 @@
         board: &'a Blackboard,
     ) -> BoxFuture<'a, Result<(), Failure>> {
         async move {
-            let Some(running) = &board.roll_out else { return Ok(()) };
+            let Some(running) = &board.roll_out else {
+                control.health.clear();
+                return Ok(());
+            };
             let Some(candidate) = self.candidate(board, running.bundle) else { return Ok(()) };
             match decide(control, board, running, candidate) {
                 Decision::Wait => Ok(()),
@@ -96,13 +100,14 @@
     let plan = &candidate.roll_out;
     let verdicts = new.iter().map(|version| {
         let replaces = candidate.versions.get(*version).and_then(|terms| terms.replaces.as_ref());
-        let verdict = control.health.verdict(
-            running.bundle,
-            running.step,
-            version,
-            replaces,
-            plan.exposure_budget,
-        );
+        let subject = Subject {
+            bundle: running.bundle,
+            step: running.step,
+            version: (*version).clone(),
+            replaces: replaces.cloned(),
+            exposure_budget: plan.exposure_budget,
+        };
+        let verdict = control.health.verdict(&subject);
         (*version, verdict)
     });
     let verdicts: Vec<(&Version, Verdict)> = verdicts.collect();
--- a/crates/control/src/rpc.rs
+++ b/crates/control/src/rpc.rs
@@ -6,10 +6,13 @@
 
 use hickoryreel_base::error::Error;
 use hickoryreel_base::error::Kind;
+use hickoryreel_policy::health::Signal;
 use hickoryreel_state::command::Action;
 use hickoryreel_state::command::RecordChange;
 use hickoryreel_state::machine::Outcome;
 use hickoryreel_state::record;
+use hickoryreel_state::record::End;
+use hickoryreel_state::record::Target;
 use hickoryreel_wire::endpoint::Announcement;
 use hickoryreel_wire::rpc::Directory;
 use hickoryreel_wire::rpc::Grant;
@@ -99,8 +102,14 @@
         let error = Error::new(Kind::NotAllowed, "an entry may not settle records");
         return Err(refusal(error.into()));
     }
+    let judged = control.health.is_judging().then(|| changes.clone());
     match control.propose(Action::Records(changes)).await.map_err(refusal)? {
-        Outcome::Records(outcomes) => Ok(outcomes),
+        Outcome::Records(outcomes) => {
+            if let Some(changes) = judged {
+                judge(control, &changes, &outcomes).await;
+            }
+            Ok(outcomes)
+        }
         _ => {
             let error = Error::new(Kind::Internal, "the outcome does not fit the command");
             Err(refusal(error.into()))
@@ -108,6 +117,37 @@
     }
 }
 
+/// Passes opened and closed records on to the health tests of versions.
+async fn judge(control: &Control, changes: &[RecordChange], outcomes: &[record::Outcome]) {
+    let mut closed = Vec::new();
+    for (change, outcome) in changes.iter().zip(outcomes) {
+        match (change, outcome) {
+            (RecordChange::Open(open), record::Outcome::Opened | record::Outcome::Moved) => {
+                if let Target::Version(version) = &open.target {
+                    control.health.served(version);
+                }
+            }
+            // A request that didn't run says nothing about its version.
+            (RecordChange::Close(close), record::Outcome::Closed) if close.end != End::NotRun => {
+                closed.push((close.key.clone(), close.end == End::Unknown));
+            }
+            _ => {}
+        }
+    }
+    let targets = control.core.inspect(move |view| {
+        let targets = closed.into_iter().map(|(key, failed)| {
+            let target = view.machine.record_of(&key).map(|record| record.target.clone());
+            (target, failed)
+        });
+        targets.collect::<Vec<_>>()
+    });
+    for (target, failed) in targets.await.unwrap_or_default() {
+        if let Some(Target::Version(version)) = target {
+            control.health.observe(&version, Signal::Outcome { failed });
+        }
+    }
+}
+
 fn consensus_step(control: &Control, sender: SocketAddr, payload: &str) {
     let Some(messages) = peers::decode(payload) else {
         slog::warn!(control.log, "messages can't be decoded"; "peer" => %sender);
--- a/crates/wire/src/endpoint.rs
+++ b/crates/wire/src/endpoint.rs
@@ -71,3 +71,12 @@
     /// Requests that fit into the running batch.
     pub slots: u32,
 }
+
+/// A rating of one answer, from the service that rates answers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rating {
+    /// The version that gave the answer.
+    pub version: Version,
+    /// Whether the answer meets the quality bar.
+    pub good: bool,
+}
