Route requests by policy, resume streams and keep the run-once rule

The thin path passed on whatever an engine sent, retried nothing and could send a call after its lease had lapsed. Now requests wait in the policy's queues, endpoints are chosen by its view, an answer is matched by run id and offset and resumed on a fresh connection, and every dispatch is checked again under a lock around the first write to the socket, so a failure before that write is known to have run nothing.

hyper-util's pooled client was ruled out towards endpoints: it can't ask a permit before the write, nor tell whether a byte was written. A record is closed once, by its owner or its drop, and holds a permit until control acknowledges the close, which bounds the memory of lost closes.

--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -1,16 +1,16 @@
 //! Completions: `POST /v1/completions`.
 //!
-//! The request goes to an engine while its record is being committed; the first byte to the
-//! caller waits for the record. The engine's events are passed on as they arrive, and the record
-//! is closed with the usage of the last event.
+//! A request waits for a slot ([`crate::schedule`]), then it goes to an engine while its record is
+//! being committed; the first byte to the caller waits for the record. A run that fails before a
+//! byte reached the caller is tried elsewhere within the retry budget. [`crate::respond`] passes
+//! the answer on.
 
-use std::io;
+use std::borrow::Cow;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Instant;
 
 use bytes::Bytes;
-use futures_util::StreamExt;
-use futures_util::stream;
 use gotham::helpers::http::Body;
 use gotham::hyper::HeaderMap;
 use gotham::hyper::Response;
@@ -19,42 +19,45 @@
 use hickoryreel_base::error;
 use hickoryreel_base::error::Error;
 use hickoryreel_base::error::Kind;
-use hickoryreel_base::name::Model;
+use hickoryreel_base::name::Endpoint;
 use hickoryreel_base::name::Version;
 use hickoryreel_base::server;
-use hickoryreel_state::command::RecordChange;
-use hickoryreel_state::record::Close;
-use hickoryreel_state::record::End;
+use hickoryreel_policy::choice::Chosen;
 use hickoryreel_state::record::Key;
 use hickoryreel_state::record::Open;
 use hickoryreel_state::record::Outcome;
 use hickoryreel_state::record::Target;
-use hickoryreel_state::record::Usage;
-use hickoryreel_wire::endpoint::Announcement;
-use hickoryreel_wire::endpoint::Role;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::StreamBody;
-use hyper::Request;
-use hyper::body::Frame;
-use hyper::body::Incoming;
+use hickoryreel_wire::engine;
 use serde::Deserialize;
-use serde_json::json;
-use slog::warn;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::answer;
+use crate::answer::Answer;
 use crate::authority;
 use crate::authority::Caller;
-use crate::routing::Routing;
+use crate::dial::Dial;
+use crate::fault::Fault;
+use crate::records::Record;
+use crate::respond;
+use crate::respond::Reply;
 use crate::run::App;
-use crate::stream::digest;
-use crate::stream::takes_work;
+use crate::run_guard;
+use crate::run_guard::OpenRun;
+use crate::schedule::Grant;
+use crate::schedule::Wish;
+use crate::start;
+use crate::start::Dispatch;
+use crate::start::Started;
+use crate::tally::Tally;
+
+/// Dispatches of one request because its session turned out to be pinned elsewhere.
+const MAX_PINNED: u32 = 2;
 
 /// Body of a caller's request.
 #[derive(Debug, Deserialize)]
 struct Completion {
-    /// Model to use; any allowed model when absent.
-    model: Option<Model>,
+    /// Model, or `model/label` for one version; the workspace's first model when absent.
+    model: Option<Version>,
     /// The prompt.
     prompt: String,
     /// Most tokens to generate.
@@ -71,257 +74,272 @@
 
 /// Handles a completion.
 pub async fn handle(state: &mut State) -> Result<Response<Body>, gotham::handler::HandlerError> {
-    Ok(complete(state).await.unwrap_or_else(|error| server::error_response(&error)))
+    let app = server::App::<App>::borrow_from(state).clone().0;
+    let mut tally = Tally::new(Arc::clone(&app.metrics));
+    let result = complete(state, app, &mut tally).await;
+    Ok(result.unwrap_or_else(|fault| {
+        tally.fault(&fault);
+        fault.response()
+    }))
 }
 
-async fn complete(state: &mut State) -> error::Result<Response<Body>> {
-    let app = server::App::<App>::borrow_from(state).clone().0;
-    app.blackboard.check_lease(Instant::now())?;
+async fn complete(
+    state: &mut State,
+    app: Arc<App>,
+    tally: &mut Tally,
+) -> Result<Response<Body>, Fault> {
+    let arrived = Instant::now();
+    app.blackboard.check_ready(arrived)?;
     let routing = app.blackboard.routing();
     let caller = authority::caller(HeaderMap::borrow_from(state), &routing)?;
+    tally.caller(&caller);
     let body = state.take::<Body>();
     let body = server::read_body(body, app.settings.max_body, app.settings.body_timeout).await?;
     let completion: Completion = serde_json::from_slice(&body)
         .map_err(|cause| Error::new(Kind::MalformedRequest, cause.to_string()))?;
-    let key = Key { workspace: caller.workspace.clone(), request: caller.request.clone() };
-    let mut pinned = None;
-    // A session pinned elsewhere in the meantime needs one more dispatch.
-    for _ in 0..2 {
-        let (version, engine) = choose(&app, &routing, &caller, &completion, pinned.take())?;
-        let open = Open {
-            key: key.clone(),
-            holder: app.holder.clone(),
-            target: Target::Version(version.clone()),
-            endpoint: engine.endpoint.clone(),
-            run_once: false,
-            session: caller.session.clone(),
-            digest: digest(&body),
-        };
-        let opened = app.records.submit(RecordChange::Open(open));
-        let sent = send(&app, &engine, &version, &caller, &completion);
-        let (opened, sent) = tokio::join!(opened, sent);
-        match opened? {
-            Outcome::Opened | Outcome::Repeat => {}
-            Outcome::Pinned(version) => {
-                pinned = Some(version);
-                continue;
-            }
-            Outcome::Refused(error) => return Err(error),
-            Outcome::Answered(_) | Outcome::Closed => {
-                return Err(Error::new(Kind::Internal, "the outcome does not fit the open"));
-            }
-        }
-        let forward = Forward { app, key, price_per_1k: price(&routing, &version) };
-        return match sent {
-            Ok(answer) => forward.respond(answer, completion.stream).await,
-            Err(error) => {
-                forward.close(End::Unknown).await;
-                Err(error)
-            }
-        };
+    if !(1..=app.settings.max_tokens).contains(&completion.max_tokens) {
+        let message = format!("max_tokens: expected 1 to {}", app.settings.max_tokens);
+        return Err(Error::new(Kind::MalformedRequest, message).into());
     }
-    Err(Error::new(Kind::NoEndpoint, "the session's version changed during dispatch"))
+    let until = arrived + app.settings.dispatch_timeout;
+    let task = Task { app, caller, completion, digest: xxh3_64(&body), until };
+    let streamed = task.completion.stream;
+    let (reply, answer) = task.run().await?;
+    respond::respond(reply, answer, streamed, std::mem::take(tally)).await
 }
 
-fn price(routing: &Routing, version: &Version) -> f64 {
-    let candidate = routing.candidate.as_ref().map(|(bundle, _)| bundle);
-    let mut bundles = routing.active.iter().chain(candidate);
-    let terms = bundles.find_map(|bundle| bundle.versions.get(version));
-    terms.map_or(0.0, |terms| terms.price_per_1k)
-}
-
-/// Chooses a version the workspace allows and an engine that serves it.
-fn choose(
-    app: &App,
-    routing: &Routing,
-    caller: &Caller,
-    completion: &Completion,
-    pinned: Option<Version>,
-) -> error::Result<(Version, Announcement)> {
-    let affinity: &str = caller.session.as_ref().map_or(&caller.request, |session| session);
-    let hash = xxh3_64(affinity.as_bytes());
-    let bundle = routing
-        .bundle(hash)
-        .ok_or_else(|| Error::new(Kind::NoEndpoint, "no bundle is in force"))?;
-    let terms = bundle.workspaces.get(&caller.workspace).unwrap_or(&caller.terms);
-    let endpoints = app.blackboard.endpoints();
-    let usable = terms.versions.iter().filter(|share| {
-        let model = completion.model.as_ref();
-        model.is_none_or(|model| share.version.model() == *model)
-            && !routing.config.withdrawn.contains(&share.version)
-            && pinned.as_ref().is_none_or(|version| share.version == *version)
-            && endpoints.values().any(|endpoint| serves(endpoint, &share.version))
-    });
-    let usable: Vec<_> = usable.collect();
-    let total: u64 = usable.iter().map(|share| u64::from(share.weight)).sum();
-    let mut point = (hash / 100) % total.max(1);
-    let chosen = usable.iter().find(|share| {
-        let weight = u64::from(share.weight);
-        let found = point < weight;
-        point = point.saturating_sub(weight);
-        found
-    });
-    let version = chosen
-        .map(|share| share.version.clone())
-        .ok_or_else(|| Error::new(Kind::NoEndpoint, "no endpoint serves an allowed version"))?;
-    let engine = endpoints
-        .values()
-        .filter(|endpoint| serves(endpoint, &version))
-        .min_by_key(|endpoint| (endpoint.region != app.settings.region, endpoint.load.running))
-        .cloned()
-        .ok_or_else(|| Error::new(Kind::NoEndpoint, format!("no endpoint serves {version}")))?;
-    Ok((version, engine))
-}
-
-fn serves(endpoint: &Announcement, version: &Version) -> bool {
-    let loaded =
-        matches!(&endpoint.role, Role::Engine { versions, .. } if versions.contains(version));
-    loaded && takes_work(endpoint)
-}
-
-async fn send(
-    app: &App,
-    engine: &Announcement,
-    version: &Version,
-    caller: &Caller,
-    completion: &Completion,
-) -> error::Result<Response<Incoming>> {
-    app.blackboard.check_lease(Instant::now())?;
-    let body = json!({
-        "request_id": format!("{}:{}", caller.workspace, caller.request),
-        "version": version,
-        "prompt": completion.prompt,
-        "max_tokens": completion.max_tokens,
-        "priority": caller.rank,
-    });
-    let request = Request::post(format!("http://{}/v1/completions", engine.address))
-        .header("content-type", "application/json")
-        .body(Full::new(Bytes::from(body.to_string())))
-        .map_err(|cause| Error::new(Kind::Internal, cause.to_string()))?;
-    let response = app.client.request(request).await.map_err(|cause| {
-        Error::new(Kind::EndpointFailed, format!("engine {}: {cause}", engine.endpoint))
-    })?;
-    if response.status().is_success() {
-        return Ok(response);
-    }
-    let message = format!("engine {} answered {}", engine.endpoint, response.status());
-    Err(Error::new(Kind::EndpointFailed, message))
-}
-
-/// Passes an engine's answer on and closes the record.
-struct Forward {
+/// A completion on its way to an engine.
+struct Task {
     app: Arc<App>,
-    key: Key,
-    price_per_1k: f64,
-}
-
-/// Usage in the last event of an engine's answer.
-#[derive(Debug, Deserialize)]
-struct Last {
-    usage: EngineUsage,
+    caller: Caller,
+    completion: Completion,
+    digest: u64,
+    /// Nothing is dispatched after this time.
+    until: Instant,
 }
 
-#[derive(Debug, Deserialize)]
-struct EngineUsage {
-    prompt_tokens: u32,
-    completion_tokens: u32,
+/// Result of one dispatch.
+enum Step {
+    /// The engine answers and the record is open.
+    Answering(Box<(Reply, Answer)>),
+    /// The session is pinned to another version.
+    Pinned(Version),
+    /// The dispatch failed before a byte of the answer; `record` stays open if it was.
+    Failed { fault: Fault, record: Box<Option<Record>>, endpoint: Endpoint },
 }
 
-impl Forward {
-    async fn respond(
-        self,
-        answer: Response<Incoming>,
-        streamed: bool,
-    ) -> error::Result<Response<Body>> {
-        if streamed { Ok(self.stream(answer)) } else { self.whole(answer).await }
-    }
-
-    fn stream(self, answer: Response<Incoming>) -> Response<Body> {
-        let frames = answer.into_body().into_data_stream();
-        let frames = stream::unfold(Some((self, frames, Bytes::new())), |state| async move {
-            let (forward, mut frames, last) = state?;
-            match frames.next().await {
-                Some(Ok(chunk)) => {
-                    let next = Some((forward, frames, chunk.clone()));
-                    Some((Ok(Frame::data(chunk)), next))
+impl Task {
+    async fn run(self) -> Result<(Reply, Answer), Fault> {
+        let mut pin = self.app.pins.get(&self.caller);
+        let mut record = None;
+        let mut tried = Vec::new();
+        let mut dispatched = false;
+        let (mut attempts, mut pinned) = (0, 0);
+        let late = |error: Error, dispatched| Fault { error, dispatched };
+        loop {
+            let routing = self.app.blackboard.routing();
+            let model = self.completion.model.as_ref();
+            let chosen = routing.choose(&self.caller, model, pin.as_ref());
+            let chosen = chosen.map_err(|error| late(error, dispatched))?;
+            let wish = self.wish(&chosen.version, &tried);
+            let grant = self.app.schedule.acquire(wish).await;
+            let grant = grant.map_err(|error| late(error, dispatched))?;
+            attempts += 1;
+            match self.dispatch(chosen, grant, record.take()).await? {
+                Step::Answering(answering) => return Ok(*answering),
+                Step::Pinned(version) if pinned < MAX_PINNED => {
+                    pinned += 1;
+                    dispatched = true;
+                    pin = Some(version);
                 }
-                Some(Err(cause)) => {
-                    forward.close(End::Unknown).await;
-                    Some((Err(io::Error::other(cause)), None))
+                Step::Pinned(_) => {
+                    let message = "the version of the session keeps changing";
+                    return Err(late(Error::new(Kind::NoEndpoint, message), true));
                 }
-                None => {
-                    forward.close(forward.end(&last)).await;
-                    None
+                Step::Failed { mut fault, record: kept, endpoint } => {
+                    dispatched |= fault.dispatched;
+                    fault.dispatched = dispatched;
+                    if !self.app.schedule.take_retry(&self.caller.workspace, attempts) {
+                        return Err(fault);
+                    }
+                    tried.push(endpoint);
+                    record = *kept;
                 }
             }
-        });
-        let mut response = Response::new(StreamBody::new(frames).boxed_unsync());
-        response.headers_mut().insert(
-            hyper::header::CONTENT_TYPE,
-            hyper::header::HeaderValue::from_static("text/event-stream"),
-        );
-        response
+        }
     }
 
-    async fn whole(self, answer: Response<Incoming>) -> error::Result<Response<Body>> {
-        let collected = answer.into_body().collect().await;
-        let bytes = match collected {
-            Ok(collected) => collected.to_bytes(),
-            Err(cause) => {
-                self.close(End::Unknown).await;
-                return Err(Error::new(Kind::AnswerIncomplete, cause.to_string()));
+    fn wish(&self, version: &Version, tried: &[Endpoint]) -> Wish {
+        let prompt = &self.completion.prompt;
+        Wish {
+            rank: self.caller.rank,
+            workspace: self.caller.workspace.clone(),
+            version: version.clone(),
+            prompt_tokens: start::estimated_tokens(prompt),
+            max_tokens: self.completion.max_tokens,
+            prefixes: start::prefixes(prompt),
+            bytes: prompt.len() as u64,
+            tried: tried.to_vec(),
+        }
+    }
+
+    /// Opens or moves the record and sends the request at the same time.
+    async fn dispatch(
+        &self,
+        chosen: Chosen,
+        grant: Grant,
+        record: Option<Record>,
+    ) -> Result<Step, Fault> {
+        let open = self.open(&chosen.version, &grant);
+        let run = answer::Run {
+            id: engine::run_id(&self.caller.workspace, &self.caller.request),
+            endpoint: grant.endpoint.endpoint.clone(),
+            address: grant.endpoint.address,
+        };
+        let body = self.body(&run.id, &chosen.version)?;
+        let version = chosen.version.clone();
+        let (app, until) = (Arc::clone(&self.app), self.until);
+        let dispatch = Dispatch { run: run.clone(), version, body, until };
+        let (mut record, moved_to) = match record {
+            Some(record) => (record, Some(open)),
+            None => (self.app.records.reserve(open)?, None),
+        };
+        let mut starting = Starting::Pending(Box::pin(start::start(app, dispatch)));
+        record.dispatched();
+        let opened = starting.beside(record.commit(moved_to)).await;
+        let moved = match verdict(opened) {
+            Verdict::Proceed { moved } => moved || chosen.moved,
+            Verdict::Pinned(version) => {
+                self.app.pins.put(&self.caller, &version);
+                tokio::spawn(starting.discard(Arc::clone(&self.app.dial), run, grant));
+                return Ok(Step::Pinned(version));
+            }
+            Verdict::Refused(error) => {
+                tokio::spawn(starting.discard(Arc::clone(&self.app.dial), run, grant));
+                return Err(Fault { error, dispatched: true });
             }
         };
-        let end = self.end(&bytes);
-        self.close(end).await;
-        let events = String::from_utf8_lossy(&bytes);
-        let texts = events.lines().filter_map(|line| {
-            let event: serde_json::Value =
-                serde_json::from_str(line.strip_prefix("data: ")?).ok()?;
-            Some(event["choices"][0]["text"].as_str()?.to_owned())
-        });
-        let text: String = texts.collect();
-        let usage = match end {
-            End::Answered(usage) => usage,
-            End::NotRun | End::Unknown => {
-                return Err(Error::new(Kind::AnswerIncomplete, "the answer has no end"));
+        self.app.pins.put(&self.caller, &chosen.version);
+        let price = self.app.blackboard.routing().price(&chosen.version);
+        let open_run = OpenRun::new(run, Arc::clone(&self.app.dial), price, record, grant);
+        let started = starting.finish().await.0;
+        Ok(self.settle(started, open_run, chosen.version, moved))
+    }
+
+    fn settle(
+        &self,
+        started: Started,
+        mut open_run: OpenRun,
+        version: Version,
+        moved: bool,
+    ) -> Step {
+        let (error, dispatched) = match started {
+            Started::Answering(answer, first, first_after) => {
+                if let Some(grant) = open_run.grant() {
+                    grant.on_first(first_after);
+                }
+                let reply = Reply {
+                    app: Arc::clone(&self.app),
+                    caller: self.caller.clone(),
+                    open_run,
+                    version,
+                    moved,
+                    first,
+                    first_after,
+                };
+                return Step::Answering(Box::new((reply, *answer)));
             }
+            Started::NotRun(error) => (error, false),
+            Started::Failed(error) => (error, true),
         };
-        Ok(server::json(
-            200,
-            &json!({
-                "id": self.key.request,
-                "choices": [{"index": 0, "text": text, "finish_reason": "length"}],
-                "usage": {
-                    "prompt_tokens": usage.prompt_tokens,
-                    "completion_tokens": usage.completion_tokens,
-                },
-            }),
-        ))
+        let endpoint = open_run.run.endpoint.clone();
+        let fault = Fault { error, dispatched };
+        Step::Failed { fault, record: Box::new(open_run.give_up(dispatched)), endpoint }
     }
 
-    /// How the request ended, from the last events of the answer.
-    fn end(&self, events: &Bytes) -> End {
-        let text = String::from_utf8_lossy(events);
-        let last = text
-            .lines()
-            .rev()
-            .find_map(|line| serde_json::from_str::<Last>(line.strip_prefix("data: ")?).ok());
-        last.map_or(End::Unknown, |last| {
-            let tokens = last.usage.prompt_tokens + last.usage.completion_tokens;
-            End::Answered(Usage {
-                prompt_tokens: last.usage.prompt_tokens,
-                completion_tokens: last.usage.completion_tokens,
-                cost: f64::from(tokens) / 1000.0 * self.price_per_1k,
-            })
+    fn open(&self, version: &Version, grant: &Grant) -> Open {
+        Open {
+            key: Key {
+                workspace: self.caller.workspace.clone(),
+                request: self.caller.request.clone(),
+            },
+            holder: self.app.blackboard.holder(),
+            attempt: self.app.next_attempt(),
+            target: Target::Version(version.clone()),
+            endpoint: grant.endpoint.endpoint.clone(),
+            run_once: false,
+            session: self.caller.session.clone(),
+            digest: self.digest,
+            revision: self.app.blackboard.routing().config.revision,
+            request_ms: self.caller.request_ms,
+        }
+    }
+
+    fn body(&self, id: &str, version: &Version) -> error::Result<Bytes> {
+        start::body(&engine::Start {
+            request_id: Cow::Borrowed(id),
+            version: version.clone(),
+            prompt: Cow::Borrowed(&self.completion.prompt),
+            max_tokens: self.completion.max_tokens,
+            priority: self.caller.rank,
         })
     }
+}
+
+/// What the outcome of an open means for the request.
+enum Verdict {
+    Proceed { moved: bool },
+    Pinned(Version),
+    Refused(Error),
+}
+
+fn verdict(opened: error::Result<Outcome>) -> Verdict {
+    match opened {
+        Ok(Outcome::Opened | Outcome::Repeat) => Verdict::Proceed { moved: false },
+        Ok(Outcome::Moved) => Verdict::Proceed { moved: true },
+        Ok(Outcome::Pinned(version)) => Verdict::Pinned(version),
+        Ok(Outcome::Refused(error)) | Err(error) => Verdict::Refused(error),
+        Ok(Outcome::Answered(_) | Outcome::Closed | Outcome::AlreadyClosed) => {
+            let message = "the outcome does not fit the open";
+            Verdict::Refused(Error::new(Kind::Internal, message))
+        }
+    }
+}
+
+/// A dispatch that runs beside the commit of its record.
+enum Starting {
+    Pending(Pin<Box<dyn Future<Output = (Started, bool)> + Send>>),
+    Done(Started, bool),
+}
+
+impl Starting {
+    /// Waits for `other` and moves the dispatch on meanwhile.
+    async fn beside<T>(&mut self, other: impl Future<Output = T>) -> T {
+        tokio::pin!(other);
+        let Self::Pending(pending) = self else { return other.await };
+        let (started, joined) = tokio::select! {
+            biased;
+            result = &mut other => return result,
+            started = pending => started,
+        };
+        *self = Self::Done(started, joined);
+        other.await
+    }
+
+    async fn finish(self) -> (Started, bool) {
+        match self {
+            Self::Pending(pending) => pending.await,
+            Self::Done(started, joined) => (started, joined),
+        }
+    }
 
-    async fn close(&self, end: End) {
-        let close =
-            Close { key: self.key.clone(), holder: self.app.holder.clone(), end, answer: None };
-        if let Err(error) = self.app.records.submit(RecordChange::Close(close)).await {
-            warn!(self.app.log, "record not closed"; "request" => %self.key.request, "error" => %error);
+    /// Cancels the run, unless it existed before: then it belongs to another dispatch.
+    async fn discard(self, dial: Arc<Dial>, run: answer::Run, grant: Grant) {
+        let (started, joined) = self.finish().await;
+        if !joined && !matches!(started, Started::NotRun(_)) {
+            drop(started);
+            run_guard::cancel(dial, run).await;
         }
+        drop(grant);
     }
 }
--- a/crates/entry/src/lease.rs
+++ b/crates/entry/src/lease.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hickoryreel_base::time::unix_millis;
 use hickoryreel_wire::rpc::Grant;
 use hickoryreel_wire::rpc::Renew;
 use hickoryreel_wire::rpc::method;
 use slog::error;
 use slog::info;
 use slog::warn;
+use tokio::time::MissedTickBehavior;
 
 use crate::routing::Routing;
 use crate::run::App;
@@ -17,11 +19,21 @@
 /// Renews the lease for as long as the process runs.
 pub async fn run(app: Arc<App>) {
     let mut ticks = tokio::time::interval(app.settings.renew_every);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut directory = 0;
+    let mut was_held = false;
     loop {
         ticks.tick().await;
+        let is_held = app.blackboard.check_lease(Instant::now()).is_ok();
+        if was_held && !is_held {
+            // Control ends a holder whose lease lapsed for good, so this entry needs a new one.
+            app.blackboard.renew_holder(unix_millis());
+            directory = 0;
+            warn!(app.log, "the lease lapsed");
+        }
+        was_held = is_held;
         let renew = Renew {
-            holder: app.holder.clone(),
+            holder: app.blackboard.holder(),
             revision: app.blackboard.routing().config.revision,
             directory,
         };
@@ -29,8 +41,12 @@
         let asked = Instant::now();
         match app.control.call::<Grant>(method::LEASE_RENEW, &renew).await {
             Ok(grant) => {
+                if directory == 0 {
+                    forget_absent(&app, &grant);
+                }
                 directory = grant.directory;
                 apply(&app, grant, asked);
+                was_held |= app.blackboard.check_lease(Instant::now()).is_ok();
             }
             Err(refusal) => {
                 directory = 0;
@@ -40,20 +56,32 @@
     }
 }
 
+/// Removes endpoints that a whole listing of the directory does not have.
+fn forget_absent(app: &App, grant: &Grant) {
+    for known in app.schedule.known() {
+        if !grant.changed.iter().any(|announcement| announcement.endpoint == known) {
+            app.schedule.remove(&known);
+        }
+    }
+}
+
 fn apply(app: &App, grant: Grant, asked: Instant) {
-    let mut endpoints = (*app.blackboard.endpoints()).clone();
     for gone in &grant.gone {
-        endpoints.remove(gone);
+        app.schedule.remove(gone);
     }
     for announcement in grant.changed {
-        endpoints.insert(announcement.endpoint.clone(), announcement);
+        app.schedule.announce(announcement);
     }
-    app.blackboard.set_endpoints(endpoints);
     if let Some(config) = grant.config {
         let revision = config.revision;
         match Routing::new(config) {
             Ok(routing) => {
-                app.blackboard.set_routing(routing);
+                let bundle = routing.active.clone();
+                if app.blackboard.set_routing(routing)
+                    && let Some(bundle) = bundle
+                {
+                    app.schedule.configure(&bundle, app.settings.queue);
+                }
                 info!(app.log, "configuration in force"; "revision" => revision);
             }
             Err(cause) => {
--- a/crates/wire/src/endpoint.rs
+++ b/crates/wire/src/endpoint.rs
@@ -70,4 +70,13 @@
     pub queued: u32,
     /// Requests that fit into the running batch.
     pub slots: u32,
+    /// Prompt tokens still to be prefilled.
+    #[serde(default)]
+    pub prefill_backlog: u32,
+    /// Mean time between tokens of one running request, in microseconds; 0 when idle.
+    #[serde(default)]
+    pub token_gap_us: u32,
+    /// Age of the report when it was announced, in milliseconds.
+    #[serde(default)]
+    pub age_ms: u32,
 }
