--- a/crates/entry/src/schedule.rs
+++ b/crates/entry/src/schedule.rs
@@ -128,7 +128,7 @@
         metrics: Arc<Metrics>,
     ) -> Self {
         let mut view = View::new(entry, region, view::Settings::default());
-        view.share = share;
+        view.default_share = share;
         let inner = Inner {
             view,
             pools: BTreeMap::new(),
@@ -199,7 +199,7 @@
             };
             let measured = now.saturating_sub(Duration::from_millis(load.age_ms.into()));
             let Inner { view, random, .. } = &mut *inner;
-            view.on_report(&id, report, measured, random);
+            view.on_report(&id, report, measured, now, random);
         }
     }
 
@@ -385,15 +385,16 @@
 
 /// Slots that this entry can expect at the endpoints of a pool.
 fn slots(view: &View, pool: &Model) -> f64 {
-    let serves = |known: &view::Endpoint| known.versions.iter().any(|v| v.model() == *pool);
-    let known = view.endpoints().iter().filter(|known| !known.leaving && serves(known));
     let unknown = view.settings.limit.unknown;
-    known
-        .map(|known| match known.report {
-            Some(_) => known.limit.slots() * view.share,
+    let known = view.endpoints().iter().filter(|known| !known.leaving);
+    let slots = known.filter_map(|known| {
+        let version = known.versions.iter().find(|version| version.model() == *pool)?;
+        Some(match known.report {
+            Some(_) => known.limit.slots() * view.share(version),
             None => unknown,
         })
-        .sum()
+    });
+    slots.sum()
 }
 
 fn ask(wish: &Wish, floor: bool) -> pick::Ask<'_> {
--- a/crates/state/src/operations.rs
+++ b/crates/state/src/operations.rs
@@ -114,7 +114,7 @@
     /// Exactly one of two racing writes is based on the newest revision. Control's own withdrawals
     /// are based on none: containment must not lose a race.
     fn check_base(&self, operation: &Operation) -> error::Result<()> {
-        if **operation.operator == *SYSTEM {
+        if *operation.operator == *SYSTEM {
             if matches!(operation.change, Change::Withdraw { .. }) {
                 return Ok(());
             }
