--- a/crates/entry/src/blackboard.rs
+++ b/crates/entry/src/blackboard.rs
@@ -1,27 +1,48 @@
 //! What controllers write and request handlers read.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use hickoryreel_base::error;
 use hickoryreel_base::error::Error;
 use hickoryreel_base::error::Kind;
-use hickoryreel_base::name::Endpoint;
-use hickoryreel_wire::endpoint::Announcement;
+use hickoryreel_base::name::Version;
+use hickoryreel_state::command::Holder;
 use parking_lot::RwLock;
 
 use crate::routing::Routing;
 
 /// The blackboard of an entry.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Blackboard {
     lease_until: RwLock<Option<Instant>>,
     routing: RwLock<Arc<Routing>>,
-    endpoints: RwLock<Arc<BTreeMap<Endpoint, Announcement>>>,
+    holder: RwLock<Holder>,
+    draining: AtomicBool,
 }
 
 impl Blackboard {
+    /// The blackboard of an entry without a lease.
+    pub fn new(holder: Holder) -> Self {
+        Self {
+            lease_until: RwLock::default(),
+            routing: RwLock::default(),
+            holder: RwLock::new(holder),
+            draining: AtomicBool::new(false),
+        }
+    }
+
+    /// Fails unless the entry may take new work at `now`.
+    pub fn check_ready(&self, now: Instant) -> error::Result<()> {
+        if self.draining.load(Ordering::Relaxed) {
+            return Err(Error::new(Kind::Draining, "the entry is shutting down"));
+        }
+        self.check_lease(now)
+    }
+
     /// Fails unless the lease is valid at `now`.
     pub fn check_lease(&self, now: Instant) -> error::Result<()> {
         match *self.lease_until.read() {
@@ -30,32 +51,56 @@
         }
     }
 
+    /// Fails unless `version` may receive new work at `now`.
+    pub fn check_version(&self, version: &Version, now: Instant) -> error::Result<()> {
+        self.check_lease(now)?;
+        if self.routing.read().config.withdrawn.contains(version) {
+            let message = format!("version {version} was withdrawn before the dispatch");
+            return Err(Error::new(Kind::NoEndpoint, message));
+        }
+        Ok(())
+    }
+
+    /// Time until the lease ends.
+    pub fn lease_left(&self, now: Instant) -> Duration {
+        let until = *self.lease_until.read();
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
     /// Extends the lease; an older answer that arrives late can't shorten it.
     pub fn extend_lease(&self, until: Instant) {
         let mut lease = self.lease_until.write();
         *lease = Some(lease.map_or(until, |known| known.max(until)));
     }
 
+    /// This entry in its present life.
+    pub fn holder(&self) -> Holder {
+        self.holder.read().clone()
+    }
+
+    /// Starts a new life, after the lease of the former one lapsed.
+    pub fn renew_holder(&self, incarnation: u64) {
+        let mut holder = self.holder.write();
+        holder.incarnation = incarnation.max(holder.incarnation + 1);
+    }
+
+    /// Stops taking new work.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
     /// The routing in force.
     pub fn routing(&self) -> Arc<Routing> {
         Arc::clone(&self.routing.read())
     }
 
     /// Takes over `routing` unless its revision is older than the one in force.
-    pub fn set_routing(&self, routing: Routing) {
+    pub fn set_routing(&self, routing: Routing) -> bool {
         let mut current = self.routing.write();
-        if routing.config.revision >= current.config.revision {
+        let newer = routing.config.revision >= current.config.revision;
+        if newer {
             *current = Arc::new(routing);
         }
-    }
-
-    /// Known endpoints.
-    pub fn endpoints(&self) -> Arc<BTreeMap<Endpoint, Announcement>> {
-        Arc::clone(&self.endpoints.read())
-    }
-
-    /// Replaces the known endpoints.
-    pub fn set_endpoints(&self, endpoints: BTreeMap<Endpoint, Announcement>) {
-        *self.endpoints.write() = Arc::new(endpoints);
+        newer
     }
 }
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,146 @@
+//! Metrics of an entry, in the OpenMetrics text format.
+
+use std::fmt::Write;
+
+use hickoryreel_base::rank::Rank;
+use parking_lot::Mutex;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::registry::Registry;
+
+/// Labels of a finished request.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Ended {
+    /// Rank of the request.
+    pub rank: &'static str,
+    /// `large` for workspaces above the mean weight, else `small`; names would be unbounded.
+    pub class: &'static str,
+    /// `ok`, or the code of the error.
+    pub outcome: &'static str,
+}
+
+/// Label of a value per rank.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Ranked {
+    /// The rank.
+    pub rank: &'static str,
+}
+
+/// All metrics of an entry.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Mutex<Registry>,
+    /// Finished requests.
+    pub requests: Family<Ended, Counter>,
+    /// Requests in the queue of each rank.
+    pub queued: Family<Ranked, Gauge>,
+    /// Seconds from the arrival of a request to its first token.
+    pub first_token: Family<Ranked, Histogram>,
+    /// Seconds between two pieces of an answer.
+    pub between_tokens: Family<Ranked, Histogram>,
+    /// Answers that are being streamed.
+    pub open_streams: Gauge,
+    /// Records that are open or whose close is not acknowledged.
+    pub unclosed_records: Gauge,
+    /// Milliseconds until the lease ends; 0 without a lease.
+    pub lease_left_ms: Gauge,
+    /// Revision of the configuration in force.
+    pub revision: Gauge,
+    /// Requests dispatched again after a failure.
+    pub retries: Counter,
+    /// Streams resumed on a fresh connection.
+    pub resumes: Counter,
+    /// Streams that missed a progress deadline.
+    pub silent_streams: Counter,
+    /// Events that were dropped because they had arrived before.
+    pub duplicate_events: Counter,
+    /// Endpoints that are ejected or probed.
+    pub ejected: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let metrics = Self {
+            registry: Mutex::default(),
+            requests: Family::default(),
+            queued: Family::default(),
+            first_token: Family::new_with_constructor(|| seconds(0.001)),
+            between_tokens: Family::new_with_constructor(|| seconds(0.000_5)),
+            open_streams: Gauge::default(),
+            unclosed_records: Gauge::default(),
+            lease_left_ms: Gauge::default(),
+            revision: Gauge::default(),
+            retries: Counter::default(),
+            resumes: Counter::default(),
+            silent_streams: Counter::default(),
+            duplicate_events: Counter::default(),
+            ejected: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+/// Buckets that double from `first` seconds on.
+fn seconds(first: f64) -> Histogram {
+    Histogram::new(exponential_buckets(first, 2.0, 16))
+}
+
+impl Metrics {
+    fn register(&self) {
+        let mut registry = self.registry.lock();
+        let registry = registry.sub_registry_with_prefix("hickoryreel_entry");
+        registry.register("requests", "Finished requests", self.requests.clone());
+        registry.register("queued", "Requests in the queue", self.queued.clone());
+        registry.register(
+            "first_token_seconds",
+            "Time to the first token",
+            self.first_token.clone(),
+        );
+        registry.register(
+            "between_tokens_seconds",
+            "Time between two pieces of an answer",
+            self.between_tokens.clone(),
+        );
+        registry.register("open_streams", "Answers being streamed", self.open_streams.clone());
+        registry.register("unclosed_records", "Records not closed", self.unclosed_records.clone());
+        registry.register("lease_left_ms", "Time until the lease ends", self.lease_left_ms.clone());
+        registry.register("revision", "Revision in force", self.revision.clone());
+        registry.register("retries", "Requests dispatched again", self.retries.clone());
+        registry.register("resumes", "Streams resumed", self.resumes.clone());
+        registry.register(
+            "silent_streams",
+            "Missed progress deadlines",
+            self.silent_streams.clone(),
+        );
+        registry.register("duplicate_events", "Duplicates dropped", self.duplicate_events.clone());
+        registry.register("ejected", "Endpoints ejected or probed", self.ejected.clone());
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        if prometheus_client::encoding::text::encode(&mut text, &self.registry.lock()).is_err() {
+            let _ = write!(text, "# EOF");
+        }
+        text
+    }
+}
+
+/// Label value of a rank.
+pub fn rank(rank: Rank) -> &'static str {
+    match rank {
+        Rank::Urgent => "urgent",
+        Rank::Normal => "normal",
+        Rank::Bulk => "bulk",
+    }
+}
+
+/// Label set of a rank.
+pub fn ranked(of: Rank) -> Ranked {
+    Ranked { rank: rank(of) }
+}
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -4,11 +4,21 @@
 
 use hickoryreel_base::bundle;
 use hickoryreel_base::bundle::Bundle;
+use hickoryreel_base::bundle::ServiceTerms;
 use hickoryreel_base::bundle::WorkspaceTerms;
+use hickoryreel_base::error;
+use hickoryreel_base::error::Error;
+use hickoryreel_base::error::Kind;
+use hickoryreel_base::name::Service;
+use hickoryreel_base::name::Version;
 use hickoryreel_base::name::Workspace;
+use hickoryreel_policy::choice;
+use hickoryreel_policy::choice::Chosen;
 use hickoryreel_state::config::Config;
 use hickoryreel_state::config::Published;
 
+use crate::authority::Caller;
+
 /// Parsed configuration at one revision.
 #[derive(Clone, Debug, Default)]
 pub struct Routing {
@@ -34,12 +44,68 @@
         Ok(Self { config, active, candidate })
     }
 
-    /// The bundle that a request with this hash follows.
-    pub fn bundle(&self, hash: u64) -> Option<&Arc<Bundle>> {
-        match &self.candidate {
-            Some((bundle, percent)) if hash % 100 < u64::from(*percent) => Some(bundle),
-            _ => self.active.as_ref(),
+    /// Chooses the version for a request. `wanted` is a model or one version; the session's pin
+    /// goes first.
+    pub fn choose(
+        &self,
+        caller: &Caller,
+        wanted: Option<&Version>,
+        pin: Option<&Version>,
+    ) -> error::Result<Chosen> {
+        let active = self
+            .active
+            .as_deref()
+            .ok_or_else(|| Error::new(Kind::NoEndpoint, "no bundle is in force"))?;
+        let candidate = self.candidate.as_ref();
+        let candidate = candidate.map(|(bundle, percent)| (&**bundle, f64::from(*percent) / 100.0));
+        let config = choice::Config { active, candidate, withdrawn: &self.config.withdrawn };
+        let ask = choice::Ask {
+            workspace: &caller.workspace,
+            request: &caller.request,
+            session: caller.session.as_ref(),
+            pin,
+        };
+        if let Some(pin) = pin
+            && let Some(chosen) = choice::version(&config, &ask, &pin.model())
+            && !chosen.moved
+        {
+            return Ok(chosen);
+        }
+        let bundle = choice::bundle(&config, &ask);
+        let terms = bundle.workspaces.get(&caller.workspace).unwrap_or(&caller.terms);
+        let Some(wanted) = wanted else {
+            let models = terms.versions.iter().map(|share| share.version.model());
+            let chosen =
+                models.into_iter().find_map(|model| choice::version(&config, &ask, &model));
+            let moved = pin.is_some();
+            return chosen.map(|chosen| Chosen { moved, ..chosen }).ok_or_else(all_withdrawn);
+        };
+        check_wanted(bundle, terms, caller, wanted)?;
+        if !wanted.contains('/') {
+            let chosen = choice::version(&config, &ask, &wanted.model());
+            return chosen
+                .map(|chosen| Chosen { moved: pin.is_some(), ..chosen })
+                .ok_or_else(all_withdrawn);
         }
+        if self.config.withdrawn.contains(wanted) {
+            return Err(all_withdrawn());
+        }
+        Ok(Chosen { version: wanted.clone(), moved: pin.is_some() })
+    }
+
+    /// Price of `version` per 1,000 tokens.
+    pub fn price(&self, version: &Version) -> f64 {
+        let candidate = self.candidate.as_ref().map(|(bundle, _)| bundle);
+        let mut bundles = self.active.iter().chain(candidate);
+        let terms = bundles.find_map(|bundle| bundle.versions.get(version));
+        terms.map_or(0.0, |terms| terms.price_per_1k)
+    }
+
+    /// Terms of a plain service.
+    pub fn service(&self, service: &Service) -> Option<&ServiceTerms> {
+        let candidate = self.candidate.as_ref().map(|(bundle, _)| bundle);
+        let mut bundles = self.active.iter().chain(candidate);
+        bundles.find_map(|bundle| bundle.services.get(service))
     }
 
     /// The workspace whose key hashes to `key_sha256`, under the active or the candidate bundle.
@@ -50,6 +116,30 @@
     }
 }
 
+/// Fails when `wanted` is unknown or not allowed for the workspace.
+fn check_wanted(
+    bundle: &Bundle,
+    terms: &WorkspaceTerms,
+    caller: &Caller,
+    wanted: &Version,
+) -> error::Result<()> {
+    let matches = |version: &Version| {
+        version == wanted || (!wanted.contains('/') && version.model() == wanted.model())
+    };
+    if !bundle.versions.keys().any(matches) {
+        return Err(Error::new(Kind::NotFound, format!("there is no model or version {wanted}")));
+    }
+    if !terms.versions.iter().any(|share| matches(&share.version)) {
+        let message = format!("workspace {} may not use {wanted}", caller.workspace);
+        return Err(Error::new(Kind::NotAllowed, message));
+    }
+    Ok(())
+}
+
+fn all_withdrawn() -> Error {
+    Error::new(Kind::NoEndpoint, "every allowed version is withdrawn")
+}
+
 fn parse(published: &Published) -> eyre::Result<Arc<Bundle>> {
     let file = format!("bundle {}", published.bundle);
     let bundle = bundle::parse(&file, &published.text).map_err(|mistakes| {
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,6 +1,7 @@
 //! `hickoryreel-standin`: runs a stand-in endpoint.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bpaf::Bpaf;
 use bpaf::Parser;
@@ -8,7 +9,9 @@
 use hickoryreel_base::name::Version;
 use hickoryreel_standin::announce::Identity;
 use hickoryreel_standin::engine;
+use hickoryreel_standin::rater;
 use hickoryreel_standin::service;
+use hickoryreel_standin::weights;
 
 /// Runs a stand-in endpoint of hickoryreel.
 #[derive(Bpaf, Clone, Debug)]
@@ -23,8 +26,16 @@
         #[bpaf(argument("MODEL/LABEL"), some("at least one version is needed"))]
         version: Vec<Version>,
         /// Milliseconds between two tokens
-        #[bpaf(argument("MS"), fallback(5))]
-        token_ms: u64,
+        #[bpaf(argument("MS"), fallback(5.0))]
+        token_ms: f64,
+        /// Requests that fit into the running batch
+        #[bpaf(argument("COUNT"), fallback(32))]
+        slots: u32,
+        /// Prompt bytes prefilled per second; 0 makes prefilling free
+        #[bpaf(argument("BYTES"), fallback(0.0))]
+        prefill: f64,
+        /// Refuse orders with an old fencing number
+        checks_fence: bool,
     },
     /// Prints free ports, one a line
     #[bpaf(command)]
@@ -41,6 +52,32 @@
         /// Name of the service
         #[bpaf(argument("NAME"))]
         service: Service,
+        /// Milliseconds for one call
+        #[bpaf(argument("MS"), fallback(0))]
+        call_ms: u64,
+    },
+    /// Runs a rater: ratings of a sample of the answers, some time later
+    #[bpaf(command)]
+    Rater {
+        /// Address to listen on
+        #[bpaf(argument("ADDRESS:PORT"), fallback(SocketAddr::from(([127, 0, 0, 1], 0))))]
+        listen: SocketAddr,
+        /// Milliseconds from an answer to its rating
+        #[bpaf(argument("MS"), fallback(2000))]
+        delay_ms: u64,
+        /// Every n-th answer is rated
+        #[bpaf(argument("COUNT"), fallback(10))]
+        every: u64,
+    },
+    /// Runs a weight store with a rate limit
+    #[bpaf(command)]
+    Weights {
+        /// Address to listen on
+        #[bpaf(argument("ADDRESS:PORT"), fallback(SocketAddr::from(([127, 0, 0, 1], 0))))]
+        listen: SocketAddr,
+        /// Loads that may start per second
+        #[bpaf(argument("COUNT"), fallback(1.0))]
+        per_s: f64,
     },
 }
 
@@ -56,13 +93,21 @@
         .help("Address of an entry to announce to; may be repeated")
         .argument::<SocketAddr>("ADDRESS:PORT")
         .many();
-    bpaf::construct!(name, listen, region, zone, announce).map(
-        |(name, listen, region, zone, announce)| Identity {
+    let announce_key =
+        bpaf::long("announce-key").help("Key of the announcements").argument("KEY").optional();
+    let leave_ms = bpaf::long("leave-ms")
+        .help("Milliseconds from the announcement of leaving to the stop")
+        .argument::<u64>("MS")
+        .fallback(3_500);
+    bpaf::construct!(name, listen, region, zone, announce, announce_key, leave_ms).map(
+        |(name, listen, region, zone, announce, announce_key, leave_ms)| Identity {
             name: name.into(),
             listen,
             region: region.into(),
             zone: zone.into(),
             announce,
+            announce_key,
+            leave: Duration::from_millis(leave_ms),
         },
     )
 }
@@ -70,12 +115,24 @@
 #[tokio::main]
 async fn main() -> eyre::Result<()> {
     match arguments().run() {
-        Arguments::Engine { identity, version, token_ms } => {
-            let settings = engine::Settings { versions: version, token_ms };
+        Arguments::Engine { identity, version, token_ms, slots, prefill, checks_fence } => {
+            let settings = engine::Settings {
+                versions: version,
+                token_ms,
+                slots,
+                prefill_bytes_per_s: prefill,
+                checks_fence,
+            };
             engine::run(identity, settings).await
         }
         Arguments::Ports { count } => print_free_ports(count),
-        Arguments::Service { identity, service } => service::run(identity, service).await,
+        Arguments::Service { identity, service, call_ms } => {
+            service::run(identity, service, call_ms).await
+        }
+        Arguments::Rater { listen, delay_ms, every } => {
+            rater::run(listen, Duration::from_millis(delay_ms), every).await
+        }
+        Arguments::Weights { listen, per_s } => weights::run(listen, per_s).await,
     }
 }
 
