Drive replicas in virtual time under random faults

Only one voter had been tested. The simulation (feature `sim`) runs any state machine with message loss, duplication, reordering, delay, one-way cuts, pauses, crashes that lose unsynced bytes, and disks that stop in the middle of an operation. It panics on two leaders in a term, a committed entry that changes, a read that misses something seen before it, and an acknowledged proposal that is not in the committed log.

It found one fault: a learner counted as caught up while its log was empty, because the log was shorter than the permitted lag. The cluster then needed the vote of a replica that rightly gives none and elected nobody. Promotion now also requires the learner to have synced the leader's first entry of the term and the newest member change.

--- a/crates/consensus/src/core/membership.rs
+++ b/crates/consensus/src/core/membership.rs
@@ -55,7 +55,7 @@
             MemberChange::Promote { id } => {
                 let member = members.get(id).filter(|member| !member.voter);
                 let member = member.ok_or(Refusal::NoSuchMember)?;
-                if !self.is_caught_up(id) {
+                if !self.is_caught_up(id, noop.max(changed_at)) {
                     return Err(Refusal::NotCaughtUp);
                 }
                 Ok(members.with(Member { voter: true, ..member.clone() }))
@@ -71,11 +71,14 @@
         }
     }
 
-    /// Whether the replica replied lately and has synced nearly the whole log.
-    fn is_caught_up(&self, id: ReplicaId) -> bool {
+    /// Whether the replica replied lately and has synced nearly the whole log, `needed` included.
+    /// The lag alone would let a replica without any entry pass while the log is short.
+    fn is_caught_up(&self, id: ReplicaId, needed: u64) -> bool {
         let State::Leader(leader) = &self.state else { return false };
         let Some(progress) = leader.progress.get(&id) else { return false };
         let heard = progress.heard.is_some_and(|at| self.now < at + self.settings.election_min);
-        heard && progress.matched + self.settings.promote_lag_entries >= self.log.last().index
+        heard
+            && progress.matched >= needed
+            && progress.matched + self.settings.promote_lag_entries >= self.log.last().index
     }
 }
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -19,6 +19,8 @@
 pub mod member;
 pub mod message;
 pub mod settings;
+#[cfg(feature = "sim")]
+pub mod sim;
 pub mod storage;
 
 pub use entry::Entry;
