Test the store against faults and mark synced batches

The store had no tests of its own.

A bit error in the last synced batch looked like a torn tail and was cut off. A mark now follows each synced batch; it is not synced itself, so it costs a write of 24 bytes and no sync. After a power failure that loses the mark, a bit error in that one batch remains indistinguishable from a tear.

--- a/crates/consensus/src/storage/frame.rs
+++ b/crates/consensus/src/storage/frame.rs
@@ -3,7 +3,7 @@
 //! A segment is a header and frames, each with one record. Integers are little-endian. Frames are
 //! numbered through all segments, and each frame names the newest frame that was synced when it
 //! was written. That tells a torn tail from corruption: a damaged frame was synced if a later
-//! frame says so.
+//! frame says so. A mark, which is a frame without a record, follows each synced batch for that.
 
 use crate::Record;
 use crate::ReplicaId;
@@ -60,19 +60,42 @@
         FRAME_BYTES + self.payload.len()
     }
 
+    pub(super) fn is_mark(&self) -> bool {
+        self.payload.is_empty()
+    }
+
     pub(super) fn record(&self) -> Option<Record> {
         postcard::from_bytes(self.payload).ok()
     }
 }
 
-/// Adds a frame to `bytes`.
+/// Adds a frame with a record to `bytes`.
 pub(super) fn encode(bytes: &mut Vec<u8>, number: u64, synced: u64, record: &Record) {
+    let start = begin(bytes, number, synced);
+    let written = postcard::to_extend(record, std::mem::take(bytes));
+    *bytes = written.expect("a record has only serializable parts");
+    finish(bytes, start);
+}
+
+/// A frame without a record.
+pub(super) fn encode_mark(number: u64, synced: u64) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(FRAME_BYTES);
+    let start = begin(&mut bytes, number, synced);
+    finish(&mut bytes, start);
+    bytes
+}
+
+/// Adds a frame's header without length and checksum. Returns its offset.
+fn begin(bytes: &mut Vec<u8>, number: u64, synced: u64) -> usize {
     let start = bytes.len();
     bytes.extend([0; 8]);
     bytes.extend(number.to_le_bytes());
     bytes.extend(synced.to_le_bytes());
-    let written = postcard::to_extend(record, std::mem::take(bytes));
-    *bytes = written.expect("a record has only serializable parts");
+    start
+}
+
+/// Fills in length and checksum of the frame at `start`, which is the last one.
+fn finish(bytes: &mut [u8], start: usize) {
     let length = (bytes.len() - start - FRAME_BYTES) as u32;
     bytes[start..start + 4].copy_from_slice(&length.to_le_bytes());
     let checksum = checksum(length, &bytes[start + 8..]);
--- a/crates/consensus/src/storage/mod.rs
+++ b/crates/consensus/src/storage/mod.rs
@@ -203,6 +203,12 @@
 
     /// Makes all appended records durable.
     pub fn sync(&mut self) -> Result<(), Error> {
+        self.sync_segment()?;
+        self.mark();
+        Ok(())
+    }
+
+    fn sync_segment(&mut self) -> Result<(), Error> {
         self.check()?;
         let name = self.last_segment();
         self.sync_file(&name)?;
@@ -210,6 +216,16 @@
         Ok(())
     }
 
+    /// Notes in the log that the last batch is synced, so that a bit error in it is not taken for a
+    /// torn tail. The mark itself becomes durable later; it costs no sync and may be lost.
+    fn mark(&mut self) {
+        let bytes = frame::encode_mark(self.next_frame, self.synced_frame);
+        if self.write(&bytes).is_ok() {
+            self.length += bytes.len() as u64;
+            self.next_frame += 1;
+        }
+    }
+
     /// Writes a snapshot durably, then removes the files that it replaces.
     pub fn write_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
         self.check()?;
@@ -233,10 +249,11 @@
         Ok(())
     }
 
-    /// Starts a segment. The current one is synced first, so only the last can have a torn tail.
+    /// Starts a segment. The current one is synced first and gets no mark after that, so only the
+    /// last segment can have a torn tail.
     fn start_segment(&mut self) -> Result<(), Error> {
         if !self.segments.is_empty() {
-            self.sync()?;
+            self.sync_segment()?;
         }
         let number = self.segments.back().map_or(1, |segment| segment.number + 1);
         let header = frame::Header { id: self.id, segment: number, first_frame: self.next_frame };
--- a/crates/consensus/src/storage/recovery.rs
+++ b/crates/consensus/src/storage/recovery.rs
@@ -180,11 +180,14 @@
                 self.truncate(&name, offset)?;
                 break;
             };
-            let record = frame.record();
-            let record = record.ok_or_else(|| corrupt(name.clone(), offset, "unknown record"))?;
-            self.note(&record);
-            if !replay_record(replay, record, snapshot_index) {
-                return Err(corrupt(name, offset, "entries before this one are missing"));
+            if !frame.is_mark() {
+                let record = frame.record();
+                let record =
+                    record.ok_or_else(|| corrupt(name.clone(), offset, "unknown record"))?;
+                self.note(&record);
+                if !replay_record(replay, record, snapshot_index) {
+                    return Err(corrupt(name, offset, "entries before this one are missing"));
+                }
             }
             self.next_frame = frame.number + 1;
             offset += frame.size();
--- /dev/null
+++ b/crates/consensus/tests/storage.rs
@@ -0,0 +1,315 @@
+//! Storage faults: torn tails, corruption, failed syncs, full disks and crashes at every point.
+
+mod common;
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use hickoryreel_consensus::Entry;
+use hickoryreel_consensus::Members;
+use hickoryreel_consensus::Payload;
+use hickoryreel_consensus::Record;
+use hickoryreel_consensus::ReplicaId;
+use hickoryreel_consensus::Settings;
+use hickoryreel_consensus::Snapshot;
+use hickoryreel_consensus::sim::MemoryDisk;
+use hickoryreel_consensus::storage::Error;
+use hickoryreel_consensus::storage::Restored;
+use hickoryreel_consensus::storage::Store;
+
+const ID: ReplicaId = ReplicaId(7);
+const FIRST_SEGMENT: &str = "log-0000000000000001";
+
+fn open(disk: &MemoryDisk) -> Result<(Store, Restored), Error> {
+    Store::open_disk(Box::new(disk.clone()), &common::small_settings(), || ID)
+}
+
+fn reopen(disk: &MemoryDisk) -> Restored {
+    open(disk).expect("the store opens").1
+}
+
+fn entry(index: u64, term: u64) -> Record {
+    let payload = Payload::Command(vec![index as u8; 20].into());
+    Record::Entry(Entry { index, term, payload })
+}
+
+fn entries(indexes: std::ops::RangeInclusive<u64>) -> Vec<Record> {
+    indexes.map(|index| entry(index, 1)).collect()
+}
+
+fn snapshot(index: u64, term: u64) -> Snapshot {
+    let data = vec![index as u8; 100].into();
+    Snapshot { index, term, members: Members::default(), data }
+}
+
+fn indexes(restored: &Restored) -> Vec<u64> {
+    restored.entries.iter().map(|entry| entry.index).collect()
+}
+
+/// A store with the given synced batches in one segment.
+fn filled(batches: &[Vec<Record>]) -> (MemoryDisk, Store) {
+    let disk = MemoryDisk::default();
+    let settings = Settings { segment_bytes: u64::MAX, ..Settings::default() };
+    let (mut store, _) =
+        Store::open_disk(Box::new(disk.clone()), &settings, || ID).expect("the store opens");
+    for batch in batches {
+        store.append(batch).expect("append");
+        store.sync().expect("sync");
+    }
+    (disk, store)
+}
+
+fn length(disk: &MemoryDisk, name: &str) -> usize {
+    let mut length = 0;
+    disk.edit(name, |bytes| length = bytes.len());
+    length
+}
+
+fn corrupt(result: Result<(Store, Restored), Error>) -> (String, u64) {
+    match result {
+        Err(Error::Corrupt { file, offset, .. }) => (file, offset),
+        Err(other) => panic!("another error: {other}"),
+        Ok((_, restored)) => panic!("opened with {restored:?}"),
+    }
+}
+
+/// Guards against a restart that fails on, or replays, a batch that was cut off by a crash.
+#[test]
+fn torn_tail_is_truncated_at_every_length() {
+    let (disk, mut store) = filled(&[entries(1..=3)]);
+    let synced = length(&disk, FIRST_SEGMENT);
+    store.append(&entries(4..=6)).unwrap();
+    for cut in synced..length(&disk, FIRST_SEGMENT) {
+        let (disk, mut store) = filled(&[entries(1..=3)]);
+        store.append(&entries(4..=6)).unwrap();
+        disk.edit(FIRST_SEGMENT, |bytes| bytes.truncate(cut));
+
+        let (mut store, restored) = open(&disk).unwrap();
+        let last = restored.entries.last().unwrap().index;
+        assert!((3..6).contains(&last), "cut at {cut}");
+        store.append(&[entry(last + 1, 2)]).unwrap();
+        store.sync().unwrap();
+
+        assert_eq!(indexes(&reopen(&disk)), (1..=last + 1).collect::<Vec<_>>(), "cut at {cut}");
+    }
+}
+
+/// Guards against treating a hole in an unsynced batch as corruption: a crash may keep a later
+/// page of it and lose an earlier one.
+#[test]
+fn hole_in_an_unsynced_batch_is_truncated() {
+    let (disk, mut store) = filled(&[entries(1..=3)]);
+    let synced = length(&disk, FIRST_SEGMENT);
+    store.append(&entries(4..=6)).unwrap();
+    disk.edit(FIRST_SEGMENT, |bytes| bytes[synced..synced + 30].fill(0));
+    assert_eq!(indexes(&reopen(&disk)), [1, 2, 3]);
+}
+
+/// Guards against serving, or silently dropping, synced records that a bit error damaged.
+#[test]
+fn bit_error_in_a_synced_record_is_corruption() {
+    const MARK_BYTES: usize = 24;
+    let (disk, _) = filled(&[entries(1..=2), entries(3..=3), entries(4..=5)]);
+    for offset in 0..length(&disk, FIRST_SEGMENT) - MARK_BYTES {
+        for bit in [1, 128] {
+            disk.edit(FIRST_SEGMENT, |bytes| bytes[offset] ^= bit);
+            let (file, reported) = corrupt(open(&disk));
+            assert_eq!(file, FIRST_SEGMENT);
+            assert!(reported as usize <= offset && offset < reported as usize + 90, "at {offset}");
+            disk.edit(FIRST_SEGMENT, |bytes| bytes[offset] ^= bit);
+        }
+    }
+    assert_eq!(indexes(&reopen(&disk)), [1, 2, 3, 4, 5]);
+}
+
+/// Guards against a start without a part of the log or its snapshot.
+#[test]
+fn missing_or_damaged_files_are_corruption() {
+    let build = || {
+        let disk = MemoryDisk::default();
+        let (mut store, _) = open(&disk).unwrap();
+        for index in 1..=40 {
+            store.append(&[entry(index, 1)]).unwrap();
+            store.sync().unwrap();
+            if index == 20 {
+                store.write_snapshot(&snapshot(20, 1)).unwrap();
+            }
+        }
+        disk
+    };
+    let names = build().names();
+    assert!(names.len() > 3, "several segments and a snapshot: {names:?}");
+    let (last, others) = names.split_last().unwrap();
+    assert!(last.starts_with("snapshot-"));
+    for name in &names {
+        let disk = build();
+        disk.edit(name, |bytes| bytes[30] ^= 4);
+        assert_eq!(&corrupt(open(&disk)).0, name, "damaged");
+    }
+    // Without its last segment a log is an older log, which the folder alone cannot show.
+    for name in others[..others.len() - 1].iter().chain([last]) {
+        let disk = build();
+        hickoryreel_consensus::storage::Disk::remove(&mut disk.clone(), name).unwrap();
+        corrupt(open(&disk));
+    }
+}
+
+/// Guards against the loss of all segments beside a snapshot being taken for a new replica, which
+/// could vote again under its old identity.
+#[test]
+fn identity_does_not_outlive_the_log() {
+    let (disk, mut store) = filled(&[entries(1..=3)]);
+    store.write_snapshot(&snapshot(3, 1)).unwrap();
+    hickoryreel_consensus::storage::Disk::remove(&mut disk.clone(), FIRST_SEGMENT).unwrap();
+    corrupt(open(&disk));
+
+    let first = Store::open(tempfile::tempdir().unwrap().path(), &Settings::default()).unwrap().1;
+    let second = Store::open(tempfile::tempdir().unwrap().path(), &Settings::default()).unwrap().1;
+    assert_ne!(first.id, second.id);
+}
+
+/// Guards against acknowledging records after a sync failed, when the system may have dropped
+/// them.
+#[test]
+fn failed_sync_is_fatal() {
+    let (disk, mut store) = filled(&[entries(1..=3)]);
+    store.append(&entries(4..=5)).unwrap();
+    disk.set_fail_syncs(true);
+    assert!(matches!(store.sync(), Err(Error::SyncFailed)));
+    disk.set_fail_syncs(false);
+    assert!(matches!(store.sync(), Err(Error::SyncFailed)));
+    assert!(matches!(store.append(&entries(6..=6)), Err(Error::SyncFailed)));
+    assert!(matches!(store.write_snapshot(&snapshot(3, 1)), Err(Error::SyncFailed)));
+    drop(store);
+    assert_eq!(indexes(&reopen(&disk)), [1, 2, 3]);
+}
+
+/// Guards against a full disk that leaves half a batch, a lost record or a log that stays closed,
+/// wherever the space ends: in a batch, in a new segment or in a snapshot.
+#[test]
+fn full_disk_refuses_and_recovers_at_every_size() {
+    for free in 0..700 {
+        let disk = MemoryDisk::default();
+        let (mut store, _) = open(&disk).unwrap();
+        store.append(&entries(1..=3)).unwrap();
+        store.sync().unwrap();
+        disk.set_capacity(Some(disk.size() + free));
+        let mut next = 4;
+        let refused = loop {
+            let result = store.append(&entries(next..=next + 2)).and_then(|()| store.sync());
+            match result {
+                Ok(()) => next += 3,
+                Err(error) => break error,
+            }
+        };
+        assert!(matches!(refused, Error::Full), "{refused}");
+        let full = store.write_snapshot(&snapshot(3, 1));
+        assert!(matches!(full, Ok(()) | Err(Error::Full)), "{full:?}");
+
+        disk.set_capacity(None);
+        store.append(&entries(next..=next + 2)).unwrap();
+        store.sync().unwrap();
+        let restored = reopen(&disk);
+        let first = restored.snapshot.as_ref().map_or(1, |snapshot| snapshot.index + 1);
+        assert_eq!(indexes(&restored), (first..=next + 2).collect::<Vec<_>>(), "{free} bytes");
+    }
+}
+
+/// What a store has promised, and what it may hold beyond that.
+#[derive(Default)]
+struct Promise {
+    synced: Vec<(u64, u64)>,
+    written: Vec<(u64, u64)>,
+    hard_state: Vec<(u64, Option<ReplicaId>)>,
+    snapshot: u64,
+    snapshot_tried: u64,
+}
+
+/// Runs a fixed history until the disk stops.
+fn history(store: &mut Store, promise: &mut Promise) -> Result<(), Error> {
+    let mut term = 0;
+    for round in 0..30_u64 {
+        let last = promise.written.len() as u64;
+        let mut records = Vec::new();
+        if round % 5 == 0 {
+            term += 1;
+            records.push(Record::HardState { term, vote: Some(ReplicaId(round.into())) });
+            promise.hard_state.push((term, Some(ReplicaId(round.into()))));
+        }
+        // Every seventh batch replaces the last two entries.
+        let from = if round % 7 == 6 { last - 1 } else { last + 1 };
+        records.extend((from..from + 3).map(|index| entry(index, term)));
+        promise.written.truncate(from as usize - 1);
+        promise.synced.truncate(from as usize - 1);
+        promise.written.extend((from..from + 3).map(|index| (index, term)));
+        store.append(&records)?;
+        store.sync()?;
+        promise.synced = promise.written.clone();
+        promise.hard_state.drain(..promise.hard_state.len() - 1);
+        if round % 6 == 5 {
+            let (index, term) = promise.written[promise.written.len() - 3];
+            promise.snapshot_tried = index;
+            store.write_snapshot(&snapshot(index, term))?;
+            promise.snapshot = index;
+        }
+    }
+    Ok(())
+}
+
+/// Guards against a crash at any operation that makes the store unreadable, loses something synced
+/// or invents something that was not written.
+#[test]
+fn crash_at_every_operation_keeps_what_was_synced() {
+    let mut random = StdRng::seed_from_u64(5);
+    let mut operations = 0;
+    loop {
+        let disk = MemoryDisk::default();
+        let mut promise = Promise { hard_state: vec![(0, None)], ..Promise::default() };
+        let (mut store, _) = open(&disk).unwrap();
+        disk.stop_after(operations);
+        let finished = history(&mut store, &mut promise).is_ok();
+        drop(store);
+        disk.crash(&mut random);
+
+        let restored = reopen(&disk);
+        let held = restored.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        assert!(held == promise.snapshot || held == promise.snapshot_tried, "at {operations}");
+        assert!(promise.hard_state.contains(&(restored.term, restored.vote)), "at {operations}");
+        let found: Vec<_> = restored.entries.iter().map(|one| (one.index, one.term)).collect();
+        let least = promise.synced.get(held as usize..).unwrap_or_default();
+        let expected_from = found.first().map_or(held + 1, |(index, _)| *index);
+        assert_eq!(expected_from, held + 1, "at {operations}");
+        assert!(found.len() >= least.len(), "at {operations}: {found:?} lacks {least:?}");
+        assert_eq!(&found[..least.len()], least, "at {operations}");
+        if finished {
+            assert!(operations > 100, "the history was not interrupted");
+            break;
+        }
+        operations += 1;
+    }
+}
+
+/// Guards against a crash between the write of a received snapshot and the reset of the log, after
+/// which entries of an abandoned history follow the snapshot.
+#[test]
+fn received_snapshot_discards_a_different_log() {
+    let (disk, mut store) = filled(&[entries(1..=10)]);
+    store.write_snapshot(&snapshot(8, 3)).unwrap();
+    drop(store);
+    let (mut store, restored) = open(&disk).unwrap();
+    assert_eq!(indexes(&restored), []);
+    store.append(&[entry(9, 3)]).unwrap();
+    store.sync().unwrap();
+    assert_eq!(indexes(&reopen(&disk)), [9]);
+}
+
+/// Guards against two processes that write to one folder.
+#[test]
+fn folder_is_locked() {
+    let folder = tempfile::tempdir().unwrap();
+    let (store, _) = Store::open(folder.path(), &Settings::default()).unwrap();
+    let second = Store::open(folder.path(), &Settings::default());
+    assert!(matches!(second, Err(Error::InUse)));
+    drop(store);
+    Store::open(folder.path(), &Settings::default()).unwrap();
+}
