--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -17,6 +17,9 @@
 use crate::completion;
 use crate::run::App;
 
+/// Content type of the metrics.
+const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
 /// Routes of an entry.
 pub fn router() -> Router {
     build_simple_router(|route| {
@@ -25,14 +28,27 @@
         route.post("/v1/announce").to_async_borrowing(announce::handle);
         route.get("/ready").to(ready);
         route.get("/live").to(|state| (state, server::json(200, &"live")));
+        route.get("/metrics").to(metrics);
     })
 }
 
 fn ready(state: State) -> (State, Response<Body>) {
     let app = server::App::<App>::borrow_from(&state);
-    let response = match app.0.blackboard.check_lease(Instant::now()) {
+    let response = match app.0.blackboard.check_ready(Instant::now()) {
         Ok(()) => server::json(200, &"ready"),
         Err(error) => server::error_response(&error),
     };
     (state, response)
 }
+
+fn metrics(state: State) -> (State, Response<Body>) {
+    let app = &server::App::<App>::borrow_from(&state).0;
+    let metrics = &app.metrics;
+    let millis = |value: u128| i64::try_from(value).unwrap_or(i64::MAX);
+    metrics.lease_left_ms.set(millis(app.blackboard.lease_left(Instant::now()).as_millis()));
+    metrics.unclosed_records.set(i64::try_from(app.records.unclosed()).unwrap_or(i64::MAX));
+    let revision = app.blackboard.routing().config.revision;
+    metrics.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
+    let response = server::whole(200, OPEN_METRICS, metrics.text());
+    (state, response)
+}
--- a/crates/standin/src/announce.rs
+++ b/crates/standin/src/announce.rs
@@ -14,6 +14,8 @@
 use hickoryreel_wire::endpoint::Role;
 use hickoryreel_wire::endpoint::State;
 use hyper::Method;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 /// Time between two announcements.
 const PERIOD: Duration = Duration::from_millis(500);
@@ -31,26 +33,34 @@
     pub zone: Zone,
     /// Addresses to announce to.
     pub announce: Vec<SocketAddr>,
+    /// Key of the announcements, if entries ask for one.
+    pub announce_key: Option<String>,
+    /// Time between the announcement that the endpoint is leaving and its stop.
+    pub leave: Duration,
 }
 
-/// Announces the endpoint until `leaving` completes, then announces that it is leaving.
+/// Announces the endpoint. When `leaving` completes it announces that it is leaving, and after the
+/// time to leave it sends on `stop`, so that the endpoint takes no new connections.
 pub async fn run(
     identity: Identity,
     address: SocketAddr,
     role: impl Fn() -> Role,
     load: impl Fn() -> Load,
     leaving: impl Future<Output = ()>,
+    stop: oneshot::Sender<()>,
 ) {
     let client = client::http_client();
     let incarnation = unix_millis();
     let mut sequence = 0;
     let mut ticks = tokio::time::interval(PERIOD);
+    let mut until = None;
     tokio::pin!(leaving);
     loop {
-        let state = tokio::select! {
-            _ = ticks.tick() => State::Serving,
-            () = &mut leaving => State::Leaving,
-        };
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = &mut leaving, if until.is_none() => until = Some(Instant::now() + identity.leave),
+        }
+        let state = if until.is_some() { State::Leaving } else { State::Serving };
         sequence += 1;
         let announcement = Announcement {
             endpoint: identity.name.clone(),
@@ -68,6 +78,7 @@
             let call = Call {
                 method: Method::POST,
                 url: format!("http://{target}/v1/announce"),
+                key: identity.announce_key.clone(),
                 body: body.clone().into(),
                 timeout: PERIOD,
                 ..Call::default()
@@ -76,7 +87,8 @@
         });
         // A lost announcement is replaced by the next one.
         let _ = futures_util::future::join_all(calls).await;
-        if state == State::Leaving {
+        if until.is_some_and(|until| Instant::now() >= until) {
+            let _ = stop.send(());
             return;
         }
     }
--- a/crates/wire/src/endpoint.rs
+++ b/crates/wire/src/endpoint.rs
@@ -70,4 +70,22 @@
     pub queued: u32,
     /// Requests that fit into the running batch.
     pub slots: u32,
+    /// Prompt tokens still to be prefilled.
+    #[serde(default)]
+    pub prefill_backlog: u32,
+    /// Mean time between tokens of one running request, in microseconds; 0 when idle.
+    #[serde(default)]
+    pub token_gap_us: u32,
+    /// Age of the report when it was announced, in milliseconds.
+    #[serde(default)]
+    pub age_ms: u32,
+}
+
+/// A rating of one answer, from the service that rates answers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rating {
+    /// The version that gave the answer.
+    pub version: Version,
+    /// Whether the answer meets the quality bar.
+    pub good: bool,
 }
