Add the burn report to the operator command

The report existed only as a library. The subcommand reads recorded counters and the metrics of live entries, prints a table or JSON and writes a page. A binary of its own was ruled out: operators look for it beside the status.

--- /dev/null
+++ b/crates/operator/src/cli/burn.rs
@@ -0,0 +1,74 @@
+//! `hickoryreel burn`.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use bpaf::Bpaf;
+use eyre::WrapErr;
+use hickoryreel_base::bundle;
+use hickoryreel_base::bundle::Bundle;
+use hickoryreel_report::burn;
+use hickoryreel_report::html;
+use hickoryreel_report::table;
+
+use crate::cli::Context;
+use crate::ops::print;
+use crate::ops::samples;
+
+/// Seconds in a day.
+const DAY_S: u64 = 86_400;
+
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(generate(cli))]
+pub(super) struct Burn {
+    /// Bundle file with the objective of each rank
+    #[bpaf(argument("FILE"))]
+    bundle: PathBuf,
+    /// Recorded counters; may be repeated
+    #[bpaf(argument("FILE"), many)]
+    samples: Vec<PathBuf>,
+    /// Address of an entry whose counters are read now; may be repeated
+    #[bpaf(argument("ADDRESS:PORT"), many)]
+    entry: Vec<SocketAddr>,
+    /// File to which the counters of the entries are added
+    #[bpaf(argument("FILE"))]
+    record: Option<PathBuf>,
+    /// File for the report as an HTML page
+    #[bpaf(argument("FILE"))]
+    html: Option<PathBuf>,
+    /// Period of the error budget in days
+    #[bpaf(argument("DAYS"), fallback(28))]
+    period_days: u64,
+}
+
+pub(super) async fn exec(context: &Context, arguments: &Burn) -> eyre::Result<()> {
+    let bundle = read_bundle(&arguments.bundle)?;
+    let mut counters = samples::read_files(&arguments.samples)?;
+    let live = samples::scrape(&arguments.entry).await?;
+    if let Some(path) = &arguments.record {
+        samples::append(path, &live)?;
+    }
+    counters.extend(live);
+    eyre::ensure!(!counters.is_empty(), "no counters; use --samples FILE or --entry ADDRESS:PORT");
+    let settings =
+        burn::Settings { period_s: arguments.period_days * DAY_S, ..burn::Settings::default() };
+    let report = burn::report(&counters, &bundle, &settings);
+    if let Some(path) = &arguments.html {
+        std::fs::write(path, html::render(&report)?)
+            .wrap_err_with(|| format!("cannot write {}", path.display()))?;
+    }
+    if context.json {
+        return print::json(&report);
+    }
+    print!("{}", table::render(&report));
+    Ok(())
+}
+
+fn read_bundle(path: &PathBuf) -> eyre::Result<Bundle> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path).wrap_err_with(|| format!("cannot read {file}"))?;
+    bundle::parse(&file, &text).map_err(|mistakes| {
+        let lines: Vec<String> = mistakes.iter().map(ToString::to_string).collect();
+        eyre::eyre!(lines.join("\n"))
+    })
+}
--- a/crates/operator/src/cli/mod.rs
+++ b/crates/operator/src/cli/mod.rs
@@ -8,6 +8,7 @@
 use crate::ops::admin::Admin;
 
 mod billing;
+mod burn;
 mod check;
 mod endpoints;
 mod roll_out;
@@ -65,6 +66,9 @@
     /// List billed requests
     #[bpaf(command)]
     Billing,
+    /// Report how fast each rank uses up its error budget
+    #[bpaf(command)]
+    Burn(#[bpaf(external(burn::cli))] burn::Burn),
 }
 
 /// What a subcommand needs to run.
@@ -105,5 +109,6 @@
         Command::Status => status::exec(context).await,
         Command::Endpoints => endpoints::exec(context).await,
         Command::Billing => billing::exec(context).await,
+        Command::Burn(arguments) => burn::exec(context, &arguments).await,
     }
 }
--- a/crates/operator/src/ops/mod.rs
+++ b/crates/operator/src/ops/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod admin;
 pub mod print;
+pub mod samples;
 pub mod write;
