--- a/crates/base/tests/bundle.rs
+++ b/crates/base/tests/bundle.rs
@@ -118,3 +118,14 @@
     });
     outcome.expect("the check agrees with the rule");
 }
+
+/// Guards against example bundles that the present checks refuse.
+#[parameterized(
+    registry = { include_str!("../../../examples/registry.ini") },
+    auctions = { include_str!("../../../examples/auctions.ini") },
+)]
+fn example_is_valid(text: &str) {
+    let bundle = bundle::parse("example.ini", text).expect("the example is valid");
+
+    assert_eq!(bundle.workspaces.len(), 10);
+}
