--- a/crates/consensus/src/core/follower.rs
+++ b/crates/consensus/src/core/follower.rs
@@ -98,7 +98,16 @@
         round: u64,
     ) {
         let outcome = self.accept(previous, entries, commit);
-        self.send_after_sync(from, Body::AppendReply { outcome, round });
+        if !self.disk_full {
+            return self.send_after_sync(from, Body::AppendReply { outcome, round });
+        }
+        // Nothing is synced while the disk is full. Claiming only what was synced before keeps the
+        // leader in office, for reads and leases.
+        let outcome = match outcome {
+            Outcome::Matched(index) => Outcome::Matched(index.min(self.synced)),
+            rejected => rejected,
+        };
+        self.send(from, Body::AppendReply { outcome, round });
     }
 
     fn accept(&mut self, previous: Position, entries: Vec<Entry>, commit: u64) -> Outcome {
--- a/crates/consensus/src/sim/mod.rs
+++ b/crates/consensus/src/sim/mod.rs
@@ -25,6 +25,7 @@
 use crate::core::Replica;
 use crate::core::Reply;
 use crate::core::Role;
+use crate::storage::Error;
 use crate::storage::Store;
 
 pub use check::Check;
@@ -66,6 +67,9 @@
     machine: M,
     applied: u64,
     incarnation: u64,
+    /// The part of outputs that a full disk keeps from being written.
+    unwritten: Output,
+    disk_full: bool,
 }
 
 /// One machine of the cluster.
@@ -148,7 +152,9 @@
             snapshot.map_or_else(|| (0, M::default()), |one| (one.index, M::restore(&one.data)));
         let replica = Replica::new(self.settings.clone(), restored, self.random.random());
         let incarnation = self.next_number();
-        let process = Process { replica, store, machine, applied, incarnation };
+        let unwritten = Output::default();
+        let process =
+            Process { replica, store, machine, applied, incarnation, unwritten, disk_full: false };
         self.node(id).process = Some(process);
         self.schedule(TICK, Event::Tick(id, incarnation));
     }
@@ -264,27 +270,46 @@
         self.carry_out(id, output);
     }
 
-    fn carry_out(&mut self, id: ReplicaId, output: Output) {
-        for message in &output.messages {
-            self.transmit(message, Duration::ZERO);
+    /// Commits do not depend on the own disk, so a full one delays only records and what promises
+    /// their durability.
+    fn carry_out(&mut self, id: ReplicaId, mut output: Output) {
+        for message in output.messages.drain(..) {
+            self.transmit(&message, Duration::ZERO);
         }
         let Some(process) = &mut self.node(id).process else { return };
-        let incarnation = process.incarnation;
-        if process.store.persist(&output).is_err() {
-            return self.crash(id);
+        let (committed, replies) =
+            (std::mem::take(&mut output.committed), std::mem::take(&mut output.replies));
+        let install = output.install.clone();
+        process.unwritten.merge(output);
+        let full = match process.store.persist(&process.unwritten) {
+            Ok(()) => false,
+            Err(Error::Full) => true,
+            Err(_) => return self.crash(id),
+        };
+        let changed = std::mem::replace(&mut process.disk_full, full) != full;
+        if !full {
+            let written = std::mem::take(&mut process.unwritten);
+            self.after_sync(id, written);
+        }
+        self.apply(id, Output { install, committed, replies, ..Output::default() });
+        if changed {
+            self.input(id, Input::DiskFull(full));
         }
-        let sync = match output.records.is_empty() {
+    }
+
+    fn after_sync(&mut self, id: ReplicaId, written: Output) {
+        let sync = match written.records.is_empty() {
             true => Duration::ZERO,
             false => self.random.random_range(Duration::ZERO..=self.max_sync),
         };
-        for message in &output.after_sync {
+        for message in &written.after_sync {
             self.transmit(message, sync);
         }
-        if !output.records.is_empty() {
-            let up_to = output.sequence;
+        let Some(process) = &self.node(id).process else { return };
+        let (incarnation, up_to) = (process.incarnation, written.sequence);
+        if !written.records.is_empty() {
             self.schedule(sync, Event::Persisted { id, incarnation, up_to });
         }
-        self.apply(id, output);
     }
 
     fn apply(&mut self, id: ReplicaId, output: Output) {
@@ -316,6 +341,7 @@
     }
 
     fn transmit(&mut self, message: &Message, wait: Duration) {
+        let message = Message::decode(&message.encode()).expect("a message survives encoding");
         let known = self.nodes.contains_key(&message.to);
         if !known || self.cuts.contains(&(message.from, message.to)) {
             return;
--- /dev/null
+++ b/crates/consensus/tests/disk_full.rs
@@ -0,0 +1,74 @@
+//! Replicas with a full disk.
+
+mod common;
+
+use hickoryreel_consensus::ReplicaId;
+use hickoryreel_consensus::Settings;
+use hickoryreel_consensus::core::Input;
+use hickoryreel_consensus::core::Outcome;
+use hickoryreel_consensus::core::Refusal;
+use hickoryreel_consensus::core::Role;
+use hickoryreel_consensus::sim::Sim;
+
+use common::Journal;
+use common::SECOND;
+use common::ask;
+use common::elect;
+use common::fill;
+use common::propose;
+
+fn cluster() -> (Sim<Journal>, ReplicaId, Vec<ReplicaId>) {
+    let mut sim = Sim::new(3, Settings::default(), 3);
+    let leader = elect(&mut sim);
+    let others = sim.get(leader).expect("it runs").1.members().voters();
+    let others = others.filter(|id| *id != leader).collect();
+    (sim, leader, others)
+}
+
+fn set_full(sim: &mut Sim<Journal>, id: ReplicaId, full: bool) {
+    let disk = sim.disk(id);
+    disk.set_capacity(full.then(|| disk.size()));
+}
+
+/// Guards against a leader with a full disk that takes writes it cannot keep, or that stops reads
+/// and leases although its quorum works.
+#[test]
+fn leader_refuses_writes_and_serves_reads() {
+    let (mut sim, leader, _) = cluster();
+    fill(&mut sim, leader, 0..3);
+    set_full(&mut sim, leader, true);
+    // The first proposal discovers the full disk. The others have synced it, so it commits.
+    assert!(matches!(propose(&mut sim, leader, 10), Outcome::Committed { .. }));
+    assert_eq!(propose(&mut sim, leader, 11), Outcome::Refused(Refusal::DiskFull));
+    let read = ask(&mut sim, leader, 12, Input::Read { token: 12 });
+    assert!(matches!(read, Outcome::ReadReady { .. }), "{read:?}");
+    sim.run_for(5 * SECOND);
+    assert_eq!(sim.get(leader).unwrap().1.role(), Role::Leader);
+
+    set_full(&mut sim, leader, false);
+    sim.run_for(SECOND);
+    fill(&mut sim, leader, 20..23);
+}
+
+/// Guards against commits that count a replica whose disk is full, against a leader that loses its
+/// quorum because of it, and against one that stays behind after there is space.
+#[test]
+fn full_follower_does_not_count_and_catches_up() {
+    let (mut sim, leader, others) = cluster();
+    set_full(&mut sim, others[0], true);
+    fill(&mut sim, leader, 0..5);
+    sim.crash(others[1]);
+    sim.input(leader, Input::Propose { token: 10, payload: vec![1] });
+    sim.run_for(2 * SECOND);
+    assert!(sim.replies.iter().all(|(_, reply)| reply.token != 10), "{:?}", sim.replies);
+    let read = ask(&mut sim, leader, 11, Input::Read { token: 11 });
+    assert!(matches!(read, Outcome::ReadReady { .. }), "{read:?}");
+
+    set_full(&mut sim, others[0], false);
+    sim.run_for(SECOND);
+    let answered = sim
+        .replies
+        .iter()
+        .any(|(_, reply)| reply.token == 10 && matches!(reply.outcome, Outcome::Committed { .. }));
+    assert!(answered, "{:?}", sim.replies);
+}
--- a/crates/consensus/tests/random.rs
+++ b/crates/consensus/tests/random.rs
@@ -59,7 +59,7 @@
 
     fn fault(&mut self) {
         let (id, other) = (self.any(), self.any());
-        match self.sim.random.random_range(0..14) {
+        match self.sim.random.random_range(0..16) {
             0 => self.sim.crash(id),
             1 => {
                 let operations = self.sim.random.random_range(0..6);
@@ -70,14 +70,27 @@
             4 | 5 => self.sim.heal(),
             6 => self.sim.input(id, Input::Transfer { to: None }),
             7 => self.lose_disk(id),
+            8 => {
+                let free = self.sim.random.random_range(0..600);
+                self.sim.disk(id).set_capacity(Some(self.sim.disk(id).size() + free));
+            }
+            9 => self.free_disks(),
             _ => self.restart_all(),
         }
     }
 
+    fn free_disks(&mut self) {
+        for id in &self.members {
+            self.sim.disk(*id).set_capacity(None);
+        }
+    }
+
+    /// A store needs some space to open.
     fn restart_all(&mut self) {
         for id in self.members.clone() {
             if !self.sim.is_running(id) {
                 self.sim.crash(id);
+                self.sim.disk(id).set_capacity(None);
                 self.sim.start(id);
             }
         }
@@ -121,6 +134,7 @@
     fn settle(&mut self) {
         self.sim.network = Network::default();
         self.sim.heal();
+        self.free_disks();
         for id in self.members.clone() {
             self.sim.crash(id);
         }
