--- a/crates/bench/src/entry.rs
+++ b/crates/bench/src/entry.rs
@@ -39,6 +39,9 @@
 /// Rank and workspace under which all requests are queued by the plain policy "arrival order".
 const ONE_RANK: Rank = Rank::Bulk;
 
+/// Time that a cascade keeps for the first token of its second run.
+const SECOND_FIRST_TOKEN: Duration = Duration::from_millis(300);
+
 /// What is left to do for a request.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -255,15 +258,15 @@
         self.queues.iter().map(|(model, queue)| (model.clone(), queue.demand(now))).collect()
     }
 
-    /// Takes in the demand of all entries.
-    pub fn on_digest(&mut self, total: &BTreeMap<Model, Demand>, now: Duration) {
+    /// Takes in the demand of all entries, of which `own` is this entry's part.
+    pub fn on_digest(&mut self, own: &BTreeMap<Model, Demand>, total: &BTreeMap<Model, Demand>) {
         for (model, queue) in &mut self.queues {
-            let Some(total) = total.get(model) else { continue };
-            queue.on_digest(total, now);
+            let Some((own, total)) = own.get(model).zip(total.get(model)) else { continue };
+            queue.on_digest(own, total);
             let version = version_of(model);
             let slots = self.view.slots(&version);
             let grants = share::divide(slots, &self.policy.queue.floors, &|_| 1.0, total);
-            let share = share::of_entry(&queue.demand(now), total, &grants);
+            let share = share::of_entry(own, total, &grants);
             self.view.set_share(&version, share);
         }
     }
@@ -285,8 +288,9 @@
             .iter()
             .map(|p| choice::Candidate { model: p.model.clone(), cost: p.price * tokens })
             .collect();
-        let first_run = f64::from(request.output_limit) / rates(models[0]).tokens_per_s;
-        let time = Duration::from_secs_f64(first_run) + TARGETS[0];
+        let usual = Duration::from_secs_f64(1.0 / rates(models[0]).tokens_per_s);
+        let gap = self.view.token_gap(&version_of(&models[0].model)).unwrap_or(usual);
+        let time = gap * request.output_limit + SECOND_FIRST_TOKEN;
         let patient = request.rank != Rank::Urgent || self.policy.urgent_cascade;
         let two_runs = patient && time <= TARGETS[request.rank.index()];
         match self.planner.plan(&request.task, &options, two_runs, random.random()) {
--- a/crates/bench/src/scenario/flood.rs
+++ b/crates/bench/src/scenario/flood.rs
@@ -29,12 +29,6 @@
 }
 
 impl Load {
-    fn demand(&self) -> [f64; 3] {
-        let mut demand = self.usual;
-        demand[self.flooded.index()] *= self.factor;
-        demand
-    }
-
     fn setup(&self, deployment: &Deployment, seed: u64) -> Setup {
         let mut setup = Setup::one_model(deployment, seed, LENGTH_S);
         let capacity = setup.capacity();
@@ -43,28 +37,31 @@
         }
         setup.surge(self.flooded, FLOOD_S.0, FLOOD_S.1, self.factor)
     }
+}
 
-    /// What each rank is owed, in requests per second.
-    fn owed(&self, capacity: f64) -> [f64; 3] {
-        let floors = queue::Settings::default().floors;
-        let wants = self.demand();
-        let demand: Demand =
-            Rank::ALL.map(|r| ((r, workspace(0)), wants[r.index()] * capacity)).into();
-        let granted = share::divide(capacity, &floors, &|_| 1.0, &demand);
-        Rank::ALL.map(|rank| granted[&(rank, workspace(0))])
-    }
+/// What each rank is owed in the steady window, in requests per second: the division of the
+/// capacity for the demand that arrived there.
+fn owed(outcome: &Outcome, capacity: f64) -> [f64; 3] {
+    let floors = queue::Settings::default().floors;
+    let (from, to) = (STEADY_S, FLOOD_S.1 as f64);
+    let rate = |rank| outcome.window(rank, from, to).count() as f64 / (to - from);
+    let demand: Demand = Rank::ALL.map(|rank| ((rank, workspace(0)), rate(rank))).into();
+    let granted = share::divide(capacity, &floors, &|_| 1.0, &demand);
+    Rank::ALL.map(|rank| granted[&(rank, workspace(0))])
 }
 
 /// Flood of bulk work, 10 times the capacity.
 pub(crate) fn bulk(name: &str, deployment: &Deployment, seed: u64) -> Vec<Row> {
     let load = Load { usual: [0.25, 0.3, 0.2], flooded: Rank::Bulk, factor: 50.0 };
     let setup = load.setup(deployment, seed);
-    let owed = load.owed(setup.capacity());
+    let capacity = setup.capacity();
     let ours = sim::run(&setup);
     let arrival = sim::run(&setup.under(Plain::ArrivalOrder));
     let urgent = |o: &Outcome| o.within_target(Rank::Urgent, FLOOD_S.0 as f64, FLOOD_S.1 as f64);
-    let others =
-        |o: &Outcome| served_share(o, Rank::Normal, owed).min(served_share(o, Rank::Bulk, owed));
+    let others = |o: &Outcome| {
+        let owed = owed(o, capacity);
+        served_share(o, Rank::Normal, owed).min(served_share(o, Rank::Bulk, owed))
+    };
     vec![
         Row::new(name, "urgent within target", urgent(&ours), "share", Bound::AtLeast(0.995))
             .against("arrival order", urgent(&arrival)),
--- a/crates/bench/src/sim.rs
+++ b/crates/bench/src/sim.rs
@@ -81,6 +81,11 @@
     Fault(usize),
 }
 
+/// Demand by model.
+type ByModel = BTreeMap<Model, Demand>;
+/// An entry's own demand and that of all entries.
+type Digest = (ByModel, ByModel);
+
 #[derive(Debug)]
 struct RunState {
     job: Job,
@@ -112,7 +117,7 @@
     cut: [bool; 3],
     late: (Duration, f64),
     digest_lost: bool,
-    pending_digest: Vec<BTreeMap<Model, Demand>>,
+    pending_digest: Vec<Digest>,
     outcome: Outcome,
     arrivals: Xoshiro256PlusPlus,
     policy: Xoshiro256PlusPlus,
@@ -580,22 +585,25 @@
         if self.digest_lost {
             return;
         }
-        let totals: Vec<_> = (0..ENTRIES).map(|entry| self.total_demand(entry)).collect();
-        let previous = std::mem::replace(&mut self.pending_digest, totals);
-        for (entry, total) in self.entries.iter_mut().zip(&previous) {
-            entry.on_digest(total, self.now);
-            entry.planner.rebalance();
+        let demands: Vec<_> = self.entries.iter().map(|entry| entry.demand(self.now)).collect();
+        let digests = (0..ENTRIES)
+            .map(|entry| (demands[entry].clone(), self.total_demand(entry, &demands)))
+            .collect();
+        let previous: Vec<Digest> = std::mem::replace(&mut self.pending_digest, digests);
+        for (entry, (own, total)) in self.entries.iter_mut().zip(&previous) {
+            entry.on_digest(own, total);
         }
+        self.entries.iter_mut().for_each(|entry| entry.planner.rebalance());
     }
 
     /// Demand of the entries that `entry` can hear from.
-    fn total_demand(&self, entry: usize) -> BTreeMap<Model, Demand> {
-        let mut total: BTreeMap<Model, Demand> = BTreeMap::new();
+    fn total_demand(&self, entry: usize, demands: &[ByModel]) -> ByModel {
+        let mut total = ByModel::new();
         let heard = (0..ENTRIES).filter(|other| self.connected(*other, entry % 3));
-        for other in heard {
-            for (model, demand) in self.entries[other].demand(self.now) {
-                let sum = total.entry(model).or_default();
-                demand.into_iter().for_each(|(key, want)| *sum.entry(key).or_default() += want);
+        for (model, demand) in heard.flat_map(|other| &demands[other]) {
+            let sum = total.entry(model.clone()).or_default();
+            for (key, want) in demand {
+                *sum.entry(key.clone()).or_default() += want;
             }
         }
         total
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -193,7 +193,7 @@
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { target: 0.95, margin: 0.005, explore: 0.01, memory: 2_000.0 }
+        Self { target: 0.95, margin: 0.003, explore: 0.01, memory: 2_000.0 }
     }
 }
 
@@ -273,7 +273,7 @@
         // Integral control closes the gap that errors of the posteriors leave open.
         let step =
             0.002 * (self.settings.target + self.settings.margin - f64::from(u8::from(good)));
-        self.correction = (self.correction + step).clamp(-0.005, 0.03);
+        self.correction = (self.correction + step).clamp(-0.03, 0.03);
     }
 
     /// Chooses the plan. `options` are the allowed models from cheap to dear; `two_runs` says
--- a/crates/policy/src/pick.rs
+++ b/crates/policy/src/pick.rs
@@ -92,8 +92,8 @@
     if slots.is_empty() {
         return None;
     }
-    let ignore_ejection = too_many_ejected(view, slots, now);
-    let usable = |slot: u32| usability(view, ask, slot, ignore_ejection, now);
+    let ignored = ignored(view, slots, now);
+    let usable = |slot: u32| usability(view, ask, slot, ignored, now);
     if let Some(probe) = due_probe(view, ask, slots, &usable, random) {
         return Some(picked(view, settings, ask, probe, true));
     }
@@ -109,7 +109,7 @@
 pub fn any_free(view: &View, version: &Version, rank: Rank, floor: bool, now: Duration) -> bool {
     let ask = Ask { version, rank, floor, prompt_tokens: 0, prefixes: &[], bytes: 0, tried: &[] };
     let slots = view.serving(version);
-    let ignore = too_many_ejected(view, slots, now);
+    let ignore = ignored(view, slots, now);
     slots.iter().any(|slot| usability(view, &ask, *slot, ignore, now) != Use::No)
 }
 
@@ -150,17 +150,20 @@
     Picked { endpoint: endpoint.id.clone(), first_token, probe }
 }
 
-fn usability(view: &View, ask: &Ask<'_>, slot: u32, ignore_ejection: bool, now: Duration) -> Use {
+fn usability(view: &View, ask: &Ask<'_>, slot: u32, ignored: Ignored, now: Duration) -> Use {
     let endpoint = view.at(slot);
     if endpoint.leaving || ask.tried.contains(&endpoint.id) {
         return Use::No;
     }
+    if !ignored.silence && endpoint.is_silent(&view.settings, now) {
+        return Use::No;
+    }
     let ejection = endpoint.ejection.usable(&view.settings.eject, now);
     match ejection {
-        Use::No if !ignore_ejection => return Use::No,
+        Use::No if !ignored.ejection => return Use::No,
         // A probe may be slow or lost, which urgent work must not pay for.
-        Use::Probe if !ignore_ejection && ask.rank == Rank::Urgent => return Use::No,
-        Use::Probe if !ignore_ejection => return Use::Probe,
+        Use::Probe if !ignored.ejection && ask.rank == Rank::Urgent => return Use::No,
+        Use::Probe if !ignored.ejection => return Use::Probe,
         Use::Full | Use::Probe | Use::No => {}
     }
     let limits = &view.settings.limit;
@@ -168,11 +171,26 @@
     if free { Use::Full } else { Use::No }
 }
 
-fn too_many_ejected(view: &View, slots: &[u32], now: Duration) -> bool {
-    let settings = &view.settings.eject;
-    let is_out = |slot: &&u32| view.at(**slot).ejection.usable(settings, now) != Use::Full;
-    let out = slots.iter().filter(is_out).count();
-    out as f64 > settings.most * slots.len() as f64
+/// Which signs of trouble are ignored because too many endpoints show them.
+#[derive(Clone, Copy, Debug)]
+struct Ignored {
+    /// All endpoints are silent: the reports are lost, not the endpoints.
+    silence: bool,
+    /// Too many of the endpoints that report are ejected.
+    ejection: bool,
+}
+
+fn ignored(view: &View, slots: &[u32], now: Duration) -> Ignored {
+    let settings = &view.settings;
+    let heard = slots.iter().map(|s| view.at(*s)).filter(|e| !e.is_silent(settings, now));
+    let (count, out) = heard.fold((0_u32, 0_u32), |(count, out), endpoint| {
+        let ejected = endpoint.ejection.usable(&settings.eject, now) != Use::Full;
+        (count + 1, out + u32::from(ejected))
+    });
+    Ignored {
+        silence: count == 0,
+        ejection: f64::from(out) > settings.eject.most * f64::from(count),
+    }
 }
 
 /// An ejected endpoint that is due for a probe. Probes need no free slot, since the endpoint has
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -44,7 +44,7 @@
             capacity: [2_048, 2_048, 8_192],
             floors: [0.5, 0.2, 0.05],
             targets: [
-                Duration::from_millis(200),
+                Duration::from_millis(130),
                 Duration::from_millis(1_500),
                 Duration::from_secs(25),
             ],
@@ -214,14 +214,17 @@
         demand
     }
 
-    /// Takes in the demand of all entries, this one included.
-    pub fn on_digest(&mut self, total: &Demand, now: Duration) {
-        let Settings { window, least_part, .. } = self.settings;
+    /// Takes in the demand `total` of all entries, of which `own` is this entry's part.
+    ///
+    /// `own` is what this entry published for the same digest. Its present demand would not fit a
+    /// late total: at the start of a flood every entry would take itself for the largest.
+    pub fn on_digest(&mut self, own: &Demand, total: &Demand) {
         for rank in Rank::ALL {
             for (workspace, flow) in &mut self.lanes[rank.index()].flows {
-                let own = flow.arrivals.get(window, now);
-                let all = total.get(&(rank, workspace.clone())).copied().unwrap_or(own);
-                flow.part = (own / all.max(f64::EPSILON)).clamp(least_part, 1.0);
+                let key = (rank, workspace.clone());
+                let part = own.get(&key).zip(total.get(&key));
+                let part = part.map_or(0.0, |(own, all)| own / all.max(f64::EPSILON));
+                flow.part = part.clamp(self.settings.least_part, 1.0);
             }
         }
     }
--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -68,7 +68,8 @@
     grants
 }
 
-/// Share of the whole grant that falls to the demand `own` of one entry, 0 to 1.
+/// Share of the whole grant that falls to the demand `own` of one entry, 0 to 1. `own` has to be
+/// the entry's part of the same `total`.
 pub fn of_entry(own: &Demand, total: &Demand, grants: &Demand) -> f64 {
     let sum: f64 = grants.values().sum();
     if sum <= 0.0 {
--- a/crates/policy/src/view.rs
+++ b/crates/policy/src/view.rs
@@ -72,6 +72,8 @@
     pub report: Option<Report>,
     /// When the last report was measured.
     pub measured_at: Duration,
+    /// When the last report arrived.
+    pub heard_at: Duration,
     /// Ejection state.
     pub ejection: Ejection,
     /// Concurrency limit.
@@ -97,6 +99,7 @@
             rates,
             report: None,
             measured_at: Duration::ZERO,
+            heard_at: Duration::ZERO,
             ejection: Ejection::default(),
             limit: Limit::default(),
             open: 0,
@@ -146,6 +149,11 @@
         }
     }
 
+    /// Whether reports of the endpoint stopped arriving. Lateness does not matter, only silence.
+    pub fn is_silent(&self, settings: &Settings, now: Duration) -> bool {
+        self.report.is_some() && now.saturating_sub(self.heard_at) > settings.silent
+    }
+
     /// Whether the endpoint is believed to hold the prefix.
     pub fn holds(&self, prefix: u64) -> bool {
         self.prefixes.contains(&prefix)
@@ -174,6 +182,9 @@
     pub subset: usize,
     /// Least share of the slots of an endpoint, 0 to 1.
     pub least_share: f64,
+    /// Time without a report after which an endpoint is avoided like an ejected one. Reports come
+    /// twice a second; three in a row may be lost.
+    pub silent: Duration,
     /// Concurrency limits.
     pub limit: limit::Settings,
     /// Ejection.
@@ -185,6 +196,7 @@
         Self {
             subset: 64,
             least_share: 0.03,
+            silent: Duration::from_millis(1_700),
             limit: limit::Settings::default(),
             eject: eject::Settings::default(),
         }
@@ -304,6 +316,16 @@
         in_service.map(|endpoint| endpoint.limit.slots()).sum()
     }
 
+    /// Expected time between tokens of `version`: the mean over the reports of its busy endpoints.
+    pub fn token_gap(&self, version: &Version) -> Option<Duration> {
+        let reports = self.serving(version).iter().filter_map(|slot| self.at(*slot).report);
+        let busy = reports.filter(|report| !report.token_gap.is_zero());
+        let (sum, count) = busy.fold((Duration::ZERO, 0_u32), |(sum, count), report| {
+            (sum + report.token_gap, count + 1)
+        });
+        sum.checked_div(count)
+    }
+
     /// Takes in a load report that was measured at `measured_at`. Older reports are ignored.
     pub fn on_report(
         &mut self,
@@ -316,6 +338,7 @@
         let settings = self.settings.limit.clone();
         let eject = self.settings.eject.clone();
         let Some(endpoint) = self.get_mut(id) else { return };
+        endpoint.heard_at = now;
         if endpoint.report.is_some() && measured_at <= endpoint.measured_at {
             return;
         }
--- a/crates/policy/src/weights.rs
+++ b/crates/policy/src/weights.rs
@@ -27,9 +27,8 @@
         let total = weights.urgent_latency + weights.exposure + weights.flood;
         let urgent = weights.urgent_latency / total;
         let exposure = weights.exposure / total;
-        let flood = weights.flood / total;
         Self {
-            headroom: [0.05 + 0.15 * urgent, 0.1 + 0.3 * urgent - 0.1 * flood],
+            headroom: [0.05 + 0.05 * urgent, 0.1 + 0.1 * urgent],
             exposure: (1.0 / (3.0 * exposure)).clamp(0.25, 2.0),
             evidence: if exposure > DOMINANT { 0.9 } else { 1.0 },
             urgent_cascade: urgent <= DOMINANT,
@@ -38,7 +37,10 @@
 
     /// Applies the headroom to the concurrency limits.
     pub fn limit(&self, settings: limit::Settings) -> limit::Settings {
-        limit::Settings { fill: [1.0, 1.0 - self.headroom[0], 1.0 - self.headroom[1]], ..settings }
+        limit::Settings {
+            fill: [settings.fill[0], 1.0 - self.headroom[0], 1.0 - self.headroom[1]],
+            ..settings
+        }
     }
 
     /// Applies the caution to the health test.
