Add stateful fuzzing of the control state machine

A ledger checks the guarantees on the machine's own answers, without the oracle. The end of each case replays the whole log on a second machine and compares digests.

The first runs found four mistakes in the checks and none in the machine: - a repeated open of an open dispatch is answered again after its version was withdrawn; that is one grant, and the entry checks its configuration once more when it dispatches (now stated at Open::attempt); - pins may be dropped by earlier, narrower limits; - pins may be dropped by a proposer whose clock is ahead; - shrinking left most of the unneeded events, so a second pass leaves out every event that the failure doesn't need.

Answers seen in 500 cases were counted to see what the run reaches; events were weighted until stored answers, repeats, refused targets and too old requests all occur.

--- /dev/null
+++ b/crates/fuzz/src/answer.rs
@@ -0,0 +1,112 @@
+//! Answers of the machine, reduced to what the oracle predicts.
+
+use hickoryreel_base::error::Error;
+use hickoryreel_base::error::Kind;
+use hickoryreel_base::name::Version;
+use hickoryreel_state::command::Revision;
+use hickoryreel_state::machine::Outcome;
+use hickoryreel_state::order;
+use hickoryreel_state::order::Fence;
+use hickoryreel_state::record;
+
+/// Answer to a command without messages and contents.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// Revision after an operator write or a roll-out step.
+    Operation(Result<Revision, Kind>),
+    /// Answers to record changes.
+    Records(Vec<Record>),
+    /// A fencing number.
+    Fence(Fence),
+    /// Fencing number of the lease or order, if the answer has one.
+    Order(Result<Option<Fence>, Kind>),
+    /// No answer.
+    Applied,
+}
+
+/// Answer to a record change.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Record {
+    /// The record is open.
+    Opened,
+    /// The record is open and its session moved.
+    Moved,
+    /// The session is pinned to another version.
+    Pinned(Version),
+    /// The stored answer is given again.
+    Answered,
+    /// The request may run again unbilled.
+    Repeat,
+    /// The record is closed.
+    Closed,
+    /// The record was closed before.
+    AlreadyClosed,
+    /// The change is refused.
+    Refused(Kind),
+}
+
+impl Answer {
+    /// Names of the parts of the answer, for counting what a run reached.
+    pub fn labels(&self) -> Vec<String> {
+        let result = |of: &str, error: Option<&Kind>| {
+            vec![error.map_or_else(|| format!("{of} accepted"), |kind| format!("{of} {kind:?}"))]
+        };
+        match self {
+            Self::Operation(answer) => result("operation", answer.as_ref().err()),
+            Self::Order(answer) => result("order", answer.as_ref().err()),
+            Self::Records(records) => records.iter().map(Record::label).collect(),
+            Self::Fence(_) => vec!["fence".to_owned()],
+            Self::Applied => vec!["applied".to_owned()],
+        }
+    }
+}
+
+impl Record {
+    fn label(&self) -> String {
+        match self {
+            Self::Pinned(_) => "record Pinned".to_owned(),
+            Self::Refused(kind) => format!("record {kind:?}"),
+            other => format!("record {other:?}"),
+        }
+    }
+}
+
+impl From<&Outcome> for Answer {
+    fn from(outcome: &Outcome) -> Self {
+        let kind = |error: &Error| error.kind;
+        match outcome {
+            Outcome::Operation(result) => {
+                Self::Operation(result.as_ref().map(|accepted| accepted.revision).map_err(kind))
+            }
+            Outcome::Records(outcomes) => {
+                Self::Records(outcomes.iter().map(Record::from).collect())
+            }
+            Outcome::Fence(fence) => Self::Fence(*fence),
+            Outcome::Order(result) => Self::Order(result.as_ref().map(fence).map_err(kind)),
+            Outcome::Applied | Outcome::AlreadyApplied => Self::Applied,
+        }
+    }
+}
+
+fn fence(accepted: &order::Accepted) -> Option<Fence> {
+    match accepted {
+        order::Accepted::Lease(lease) => Some(lease.fence),
+        order::Accepted::Order(fence) => Some(*fence),
+        order::Accepted::Recorded => None,
+    }
+}
+
+impl From<&record::Outcome> for Record {
+    fn from(outcome: &record::Outcome) -> Self {
+        match outcome {
+            record::Outcome::Opened => Self::Opened,
+            record::Outcome::Moved => Self::Moved,
+            record::Outcome::Pinned(version) => Self::Pinned(version.clone()),
+            record::Outcome::Answered(_) => Self::Answered,
+            record::Outcome::Repeat => Self::Repeat,
+            record::Outcome::Closed => Self::Closed,
+            record::Outcome::AlreadyClosed => Self::AlreadyClosed,
+            record::Outcome::Refused(error) => Self::Refused(error.kind),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fuzz/src/world.rs
@@ -0,0 +1,258 @@
+//! Operators, entries, endpoints and the network: turns events into commands.
+//!
+//! Entries are honest: they dispatch only what the log opened, never after their lease lapsed, and
+//! close with what they know. The network repeats, delays, reorders and loses their messages.
+
+mod bundles;
+mod entries;
+
+use std::collections::BTreeMap;
+
+use hickoryreel_base::name::Version;
+use hickoryreel_state::command::Action;
+use hickoryreel_state::command::Change;
+use hickoryreel_state::command::Command;
+use hickoryreel_state::command::Holder;
+use hickoryreel_state::command::Operation;
+use hickoryreel_state::command::RecordChange;
+use hickoryreel_state::command::SYSTEM;
+use hickoryreel_state::command::Step;
+use hickoryreel_state::limits::Limits;
+use hickoryreel_state::order;
+use hickoryreel_state::record::Key;
+use hickoryreel_state::record::Open;
+
+use crate::answer::Answer;
+use crate::event::Allowed;
+use crate::event::ENTRIES;
+use crate::event::Event;
+use crate::event::Order;
+use crate::event::VERSIONS;
+use crate::event::Write;
+use crate::oracle::Oracle;
+
+/// Time at the start, in milliseconds since the Unix epoch.
+const START_MS: u64 = 1_000_000_000;
+
+/// Where a dispatch stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// The record is open; nothing was sent.
+    Ready,
+    /// The request is on its way and may start.
+    Sent,
+    /// The endpoint works on it.
+    Running,
+    /// The endpoint finished it.
+    Finished,
+    /// It will never start.
+    Lost,
+}
+
+#[derive(Clone, Debug)]
+struct Dispatch {
+    open: Open,
+    phase: Phase,
+    /// Whether the entry sent a close, or moved the record elsewhere.
+    is_closed: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Entry {
+    incarnation: u64,
+    is_alive: bool,
+    attempt: u64,
+    /// Opens and moves whose answer the entry waits for.
+    waiting: Vec<Open>,
+}
+
+/// A run that an endpoint started.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// The request.
+    pub key: Key,
+    /// The entry that sent it.
+    pub holder: Holder,
+    /// The dispatch.
+    pub attempt: u64,
+    /// Whether it may run only once.
+    pub run_once: bool,
+}
+
+/// What one event led to.
+#[derive(Clone, Debug, Default)]
+pub struct Effect {
+    /// Commands for the log, with the predicted answers.
+    pub commands: Vec<(Command, Answer)>,
+    /// Runs that started.
+    pub starts: Vec<Start>,
+    /// Whether the machine is replaced by its snapshot.
+    pub is_snapshot: bool,
+}
+
+/// Everything outside the machine, and the oracle.
+#[derive(Clone, Debug, Default)]
+pub struct World {
+    /// What the newest event led to.
+    pub effect: Effect,
+    oracle: Oracle,
+    at_ms: u64,
+    skew_ms: i64,
+    entries: Vec<Entry>,
+    network: Vec<RecordChange>,
+    dispatches: Vec<Dispatch>,
+    writes: Vec<Operation>,
+    request_times: BTreeMap<Key, u64>,
+}
+
+impl World {
+    /// A world whose first bundle allows every version to every workspace.
+    pub fn start() -> Self {
+        let life = Entry { incarnation: 1, is_alive: true, ..Entry::default() };
+        let entries = vec![life; ENTRIES.into()];
+        let mut world = Self { at_ms: START_MS, entries, ..Self::default() };
+        world.issue(Action::SetLimits(limits(false)));
+        world.publish([(1 << VERSIONS) - 1; 2], None);
+        world
+    }
+
+    /// Lets `event` happen.
+    pub fn happen(&mut self, event: &Event) {
+        self.effect = Effect::default();
+        match event {
+            Event::Wait(ms) => self.at_ms += u64::from(*ms),
+            Event::Skew(ms) => self.skew_ms = i64::from(*ms),
+            Event::Write { operator, lag, reuse, write } => {
+                self.operate(*operator, *lag, *reuse, write);
+            }
+            Event::Publish { allowed, restores } => self.publish(*allowed, *restores),
+            Event::Resend(pick) => {
+                if let Some(write) = self.writes.get(index(*pick, self.writes.len())) {
+                    self.issue(Action::Operate(write.clone()));
+                }
+            }
+            Event::Step(ahead) => self.step(*ahead),
+            Event::Request(request) => self.request(request),
+            Event::Deliver { picks, keep, answered } => self.deliver(picks, *keep, *answered),
+            Event::Proceed { pick, phases } => self.proceed(*pick, *phases),
+            Event::Lose(pick) => self.lose(*pick),
+            Event::Close { pick, ended } => self.close(*pick, *ended),
+            Event::Move { pick, version } => self.move_elsewhere(*pick, *version),
+            Event::Kill(entry) => self.kill(*entry),
+            Event::Lapse(entry) => self.issue(Action::Lapse(self.holder(*entry))),
+            Event::Restart(entry) => self.restart(*entry),
+            Event::Settle { pick, reachable } => self.settle(*pick, *reachable),
+            Event::TakeFence => self.issue(Action::TakeFence { purpose: "any".into() }),
+            Event::Order { controller, order } => self.order(*controller, order),
+            Event::Limits(are_wide) => self.issue(Action::SetLimits(limits(*are_wide))),
+            Event::Snapshot => self.effect.is_snapshot = true,
+        }
+    }
+
+    /// Puts a command into the log.
+    fn issue(&mut self, action: Action) {
+        let at_ms = self.at_ms.saturating_add_signed(self.skew_ms);
+        let command = Command { at_ms, action };
+        let answer = self.oracle.apply(&command);
+        self.effect.commands.push((command, answer));
+    }
+
+    fn operate(&mut self, operator: u8, lag: u8, reuse: bool, write: &Write) {
+        let newest = self.oracle.bundle_count();
+        let back = |back: u8| newest.saturating_sub(back.into());
+        let running = self.oracle.running().map_or(newest, |(bundle, _)| bundle);
+        let change = match write {
+            Write::Submit { allowed, restores } => {
+                Change::Submit { text: self.bundle(*allowed, *restores) }
+            }
+            Write::SubmitFaulty => Change::Submit { text: "[bundle]\nquality = 7\n".into() },
+            Write::SignOff { back: n } => Change::SignOff { bundle: back(*n) },
+            Write::RollOut { back: n } => Change::RollOut { bundle: back(*n) },
+            Write::Advance { percent } => Change::Advance { bundle: running, percent: *percent },
+            Write::Pause => Change::Pause { bundle: running },
+            Write::Resume => Change::Resume { bundle: running },
+            Write::Revert { back: n } => Change::Revert { bundle: back(*n) },
+            Write::Withdraw { version: n } => {
+                Change::Withdraw { version: version(*n), reason: "bad answers".into() }
+            }
+        };
+        let number = self.writes.len() - usize::from(reuse);
+        self.write(operator, lag, number, change);
+    }
+
+    fn publish(&mut self, allowed: Allowed, restores: Option<bool>) {
+        let text = self.bundle(allowed, restores);
+        let bundle = self.oracle.bundle_count() + 1;
+        let changes = [
+            (0, Change::Submit { text }),
+            (1, Change::SignOff { bundle }),
+            (0, Change::RollOut { bundle }),
+            (0, Change::Advance { bundle, percent: 100 }),
+        ];
+        for (operator, change) in changes {
+            self.write(operator, 0, self.writes.len(), change);
+        }
+    }
+
+    fn write(&mut self, operator: u8, lag: u8, number: usize, change: Change) {
+        let operation = Operation {
+            operator: ["ann", "ben", SYSTEM][usize::from(operator)].into(),
+            request: number.to_string().into(),
+            based_on: self.oracle.revision.saturating_sub(lag.into()),
+            change,
+        };
+        self.writes.push(operation.clone());
+        self.issue(Action::Operate(operation));
+    }
+
+    fn step(&mut self, ahead: u8) {
+        let (bundle, step) = self.oracle.running().unwrap_or((1, 0));
+        self.issue(Action::Step(Step { bundle, number: step + u32::from(ahead) }));
+    }
+
+    fn order(&mut self, controller: u8, order: &Order) {
+        let holder = ["leader-1", "leader-2"][usize::from(controller)].into();
+        let change = match order {
+            Order::Lease => order::Change::Lease { holder, length_ms: 3_000 },
+            Order::Release => order::Change::Release { holder },
+            Order::Send(body) => order::Change::Send {
+                holder,
+                endpoint: "engine-1".into(),
+                body: body.to_string().into(),
+                expires_ms: self.at_ms + 5_000,
+            },
+            Order::End(fence) => {
+                let result = order::Ended::Done;
+                order::Change::Answered { fence: u64::from(*fence) % 16 + 1, result }
+            }
+        };
+        self.issue(Action::Order(change));
+    }
+}
+
+/// Limits that most cases reach, and wider ones.
+fn limits(are_wide: bool) -> Limits {
+    let standard = Limits { clock_skew_ms: 3_000, ..Limits::default() };
+    if are_wide {
+        return Limits { records: 12, record_age_ms: 120_000, ..standard };
+    }
+    Limits {
+        records: 2,
+        record_age_ms: 60_000,
+        pins: 2,
+        pin_age_ms: 30_000,
+        answers: 4,
+        answer_age_ms: 60_000,
+        orders: 2,
+        ..standard
+    }
+}
+
+/// `pick` modulo the number of choices; any number when there are none.
+fn index(pick: u8, choices: usize) -> usize {
+    usize::from(pick) % choices.max(1)
+}
+
+fn version(number: u8) -> Version {
+    Version::from(format!("quill/v{number}"))
+}
--- a/crates/state/src/record.rs
+++ b/crates/state/src/record.rs
@@ -42,7 +42,9 @@
     /// The entry that holds the request.
     pub holder: Holder,
     /// Number of the dispatch, growing within the holder. An open that is sent again after a lost
-    /// answer keeps its number; a caller's resend gets a new one.
+    /// answer keeps its number and gets the first answer again, even when its version was withdrawn
+    /// in between: the entry checks its own configuration once more when it dispatches. A caller's
+    /// resend gets a new number.
     pub attempt: u64,
     /// What it runs on.
     pub target: Target,
