--- a/crates/control/src/controllers/mod.rs
+++ b/crates/control/src/controllers/mod.rs
@@ -9,6 +9,7 @@
 mod lapse;
 mod limits;
 mod members;
+mod orders;
 mod roll_out;
 mod settle;
 
@@ -45,6 +46,7 @@
         Box::new(lapse::Lapse),
         Box::new(settle::Settle::default()),
         Box::new(roll_out::RollOut::default()),
+        Box::new(orders::Orders::default()),
     ];
     for controller in controllers {
         tokio::spawn(follow(Arc::clone(&control), controller, read.clone()));
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -64,6 +64,12 @@
     pub limits: Limits,
     /// Time between two rounds of the controllers.
     pub controller_period: Duration,
+    /// How long an endpoint is asked for a run of a dead entry before it counts as unreachable.
+    pub settle_patience: Duration,
+    /// Age at which a run of a dead entry is cancelled.
+    pub run_deadline: Duration,
+    /// Time between two orders to engines, for the rate limit of the weight store.
+    pub order_interval: Duration,
     /// Lowest level of log lines.
     pub log_level: slog::Level,
 }
@@ -91,6 +97,9 @@
             consensus: consensus::Settings::default(),
             limits: Limits::default(),
             controller_period: Duration::from_millis(250),
+            settle_patience: Duration::from_secs(10),
+            run_deadline: Duration::from_secs(600),
+            order_interval: Duration::from_secs(2),
             log_level: slog::Level::Info,
         }
     }
@@ -201,6 +210,24 @@
             standard.controller_period,
             20..=10_000,
         ),
+        settle_patience: milliseconds(
+            control,
+            "settle-patience-ms",
+            standard.settle_patience,
+            1_000..=600_000,
+        ),
+        run_deadline: milliseconds(
+            control,
+            "run-deadline-ms",
+            standard.run_deadline,
+            1_000..=86_400_000,
+        ),
+        order_interval: milliseconds(
+            control,
+            "order-interval-ms",
+            standard.order_interval,
+            100..=3_600_000,
+        ),
         log_level: control.or("log-level", "a log level", standard.log_level),
         ..standard
     }
