Complete the operator command

Exit codes: 0 done, 1 refused, 2 wrong arguments, 3 not reachable. A write whose answer is lost is sent again with the same operator request id until the patience ends; request ids carry random bits, since time and process id can coincide on two VMs.

--- a/crates/base/src/client.rs
+++ b/crates/base/src/client.rs
@@ -3,12 +3,14 @@
 //! A call that times out drops its connection, so a connection that went silent is replaced by a
 //! new one at the next call.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use eyre::WrapErr;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
 use hyper_util::client::legacy::Client;
@@ -34,10 +36,19 @@
 pub struct Answer {
     /// HTTP status code.
     pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
 }
 
+impl Answer {
+    /// Address of the leader, if the answer names one in the header `x-leader`.
+    pub fn leader(&self) -> Option<SocketAddr> {
+        self.headers.get("x-leader")?.to_str().ok()?.parse().ok()
+    }
+}
+
 /// One call with its whole answer.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -85,8 +96,9 @@
         let exchange = async {
             let response = client.request(request).await?;
             let status = response.status().as_u16();
+            let headers = response.headers().clone();
             let body = response.into_body().collect().await?.to_bytes();
-            eyre::Ok(Answer { status, body })
+            eyre::Ok(Answer { status, headers, body })
         };
         tokio::time::timeout(self.timeout, exchange)
             .await
--- a/crates/operator/src/cli/billing.rs
+++ b/crates/operator/src/cli/billing.rs
@@ -4,9 +4,10 @@
 use hickoryreel_state::record::Target;
 
 use crate::cli::Context;
+use crate::ops::failure::Failure;
 use crate::ops::print;
 
-pub(super) async fn exec(context: &Context) -> eyre::Result<()> {
+pub(super) async fn exec(context: &Context) -> Result<(), Failure> {
     let bills: Vec<Bill> = context.admin.get("billing").await?;
     if context.json {
         return print::json(&bills);
--- a/crates/operator/src/cli/check.rs
+++ b/crates/operator/src/cli/check.rs
@@ -1,9 +1,13 @@
-//! `hickoryreel check`.
+//! `hickoryreel check`. Needs no control replica.
 
 use std::path::PathBuf;
 
 use bpaf::Bpaf;
-use hickoryreel_base::bundle;
+
+use crate::cli::Context;
+use crate::ops::failure::Failure;
+use crate::ops::file;
+use crate::ops::print;
 
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(generate(cli))]
@@ -13,23 +17,17 @@
     file: PathBuf,
 }
 
-pub(super) fn exec(arguments: &Check) -> eyre::Result<()> {
-    let text = std::fs::read_to_string(&arguments.file)?;
-    match bundle::parse(&arguments.file.display().to_string(), &text) {
-        Ok(bundle) => {
-            println!(
-                "ok: {} workspaces, {} versions, {} services",
-                bundle.workspaces.len(),
-                bundle.versions.len(),
-                bundle.services.len()
-            );
-            Ok(())
-        }
-        Err(mistakes) => {
-            for mistake in &mistakes {
-                println!("{mistake}");
-            }
-            Err(eyre::eyre!("{} mistakes", mistakes.len()))
-        }
+pub(super) fn exec(context: &Context, arguments: &Check) -> Result<(), Failure> {
+    let text = file::read(&arguments.file)?;
+    let bundle = file::check(&arguments.file, &text)?;
+    let (workspaces, versions) = (bundle.workspaces.len(), bundle.versions.len());
+    let services = bundle.services.len();
+    if context.json {
+        let counts = serde_json::json!({
+            "workspaces": workspaces, "versions": versions, "services": services,
+        });
+        return print::json(&counts);
     }
+    println!("ok: {workspaces} workspaces, {versions} versions, {services} services");
+    Ok(())
 }
--- a/crates/operator/src/cli/endpoints.rs
+++ b/crates/operator/src/cli/endpoints.rs
@@ -4,9 +4,10 @@
 use hickoryreel_wire::endpoint::Role;
 
 use crate::cli::Context;
+use crate::ops::failure::Failure;
 use crate::ops::print;
 
-pub(super) async fn exec(context: &Context) -> eyre::Result<()> {
+pub(super) async fn exec(context: &Context) -> Result<(), Failure> {
     let endpoints: Vec<Announcement> = context.admin.get("endpoints").await?;
     if context.json {
         return print::json(&endpoints);
--- a/crates/operator/src/cli/mod.rs
+++ b/crates/operator/src/cli/mod.rs
@@ -1,21 +1,35 @@
-//! Subcommands. Exit codes: 0 done, 1 refused or failed, 2 wrong arguments.
+//! Subcommands. Exit codes: 0 done, 1 refused, 2 wrong arguments, 3 not reachable.
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use bpaf::Bpaf;
 
 use crate::ops::admin::Admin;
+use crate::ops::failure::Failure;
 
 mod billing;
 mod check;
+mod diff;
 mod endpoints;
+mod in_force;
+mod pause;
+mod replica;
+mod resume;
+mod revert;
 mod roll_out;
 mod sign_off;
 mod status;
 mod submit;
 mod withdraw;
 
+/// Exit code for wrong arguments.
+const WRONG_ARGUMENTS: u8 = 2;
+
+/// Width of help texts.
+const COLUMNS: usize = 100;
+
 /// Operates a hickoryreel deployment.
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options, version)]
@@ -37,6 +51,9 @@
     /// Operator key
     #[bpaf(env("HICKORYREEL_KEY"), argument("KEY"), fallback(String::new()))]
     key: String,
+    /// How long to look for a leader that answers, in seconds
+    #[bpaf(argument("S"), fallback(10))]
+    patience_s: u64,
 }
 
 #[derive(Bpaf, Clone, Debug)]
@@ -44,6 +61,9 @@
     /// Check a bundle file
     #[bpaf(command)]
     Check(#[bpaf(external(check::cli))] check::Check),
+    /// Show what a bundle file would change in the active bundle
+    #[bpaf(command)]
+    Diff(#[bpaf(external(diff::cli))] diff::Diff),
     /// Submit a bundle file
     #[bpaf(command)]
     Submit(#[bpaf(external(submit::cli))] submit::Submit),
@@ -53,6 +73,15 @@
     /// Roll out a signed-off bundle
     #[bpaf(command("roll-out"))]
     RollOut(#[bpaf(external(roll_out::cli))] roll_out::RollOut),
+    /// Pause the running roll-out at its present share of traffic
+    #[bpaf(command)]
+    Pause(#[bpaf(external(pause::cli))] pause::Pause),
+    /// Resume a paused roll-out
+    #[bpaf(command)]
+    Resume(#[bpaf(external(resume::cli))] resume::Resume),
+    /// Put the content of an earlier bundle into force again
+    #[bpaf(command)]
+    Revert(#[bpaf(external(revert::cli))] revert::Revert),
     /// Withdraw a version: it receives no new work
     #[bpaf(command)]
     Withdraw(#[bpaf(external(withdraw::cli))] withdraw::Withdraw),
@@ -65,6 +94,12 @@
     /// List billed requests
     #[bpaf(command)]
     Billing,
+    /// Tell whether a revision is in force at every entry
+    #[bpaf(command("in-force"))]
+    InForce(#[bpaf(external(in_force::cli))] in_force::InForce),
+    /// Add or remove control replicas
+    #[bpaf(command)]
+    Replica(#[bpaf(external(replica::cli))] replica::Replica),
 }
 
 /// What a subcommand needs to run.
@@ -78,32 +113,49 @@
 /// Parses arguments, runs the subcommand and reports failure on standard error.
 #[must_use]
 pub fn main() -> ExitCode {
-    let arguments = arguments().run();
-    let admin = Admin::new(arguments.connection.control, arguments.connection.key);
+    let arguments = match arguments().run_inner(bpaf::Args::current_args()) {
+        Ok(arguments) => arguments,
+        Err(bpaf::ParseFailure::Stderr(message)) => {
+            eprintln!("error: {}", message.monochrome(true));
+            return ExitCode::from(WRONG_ARGUMENTS);
+        }
+        Err(failure) => {
+            failure.print_message(COLUMNS);
+            return ExitCode::SUCCESS;
+        }
+    };
+    let Connection { control, key, patience_s } = arguments.connection;
+    let admin = Admin::new(control, key, Duration::from_secs(patience_s));
     let context = Context { admin, json: arguments.json };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let result = match runtime {
         Ok(runtime) => runtime.block_on(exec(&context, arguments.command)),
-        Err(cause) => Err(cause.into()),
+        Err(cause) => Err(Failure::Shape(cause.to_string())),
     };
-    match result {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(cause) => {
-            eprintln!("error: {cause:#}");
-            ExitCode::FAILURE
-        }
+    let Err(failure) = result else { return ExitCode::SUCCESS };
+    if context.json {
+        eprintln!("{}", failure.json());
+    } else {
+        eprintln!("error: {failure}");
     }
+    failure.exit_code()
 }
 
-async fn exec(context: &Context, command: Command) -> eyre::Result<()> {
+async fn exec(context: &Context, command: Command) -> Result<(), Failure> {
     match command {
-        Command::Check(arguments) => check::exec(&arguments),
+        Command::Check(arguments) => check::exec(context, &arguments),
+        Command::Diff(arguments) => diff::exec(context, &arguments).await,
         Command::Submit(arguments) => submit::exec(context, &arguments).await,
         Command::SignOff(arguments) => sign_off::exec(context, &arguments).await,
         Command::RollOut(arguments) => roll_out::exec(context, &arguments).await,
+        Command::Pause(arguments) => pause::exec(context, &arguments).await,
+        Command::Resume(arguments) => resume::exec(context, &arguments).await,
+        Command::Revert(arguments) => revert::exec(context, &arguments).await,
         Command::Withdraw(arguments) => withdraw::exec(context, &arguments).await,
         Command::Status => status::exec(context).await,
         Command::Endpoints => endpoints::exec(context).await,
         Command::Billing => billing::exec(context).await,
+        Command::InForce(arguments) => in_force::exec(context, &arguments).await,
+        Command::Replica(arguments) => replica::exec(context, &arguments).await,
     }
 }
--- /dev/null
+++ b/crates/operator/src/cli/pause.rs
@@ -0,0 +1,25 @@
+//! `hickoryreel pause`.
+
+use bpaf::Bpaf;
+use hickoryreel_state::command::BundleId;
+use hickoryreel_state::command::Change;
+
+use crate::cli::Context;
+use crate::ops::failure::Failure;
+use crate::ops::write;
+use crate::ops::write::Basis;
+
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(generate(cli))]
+pub(super) struct Pause {
+    #[bpaf(external(write::basis))]
+    basis: Basis,
+    /// Bundle id
+    #[bpaf(positional("BUNDLE"))]
+    bundle: BundleId,
+}
+
+pub(super) async fn exec(context: &Context, arguments: &Pause) -> Result<(), Failure> {
+    let change = Change::Pause { bundle: arguments.bundle };
+    write::run(context, &arguments.basis, change).await
+}
--- a/crates/operator/src/cli/roll_out.rs
+++ b/crates/operator/src/cli/roll_out.rs
@@ -5,6 +5,7 @@
 use hickoryreel_state::command::Change;
 
 use crate::cli::Context;
+use crate::ops::failure::Failure;
 use crate::ops::write;
 use crate::ops::write::Basis;
 
@@ -13,12 +14,19 @@
 pub(super) struct RollOut {
     #[bpaf(external(write::basis))]
     basis: Basis,
+    /// Enter this share of traffic now, instead of starting the roll-out; 100 completes it
+    #[bpaf(argument("PERCENT"))]
+    advance_to: Option<u8>,
     /// Bundle id
     #[bpaf(positional("BUNDLE"))]
     bundle: BundleId,
 }
 
-pub(super) async fn exec(context: &Context, arguments: &RollOut) -> eyre::Result<()> {
-    let change = Change::RollOut { bundle: arguments.bundle };
+pub(super) async fn exec(context: &Context, arguments: &RollOut) -> Result<(), Failure> {
+    let bundle = arguments.bundle;
+    let change = match arguments.advance_to {
+        Some(percent) => Change::Advance { bundle, percent },
+        None => Change::RollOut { bundle },
+    };
     write::run(context, &arguments.basis, change).await
 }
--- a/crates/operator/src/cli/sign_off.rs
+++ b/crates/operator/src/cli/sign_off.rs
@@ -5,6 +5,7 @@
 use hickoryreel_state::command::Change;
 
 use crate::cli::Context;
+use crate::ops::failure::Failure;
 use crate::ops::write;
 use crate::ops::write::Basis;
 
@@ -18,7 +19,7 @@
     bundle: BundleId,
 }
 
-pub(super) async fn exec(context: &Context, arguments: &SignOff) -> eyre::Result<()> {
+pub(super) async fn exec(context: &Context, arguments: &SignOff) -> Result<(), Failure> {
     let change = Change::SignOff { bundle: arguments.bundle };
     write::run(context, &arguments.basis, change).await
 }
--- a/crates/operator/src/cli/submit.rs
+++ b/crates/operator/src/cli/submit.rs
@@ -3,10 +3,11 @@
 use std::path::PathBuf;
 
 use bpaf::Bpaf;
-use eyre::WrapErr;
 use hickoryreel_state::command::Change;
 
 use crate::cli::Context;
+use crate::ops::failure::Failure;
+use crate::ops::file;
 use crate::ops::write;
 use crate::ops::write::Basis;
 
@@ -20,8 +21,8 @@
     file: PathBuf,
 }
 
-pub(super) async fn exec(context: &Context, arguments: &Submit) -> eyre::Result<()> {
-    let text = std::fs::read_to_string(&arguments.file)
-        .wrap_err_with(|| format!("cannot read {}", arguments.file.display()))?;
+pub(super) async fn exec(context: &Context, arguments: &Submit) -> Result<(), Failure> {
+    let text = file::read(&arguments.file)?;
+    file::check(&arguments.file, &text)?;
     write::run(context, &arguments.basis, Change::Submit { text: text.into() }).await
 }
--- a/crates/operator/src/cli/withdraw.rs
+++ b/crates/operator/src/cli/withdraw.rs
@@ -5,6 +5,7 @@
 use hickoryreel_state::command::Change;
 
 use crate::cli::Context;
+use crate::ops::failure::Failure;
 use crate::ops::write;
 use crate::ops::write::Basis;
 
@@ -21,7 +22,7 @@
     version: Version,
 }
 
-pub(super) async fn exec(context: &Context, arguments: &Withdraw) -> eyre::Result<()> {
+pub(super) async fn exec(context: &Context, arguments: &Withdraw) -> Result<(), Failure> {
     let change = Change::Withdraw {
         version: arguments.version.clone(),
         reason: arguments.reason.as_str().into(),
--- a/crates/operator/src/ops/mod.rs
+++ b/crates/operator/src/ops/mod.rs
@@ -1,5 +1,8 @@
 //! Operations behind the subcommands.
 
 pub mod admin;
+pub mod failure;
+pub mod file;
 pub mod print;
+pub mod wait;
 pub mod write;
--- a/crates/operator/src/ops/print.rs
+++ b/crates/operator/src/ops/print.rs
@@ -2,9 +2,12 @@
 
 use serde::Serialize;
 
+use crate::ops::failure::Failure;
+
 /// Prints `value` as JSON.
-pub fn json(value: &impl Serialize) -> eyre::Result<()> {
-    println!("{}", serde_json::to_string_pretty(value)?);
+pub fn json(value: &impl Serialize) -> Result<(), Failure> {
+    let text = serde_json::to_string_pretty(value);
+    println!("{}", text.map_err(|cause| Failure::Shape(cause.to_string()))?);
     Ok(())
 }
 
--- /dev/null
+++ b/crates/operator/src/ops/wait.rs
@@ -0,0 +1,79 @@
+//! Waiting with a progress line on standard error.
+
+use std::io::IsTerminal;
+use std::io::Write;
+use std::time::Duration;
+
+use hickoryreel_state::command::Revision;
+use hickoryreel_wire::admin::InForce;
+use hickoryreel_wire::admin::Status;
+
+use crate::cli::Context;
+use crate::ops::failure::Failure;
+
+/// Time between two questions.
+const PERIOD: Duration = Duration::from_millis(200);
+
+/// A line that is written over and over on a terminal, and once per change elsewhere.
+struct Progress {
+    last: String,
+}
+
+impl Progress {
+    fn show(&mut self, text: &str) {
+        if text == self.last {
+            return;
+        }
+        let terminal = std::io::stderr().is_terminal();
+        let end = if terminal { "" } else { "\n" };
+        let start = if terminal { "\r\x1b[K" } else { "" };
+        // Progress that can't be shown is no failure of the operation.
+        let _ = write!(std::io::stderr(), "{start}{text}{end}");
+        self.last = text.to_owned();
+    }
+
+    fn end(&self) {
+        if std::io::stderr().is_terminal() && !self.last.is_empty() {
+            let _ = writeln!(std::io::stderr());
+        }
+    }
+}
+
+/// Waits until `revision` is in force at every entry.
+pub async fn in_force(context: &Context, revision: Revision) -> Result<(), Failure> {
+    let mut progress = Progress { last: String::new() };
+    loop {
+        let found: InForce = context.admin.get(&format!("in-force/{revision}")).await?;
+        if found.in_force {
+            progress.show(&format!("revision {revision} is in force"));
+            progress.end();
+            return Ok(());
+        }
+        let entries: Vec<String> = found.waiting.iter().map(ToString::to_string).collect();
+        let who = match (found.unknown_leases, entries.is_empty()) {
+            (true, _) => "leases of an earlier leader".to_owned(),
+            (false, _) => entries.join(", "),
+        };
+        progress.show(&format!("revision {revision} waits for {who}"));
+        tokio::time::sleep(PERIOD).await;
+    }
+}
+
+/// Waits until the replica `id` is a voter.
+pub async fn voter(context: &Context, id: &str) -> Result<(), Failure> {
+    let mut progress = Progress { last: String::new() };
+    loop {
+        let status: Status = context.admin.get("status").await?;
+        let replica = status.replicas.iter().find(|replica| replica.id == id);
+        match replica {
+            Some(replica) if replica.voter => {
+                progress.show(&format!("replica {id} is a voter"));
+                progress.end();
+                return Ok(());
+            }
+            Some(_) => progress.show(&format!("replica {id} receives the log")),
+            None => return Err(Failure::Shape(format!("replica {id} is no member any more"))),
+        }
+        tokio::time::sleep(PERIOD).await;
+    }
+}
--- a/crates/operator/src/ops/write.rs
+++ b/crates/operator/src/ops/write.rs
@@ -10,9 +10,11 @@
 use hickoryreel_wire::admin::Write;
 
 use crate::cli::Context;
+use crate::ops::failure::Failure;
 use crate::ops::print;
+use crate::ops::wait;
 
-/// What a write is based on.
+/// What a write is based on, and whether to wait for it.
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(generate(basis))]
 pub struct Basis {
@@ -22,10 +24,13 @@
     /// Operator request id; a resend with the same id gets the first answer again
     #[bpaf(argument("ID"))]
     pub request_id: Option<Request>,
+    /// Wait until the new revision is in force at every entry
+    pub wait: bool,
 }
 
-/// Sends a write and prints the answer.
-pub async fn run(context: &Context, basis: &Basis, change: Change) -> eyre::Result<()> {
+/// Sends a write and prints the answer. If an answer is lost, the same write is sent again with the
+/// same operator request id.
+pub async fn run(context: &Context, basis: &Basis, change: Change) -> Result<(), Failure> {
     let based_on = match basis.based_on {
         Some(revision) => revision,
         None => context.admin.get::<Status>("status").await?.config.revision,
@@ -33,6 +38,9 @@
     let request = basis.request_id.clone().unwrap_or_else(fresh_request);
     let write = Write { request, based_on, change };
     let accepted: Accepted = context.admin.post("operations", &write).await?;
+    if basis.wait {
+        wait::in_force(context, accepted.revision).await?;
+    }
     if context.json {
         return print::json(&accepted);
     }
@@ -43,7 +51,9 @@
     Ok(())
 }
 
-/// A request id that this process has not used before.
+/// A request id that no other call of the command uses: two may start in the same millisecond on
+/// different VMs, so time and process id alone are not enough.
 fn fresh_request() -> Request {
-    Request::from(format!("cli-{}-{}", unix_millis(), std::process::id()))
+    let random: u64 = rand::random();
+    Request::from(format!("cli-{}-{random:016x}", unix_millis()))
 }
