--- a/crates/bench/src/workload.rs
+++ b/crates/bench/src/workload.rs
@@ -110,7 +110,7 @@
 
     /// Draws a request.
     pub fn draw(&self, index: usize, random: &mut dyn Rng) -> Request {
-        if self.model.as_ref().is_some_and(|model| ***model == *SERVICE_MODEL) {
+        if self.model.as_ref().is_some_and(|model| **model == *SERVICE_MODEL) {
             return self.draw_call(index, random);
         }
         let session = random.random_range(0..SESSIONS);
--- a/crates/control/src/admin/soft.rs
+++ b/crates/control/src/admin/soft.rs
@@ -50,8 +50,8 @@
 
 fn check_key(state: &State) -> Result<(), Error> {
     let control = super::control(state);
-    let Some(expected) = &control.settings.announce_key else { return Ok(()) };
-    if super::bearer(state).map(key_sha256) == Some(key_sha256(expected)) {
+    let Some(expected) = &control.settings.announce_key_sha256 else { return Ok(()) };
+    if super::bearer(state).map(key_sha256).as_ref() == Some(expected) {
         return Ok(());
     }
     Err(Error::new(Kind::Unauthenticated, "the announce key is missing or wrong"))
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -23,6 +23,9 @@
 /// number below.
 const CLUSTER_SIZES: [usize; 3] = [1, 3, 5];
 
+/// What a hash of a key looks like.
+const HASH_EXPECTED: &str = "expected the SHA-256 of the key, 64 hexadecimal digits";
+
 /// Settings of a control replica.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -38,8 +41,8 @@
     pub replicas: Vec<Address>,
     /// Key between processes.
     pub cluster_key: Option<String>,
-    /// Key of endpoints that announce themselves here.
-    pub announce_key: Option<String>,
+    /// SHA-256 of the key of endpoints and the rater, if announcements and ratings need one.
+    pub announce_key_sha256: Option<String>,
     /// SHA-256 of each operator's key.
     pub operators: BTreeMap<Operator, String>,
     /// Length of an entry's lease.
@@ -84,7 +87,7 @@
             data: PathBuf::new(),
             replicas: Vec::new(),
             cluster_key: None,
-            announce_key: None,
+            announce_key_sha256: None,
             operators: BTreeMap::new(),
             lease: Duration::from_secs(3),
             lease_margin: Duration::from_millis(50),
@@ -117,7 +120,10 @@
     let admin = control.required("admin", "ADDRESS:PORT");
     let data = control.required("data", "a folder");
     let cluster_key = control.text("cluster-key").filter(|key| !key.is_empty());
-    let announce_key = control.text("announce-key").filter(|key| !key.is_empty());
+    let announce_key_sha256 = control.text("announce-key-sha256").map(|hash| hash.to_lowercase());
+    if announce_key_sha256.as_ref().is_some_and(|hash| !is_hash(hash)) {
+        control.mistake("announce-key-sha256", HASH_EXPECTED);
+    }
     let advertise = control.optional("advertise", "RPC/ADMIN");
     let operators = operators(document);
     let limits = limits(document.section("records"));
@@ -134,7 +140,7 @@
         data,
         replicas: replicas(control, advertise),
         cluster_key,
-        announce_key,
+        announce_key_sha256,
         operators,
         limits,
         ..tuned
@@ -249,6 +255,10 @@
     }
 }
 
+fn is_hash(text: &str) -> bool {
+    text.len() == 64 && text.bytes().all(|byte| byte.is_ascii_hexdigit())
+}
+
 fn operators(document: &Document) -> BTreeMap<Operator, String> {
     let section = document.section("operators");
     let mut operators = BTreeMap::new();
@@ -257,8 +267,8 @@
         if name == SYSTEM {
             section.mistake(&name, "this name stands for the system's own writes");
         }
-        if hash.len() != 64 || !hash.bytes().all(|byte| byte.is_ascii_hexdigit()) {
-            section.mistake(&name, "expected the SHA-256 of the key, 64 hexadecimal digits");
+        if !is_hash(&hash) {
+            section.mistake(&name, HASH_EXPECTED);
         }
         if operators.values().any(|known| *known == hash) {
             section.mistake(&name, "two operators have the same key");
