--- /dev/null
+++ b/crates/control/tests/common/mod.rs
@@ -0,0 +1,140 @@
+//! Fixtures of the tests on real control replicas.
+
+#![allow(dead_code, reason = "each test file uses some of the fixtures")]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hickoryreel_base::client::Answer;
+use hickoryreel_base::error::Body;
+use hickoryreel_base::name::Request;
+use hickoryreel_control::client;
+use hickoryreel_state::command::Change;
+use hickoryreel_state::command::Holder;
+use hickoryreel_state::command::RecordChange;
+use hickoryreel_state::command::Revision;
+use hickoryreel_state::machine::Accepted;
+use hickoryreel_state::record;
+use hickoryreel_testkit::Cluster;
+use hickoryreel_testkit::cluster::CLUSTER_KEY;
+use hickoryreel_testkit::cluster::OPERATOR_KEYS;
+use hickoryreel_testkit::http;
+use hickoryreel_testkit::http::Http;
+use hickoryreel_testkit::wait;
+use hickoryreel_wire::admin::Status;
+use hickoryreel_wire::admin::Write;
+use hickoryreel_wire::rpc::Grant;
+use hickoryreel_wire::rpc::Renew;
+use hickoryreel_wire::rpc::Reply;
+use hickoryreel_wire::rpc::method;
+use jsonrpsee::core::client::ClientT;
+use jsonrpsee::rpc_params;
+
+pub(crate) const BUNDLE: &str = include_str!("../../../../examples/registry.ini");
+
+/// Limit for one JSON-RPC call of a test client.
+const CALL_LIMIT: Duration = Duration::from_secs(30);
+
+pub(crate) fn maria() -> Http {
+    Http::with_key(OPERATOR_KEYS[0])
+}
+
+pub(crate) fn nikos() -> Http {
+    Http::with_key(OPERATOR_KEYS[1])
+}
+
+pub(crate) fn write(request: &str, based_on: Revision, change: Change) -> Write {
+    Write { request: Request::from(request), based_on, change }
+}
+
+/// A submit of the example bundle; `number` makes the text differ.
+pub(crate) fn submit(number: usize) -> Change {
+    Change::Submit { text: format!("{BUNDLE}\n; change {number}\n").into() }
+}
+
+/// Error code of a refusal.
+pub(crate) fn code(answer: &Answer) -> String {
+    let body = serde_json::from_slice::<Body>(&answer.body);
+    body.map_or_else(|_| format!("status {}", answer.status), |body| body.error.code)
+}
+
+/// Sends `write` to all replicas, again and again, until the leader gives an answer that is neither
+/// `not_leader` nor `no_quorum`, as the operator command does.
+pub(crate) async fn operate(cluster: &Cluster, http: &Http, write: &Write) -> eyre::Result<Answer> {
+    wait::until("an answer to a write", || async {
+        for admin in cluster.admins() {
+            let Ok(answer) = http.post(admin, "/admin/v1/operations", write).await else {
+                continue;
+            };
+            if !["not_leader", "no_quorum"].contains(&code(&answer).as_str()) {
+                return Ok(Some(answer));
+            }
+        }
+        Ok(None)
+    })
+    .await
+}
+
+pub(crate) async fn accept(
+    cluster: &Cluster,
+    http: &Http,
+    write: &Write,
+) -> eyre::Result<Accepted> {
+    http::json(&operate(cluster, http, write).await?)
+}
+
+/// The status as the leader among the running replicas tells it.
+pub(crate) async fn status(cluster: &Cluster) -> eyre::Result<Status> {
+    let leader = cluster.leader().await?;
+    let admin = cluster.replicas[leader].admin;
+    http::json(&maria().ready(admin, "/admin/v1/status").await?)
+}
+
+/// Submits, signs off and rolls out the example bundle. Returns the revision.
+pub(crate) async fn put_into_force(cluster: &Cluster) -> eyre::Result<Revision> {
+    let submitted = accept(cluster, &maria(), &write("submit", 0, submit(0))).await?;
+    let bundle = submitted.bundle.unwrap_or_default();
+    let sign_off = write("sign-off", submitted.revision, Change::SignOff { bundle });
+    let signed = accept(cluster, &nikos(), &sign_off).await?;
+    let roll_out = write("roll-out", signed.revision, Change::RollOut { bundle });
+    Ok(accept(cluster, &maria(), &roll_out).await?.revision)
+}
+
+/// An entry of which only the calls to control exist.
+pub(crate) struct LightEntry {
+    pub(crate) holder: Holder,
+}
+
+impl LightEntry {
+    pub(crate) fn new(name: &str) -> Self {
+        Self { holder: Holder { entry: name.into(), incarnation: 1 } }
+    }
+
+    /// Asks `replica` for a lease.
+    pub(crate) async fn renew(
+        &self,
+        replica: SocketAddr,
+        revision: Revision,
+    ) -> eyre::Result<Reply<Grant>> {
+        let renew = Renew { holder: self.holder.clone(), revision, directory: 0 };
+        call(replica, method::LEASE_RENEW, &renew).await
+    }
+
+    /// Submits record changes to `replica`.
+    pub(crate) async fn submit(
+        &self,
+        replica: SocketAddr,
+        changes: &[RecordChange],
+    ) -> eyre::Result<Reply<Vec<record::Outcome>>> {
+        call(replica, method::RECORD_SUBMIT, &changes).await
+    }
+}
+
+async fn call<T: serde::de::DeserializeOwned>(
+    replica: SocketAddr,
+    method: &str,
+    parameter: &(impl serde::Serialize + Sync),
+) -> eyre::Result<T> {
+    let client = client::json_rpc(replica, Some(CLUSTER_KEY), CALL_LIMIT)?;
+    Ok(client.request(method, rpc_params![parameter]).await?)
+}
--- /dev/null
+++ b/crates/control/tests/leader_loss.rs
@@ -0,0 +1,46 @@
+//! The leader is killed while it handles a write.
+
+mod common;
+
+use std::time::Duration;
+
+use hickoryreel_state::machine::Accepted;
+use hickoryreel_testkit::Cluster;
+use hickoryreel_testkit::Harness;
+use hickoryreel_testkit::http;
+
+/// Guards against a write that takes effect twice, or that is lost after it was acknowledged, when
+/// the leader dies before or after the commit and the operator sends the write again.
+#[tokio::test(flavor = "multi_thread")]
+async fn resent_submit_takes_effect_once() -> eyre::Result<()> {
+    let harness = Harness::new()?;
+    let mut cluster = Cluster::start(&harness, 3, "")?;
+    let delays_ms = [0, 1, 2, 4, 8, 16];
+
+    for (round, delay_ms) in delays_ms.into_iter().enumerate() {
+        let leader = cluster.leader().await?;
+        let admin = cluster.replicas[leader].admin;
+        let write = common::write(&format!("submit-{round}"), round as u64, common::submit(round));
+        let first = tokio::spawn({
+            let write = write.clone();
+            async move { common::maria().post(admin, "/admin/v1/operations", &write).await }
+        });
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        cluster.replicas[leader].kill()?;
+        let first = first.await?;
+
+        let accepted = common::accept(&cluster, &common::maria(), &write).await?;
+        assert_eq!(accepted.revision, round as u64 + 1);
+        if let Ok(answer) = first
+            && answer.status == 200
+        {
+            assert_eq!(http::json::<Accepted>(&answer)?, accepted);
+        }
+        cluster.replicas[leader].start(&harness)?;
+    }
+
+    let status = common::status(&cluster).await?;
+    assert_eq!(status.config.revision, delays_ms.len() as u64);
+    assert_eq!(status.bundles.len(), delays_ms.len());
+    Ok(())
+}
--- a/crates/testkit/src/cluster.rs
+++ b/crates/testkit/src/cluster.rs
@@ -9,6 +9,7 @@
 use crate::harness::Harness;
 use crate::http::Http;
 use crate::process::Process;
+use crate::relay::Relay;
 
 /// Keys of the two operators, `maria` and `nikos`.
 pub const OPERATOR_KEYS: [&str; 2] = ["maria-key", "nikos-key"];
@@ -51,6 +52,28 @@
         Ok(cluster)
     }
 
+    /// Starts a new cluster whose replicas reach each other through one relay in front of each.
+    pub async fn start_behind_relays(
+        harness: &Harness,
+        count: usize,
+        extra: &str,
+    ) -> eyre::Result<(Self, Vec<Relay>)> {
+        let addresses = harness.addresses(3 * count)?;
+        let mut relays = Vec::new();
+        for three in addresses.chunks(3) {
+            relays.push(Relay::start(three[2], three[0]).await?);
+        }
+        let advertised = addresses.chunks(3).map(|three| format!("{}/{}", three[2], three[1]));
+        let advertised: Vec<String> = advertised.collect();
+        let list = advertised.join(", ");
+        let mut cluster = Self { replicas: Vec::new() };
+        for (three, own) in addresses.chunks(3).zip(&advertised) {
+            let first = format!("replicas = {list}\nadvertise = {own}\n{extra}");
+            cluster.add(harness, three[0], three[1], &first)?;
+        }
+        Ok((cluster, relays))
+    }
+
     /// Starts a further replica with an empty folder that waits to be added.
     pub fn join(&mut self, harness: &Harness, extra: &str) -> eyre::Result<&Replica> {
         let addresses = harness.addresses(2)?;
