--- a/crates/operator/src/cli/burn.rs
+++ b/crates/operator/src/cli/burn.rs
@@ -4,14 +4,13 @@
 use std::path::PathBuf;
 
 use bpaf::Bpaf;
-use eyre::WrapErr;
-use hickoryreel_base::bundle;
-use hickoryreel_base::bundle::Bundle;
 use hickoryreel_report::burn;
 use hickoryreel_report::html;
 use hickoryreel_report::table;
 
 use crate::cli::Context;
+use crate::ops::failure::Failure;
+use crate::ops::file;
 use crate::ops::print;
 use crate::ops::samples;
 
@@ -41,21 +40,25 @@
     period_days: u64,
 }
 
-pub(super) async fn exec(context: &Context, arguments: &Burn) -> eyre::Result<()> {
-    let bundle = read_bundle(&arguments.bundle)?;
+pub(super) async fn exec(context: &Context, arguments: &Burn) -> Result<(), Failure> {
+    let text = file::read(&arguments.bundle)?;
+    let bundle = file::check(&arguments.bundle, &text)?;
     let mut counters = samples::read_files(&arguments.samples)?;
     let live = samples::scrape(&arguments.entry).await?;
     if let Some(path) = &arguments.record {
         samples::append(path, &live)?;
     }
     counters.extend(live);
-    eyre::ensure!(!counters.is_empty(), "no counters; use --samples FILE or --entry ADDRESS:PORT");
+    if counters.is_empty() {
+        let message = "no counters; use --samples FILE or --entry ADDRESS:PORT";
+        return Err(Failure::Arguments(message.to_owned()));
+    }
     let settings =
         burn::Settings { period_s: arguments.period_days * DAY_S, ..burn::Settings::default() };
     let report = burn::report(&counters, &bundle, &settings);
     if let Some(path) = &arguments.html {
-        std::fs::write(path, html::render(&report)?)
-            .wrap_err_with(|| format!("cannot write {}", path.display()))?;
+        let page = html::render(&report).map_err(|cause| Failure::Shape(format!("{cause:#}")))?;
+        file::write(path, &page)?;
     }
     if context.json {
         return print::json(&report);
@@ -63,12 +66,3 @@
     print!("{}", table::render(&report));
     Ok(())
 }
-
-fn read_bundle(path: &PathBuf) -> eyre::Result<Bundle> {
-    let file = path.display().to_string();
-    let text = std::fs::read_to_string(path).wrap_err_with(|| format!("cannot read {file}"))?;
-    bundle::parse(&file, &text).map_err(|mistakes| {
-        let lines: Vec<String> = mistakes.iter().map(ToString::to_string).collect();
-        eyre::eyre!(lines.join("\n"))
-    })
-}
--- a/crates/operator/src/ops/mod.rs
+++ b/crates/operator/src/ops/mod.rs
@@ -1,6 +1,9 @@
 //! Operations behind the subcommands.
 
 pub mod admin;
+pub mod failure;
+pub mod file;
 pub mod print;
 pub mod samples;
+pub mod wait;
 pub mod write;
