Hold early events, pass over versions without an endpoint, test streams

A stream whose events came in swapped pairs never advanced: each resume began with the later event again, which was seen with the reorder fault of the stand-in engine. Early events are now held, at most 64 and for 100 ms; a gap that stays is resumed as before. Resuming at every gap was ruled out, since it makes no progress against an engine that always reorders.

A version of the shares that no endpoint served answered no_endpoint although another allowed version was served; it is passed over now, unless the session is pinned to it or the caller names it.

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -1,9 +1,10 @@
 //! The answer of an engine: its events in order, each once.
 //!
-//! Events are matched by run id and offset. A duplicate is dropped. A gap, a cut, an event of
-//! another run or a missed progress deadline ends the connection, and the run is resumed at the
-//! next offset on a fresh one. The answer is whole once the event with the usage was seen.
+//! Events are matched by run id and offset. A duplicate is dropped, and an event that comes too
+//! early is held for a short time. A gap that stays, a cut, an event of another run or a missed
+//! progress deadline ends the connection, and the run is resumed at the next offset on a fresh one. The answer is whole once the event with the usage was seen.
 
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::ops::Range;
@@ -34,6 +35,12 @@
 /// Pause before the second attempt to resume; doubles with each further one.
 const RESUME_DELAY: Duration = Duration::from_millis(50);
 
+/// Events held behind a gap.
+const MAX_HELD: usize = 64;
+
+/// A gap that is not filled this soon is resumed: the missing event is lost, not late.
+const GAP_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Deadlines and limits of one answer.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -74,6 +81,10 @@
     deadline: Instant,
     resumes: u32,
     ready: VecDeque<Bytes>,
+    /// Events after a gap, with their usage.
+    held: BTreeMap<u64, (Bytes, Option<Usage>)>,
+    /// By when a gap must be filled.
+    gap_by: Instant,
     found: Vec<Event>,
     usage: Option<Usage>,
 }
@@ -102,6 +113,8 @@
             deadline: Instant::now() + settings.first_event,
             resumes: 0,
             ready: VecDeque::new(),
+            held: BTreeMap::new(),
+            gap_by: Instant::now(),
             found: Vec::new(),
             usage: None,
         }
@@ -119,6 +132,8 @@
 
     /// The next events; `None` after the last one.
     pub async fn next(&mut self) -> error::Result<Option<Bytes>> {
+        // The time that a slow caller takes between two pieces is not silence of the engine.
+        self.deadline = self.deadline.max(Instant::now() + self.settings.progress);
         loop {
             if let Some(bytes) = self.ready.pop_front() {
                 return Ok(Some(bytes));
@@ -138,9 +153,12 @@
 
     async fn receive(&mut self) -> Result<(), Broken> {
         let Some((body, _)) = &mut self.source else { return Err(Broken) };
-        let frame = match tokio::time::timeout_at(self.deadline, body.frame()).await {
+        let is_gap = !self.held.is_empty();
+        let by = if is_gap { self.deadline.min(self.gap_by) } else { self.deadline };
+        let frame = match tokio::time::timeout_at(by, body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(_)) | None) => return Err(Broken),
+            Err(_) if is_gap => return Err(Broken),
             Err(_) => {
                 self.metrics.silent_streams.inc();
                 self.dial.forget(self.run.address);
@@ -156,13 +174,15 @@
     /// Moves the new events of `chunk` to the ready ones. Adjacent events stay one slice.
     fn take(&mut self, chunk: &Bytes) -> Result<(), Broken> {
         let mut found = std::mem::take(&mut self.found);
-        let scanned = self.scanner.push(chunk, &mut found);
+        let mut result = self.scanner.push(chunk, &mut found).map_err(|_| Broken);
         let mut slice = 0..0;
-        let mut result = scanned.map_err(|_| Broken);
         for event in found.drain(..) {
             match self.accept(&event) {
                 Ok(false) => {}
-                Ok(true) => self.pass(chunk, &mut slice, event),
+                Ok(true) => {
+                    self.pass(chunk, &mut slice, event);
+                    self.release(chunk, &mut slice);
+                }
                 Err(broken) => {
                     result = Err(broken);
                     break;
@@ -174,29 +194,51 @@
         result
     }
 
-    /// Whether the event is the next one of the run.
+    /// Whether the event is the next one of the run. A later one is held until the gap is filled.
     fn accept(&mut self, event: &Event) -> Result<bool, Broken> {
         if self.usage.is_some() {
             return Ok(false);
         }
         let fields = event.fields();
         let Some(offset) = fields.offset else { return Ok(false) };
-        if offset < self.next {
+        if offset < self.next || self.held.contains_key(&offset) {
             self.metrics.duplicate_events.inc();
             return Ok(false);
         }
-        if offset > self.next {
-            return Err(Broken);
-        }
         let data: engine::Event<'_> = serde_json::from_slice(&fields.data).map_err(|_| Broken)?;
         if data.id != self.run.id {
             return Err(Broken);
         }
-        self.usage = data.usage;
+        if offset == self.next {
+            self.advance(data.usage);
+            return Ok(true);
+        }
+        if self.held.len() >= MAX_HELD {
+            return Err(Broken);
+        }
+        if self.held.is_empty() {
+            self.gap_by = Instant::now() + GAP_TIMEOUT;
+        }
+        self.held.insert(offset, (event.bytes.clone(), data.usage));
+        Ok(false)
+    }
+
+    fn advance(&mut self, usage: Option<Usage>) {
+        let now = Instant::now();
+        self.usage = usage;
         self.next += 1;
         self.resumes = 0;
-        self.deadline = Instant::now() + self.settings.progress;
-        Ok(true)
+        self.deadline = now + self.settings.progress;
+        self.gap_by = now + GAP_TIMEOUT;
+    }
+
+    /// Passes on held events that are next.
+    fn release(&mut self, chunk: &Bytes, slice: &mut Range<usize>) {
+        while let Some((bytes, usage)) = self.held.remove(&self.next) {
+            self.flush(chunk, slice);
+            self.ready.push_back(bytes);
+            self.advance(usage);
+        }
     }
 
     fn pass(&mut self, chunk: &Bytes, slice: &mut Range<usize>, event: Event) {
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -139,7 +139,8 @@
         loop {
             let routing = self.app.blackboard.routing();
             let model = self.completion.model.as_ref();
-            let chosen = routing.choose(&self.caller, model, pin.as_ref());
+            let serves = |version: &Version| self.app.schedule.serves(version, &tried);
+            let chosen = routing.choose(&self.caller, model, pin.as_ref(), &serves);
             let chosen = chosen.map_err(|error| late(error, dispatched))?;
             let wish = self.wish(&chosen.version, &tried);
             let grant = self.app.schedule.acquire(wish).await;
@@ -238,6 +239,10 @@
                 if let Some(grant) = open_run.grant() {
                     grant.on_first(first_after);
                 }
+                let prefixes = start::prefixes(&self.completion.prompt);
+                if !prefixes.is_empty() {
+                    self.app.schedule.on_prefixes(&open_run.run.endpoint, &prefixes);
+                }
                 let reply = Reply {
                     app: Arc::clone(&self.app),
                     caller: self.caller.clone(),
--- a/crates/entry/src/lease.rs
+++ b/crates/entry/src/lease.rs
@@ -41,7 +41,7 @@
         let asked = Instant::now();
         match app.control.call::<Grant>(method::LEASE_RENEW, &renew).await {
             Ok(grant) => {
-                if directory == 0 {
+                if grant.whole {
                     forget_absent(&app, &grant);
                 }
                 directory = grant.directory;
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -1,5 +1,7 @@
 //! The configuration in the form that requests are routed by.
 
+use std::borrow::Cow;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use hickoryreel_base::bundle;
@@ -9,6 +11,7 @@
 use hickoryreel_base::error;
 use hickoryreel_base::error::Error;
 use hickoryreel_base::error::Kind;
+use hickoryreel_base::name::Model;
 use hickoryreel_base::name::Service;
 use hickoryreel_base::name::Version;
 use hickoryreel_base::name::Workspace;
@@ -45,26 +48,22 @@
     }
 
     /// Chooses the version for a request. `wanted` is a model or one version; the session's pin
-    /// goes first.
+    /// goes first. A version without an endpoint is passed over unless the session is pinned to it
+    /// or the caller names it.
     pub fn choose(
         &self,
         caller: &Caller,
         wanted: Option<&Version>,
         pin: Option<&Version>,
+        serves: &dyn Fn(&Version) -> bool,
     ) -> error::Result<Chosen> {
-        let active = self
-            .active
-            .as_deref()
-            .ok_or_else(|| Error::new(Kind::NoEndpoint, "no bundle is in force"))?;
-        let candidate = self.candidate.as_ref();
-        let candidate = candidate.map(|(bundle, percent)| (&**bundle, f64::from(*percent) / 100.0));
-        let config = choice::Config { active, candidate, withdrawn: &self.config.withdrawn };
         let ask = choice::Ask {
             workspace: &caller.workspace,
             request: &caller.request,
             session: caller.session.as_ref(),
             pin,
         };
+        let config = self.choice(&self.config.withdrawn)?;
         if let Some(pin) = pin
             && let Some(chosen) = choice::version(&config, &ask, &pin.model())
             && !chosen.moved
@@ -73,24 +72,52 @@
         }
         let bundle = choice::bundle(&config, &ask);
         let terms = bundle.workspaces.get(&caller.workspace).unwrap_or(&caller.terms);
-        let Some(wanted) = wanted else {
-            let models = terms.versions.iter().map(|share| share.version.model());
-            let chosen =
-                models.into_iter().find_map(|model| choice::version(&config, &ask, &model));
-            let moved = pin.is_some();
-            return chosen.map(|chosen| Chosen { moved, ..chosen }).ok_or_else(all_withdrawn);
-        };
-        check_wanted(bundle, terms, caller, wanted)?;
-        if !wanted.contains('/') {
-            let chosen = choice::version(&config, &ask, &wanted.model());
-            return chosen
-                .map(|chosen| Chosen { moved: pin.is_some(), ..chosen })
-                .ok_or_else(all_withdrawn);
+        let moved = pin.is_some();
+        if let Some(wanted) = wanted {
+            check_wanted(bundle, terms, caller, wanted)?;
+            if wanted.contains('/') && !self.config.withdrawn.contains(wanted) {
+                return Ok(Chosen { version: wanted.clone(), moved });
+            }
         }
-        if self.config.withdrawn.contains(wanted) {
-            return Err(all_withdrawn());
+        let models = match wanted {
+            Some(wanted) if wanted.contains('/') => Vec::new(),
+            Some(wanted) => vec![wanted.model()],
+            None => terms.versions.iter().map(|share| share.version.model()).collect(),
+        };
+        let ask = choice::Ask { pin: None, ..ask };
+        let chosen = self.first_served(&ask, &models, serves)?;
+        chosen.map(|version| Chosen { version, moved }).ok_or_else(|| {
+            Error::new(Kind::NoEndpoint, "every allowed version is withdrawn or has no endpoint")
+        })
+    }
+
+    /// The version of the first of `models` that has one with an endpoint.
+    fn first_served(
+        &self,
+        ask: &choice::Ask<'_>,
+        models: &[Model],
+        serves: &dyn Fn(&Version) -> bool,
+    ) -> error::Result<Option<Version>> {
+        for model in models {
+            let mut passed_over = Cow::Borrowed(&self.config.withdrawn);
+            while let Some(chosen) = choice::version(&self.choice(&passed_over)?, ask, model) {
+                if serves(&chosen.version) {
+                    return Ok(Some(chosen.version));
+                }
+                passed_over.to_mut().insert(chosen.version);
+            }
         }
-        Ok(Chosen { version: wanted.clone(), moved: pin.is_some() })
+        Ok(None)
+    }
+
+    fn choice<'a>(&'a self, withdrawn: &'a BTreeSet<Version>) -> error::Result<choice::Config<'a>> {
+        let active = self
+            .active
+            .as_deref()
+            .ok_or_else(|| Error::new(Kind::NoEndpoint, "no bundle is in force"))?;
+        let candidate = self.candidate.as_ref();
+        let candidate = candidate.map(|(bundle, percent)| (&**bundle, f64::from(*percent) / 100.0));
+        Ok(choice::Config { active, candidate, withdrawn })
     }
 
     /// Price of `version` per 1,000 tokens.
@@ -136,10 +163,6 @@
     Ok(())
 }
 
-fn all_withdrawn() -> Error {
-    Error::new(Kind::NoEndpoint, "every allowed version is withdrawn")
-}
-
 fn parse(published: &Published) -> eyre::Result<Arc<Bundle>> {
     let file = format!("bundle {}", published.bundle);
     let bundle = bundle::parse(&file, &published.text).map_err(|mistakes| {
--- a/crates/entry/src/schedule.rs
+++ b/crates/entry/src/schedule.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -51,6 +52,9 @@
 /// network and scheduling.
 const LEAST_EXPECTED: Duration = Duration::from_millis(50);
 
+/// Most prefixes remembered as served; engines keep them for a limited time only.
+const MAX_SERVED: usize = 16_384;
+
 /// Weight of a new observation in the learned cost factor.
 const SMOOTHING: f64 = 0.05;
 
@@ -96,6 +100,7 @@
     budget: Budget,
     random: StdRng,
     announced: HashMap<Endpoint, Arc<Announcement>>,
+    served: VecDeque<(Endpoint, u64)>,
 }
 
 struct Pool {
@@ -138,6 +143,7 @@
             budget: Budget::default(),
             random: StdRng::seed_from_u64(seed),
             announced: HashMap::new(),
+            served: VecDeque::new(),
         };
         Self { origin: Instant::now(), metrics, inner: Mutex::new(inner) }
     }
@@ -218,11 +224,23 @@
     /// Records that `endpoint` served a prompt with these prefixes.
     pub fn on_prefixes(&self, endpoint: &Endpoint, prefixes: &[(u64, u32)]) {
         let mut inner = self.inner.lock();
+        let Inner { view, served, .. } = &mut *inner;
         for (prefix, _) in prefixes {
-            inner.view.on_cache(endpoint, *prefix, true);
+            view.on_cache(endpoint, *prefix, true);
+            served.push_back((endpoint.clone(), *prefix));
+        }
+        while served.len() > MAX_SERVED
+            && let Some((endpoint, prefix)) = served.pop_front()
+        {
+            view.on_cache(&endpoint, prefix, false);
         }
     }
 
+    /// Whether an endpoint that is not leaving and not in `tried` serves `version`.
+    pub fn serves(&self, version: &Version, tried: &[Endpoint]) -> bool {
+        self.inner.lock().serves(version, tried)
+    }
+
     /// Waits for a slot. Nothing ran when it is refused.
     pub async fn acquire(self: &Arc<Self>, wish: Wish) -> error::Result<Grant> {
         let (reply, granted) = oneshot::channel();
--- /dev/null
+++ b/crates/entry/tests/streams.rs
@@ -0,0 +1,141 @@
+//! Streams from engines that fail in the middle.
+
+mod common;
+
+use common::Cluster;
+use common::Raw;
+use common::expected_texts;
+use common::fault;
+use common::read;
+use common::texts;
+use hickoryreel_testkit::Relay;
+use hickoryreel_testkit::wait;
+use serde_json::Value;
+use serde_json::json;
+use yare::parameterized;
+
+/// Short deadlines, so that silence is noticed soon.
+const SETTINGS: &str = "progress-timeout-ms = 300";
+
+async fn one_engine(settings: &str) -> (Cluster, std::net::SocketAddr) {
+    let mut cluster = Cluster::start(1, settings).await;
+    let engine = cluster.stand_in("engine", "e0", &["--version", "small/1", "--token-ms", "20"]);
+    cluster.serves("small").await;
+    (cluster, engine)
+}
+
+fn body(tokens: u32) -> Value {
+    json!({"model": "small", "prompt": "a b c", "max_tokens": tokens, "stream": true})
+}
+
+/// Guards against answers that lose, double or mix events, and against second runs and bills.
+#[parameterized(
+    cut = { json!({"cut_after": 3}) },
+    duplicates = { json!({"duplicate": true}) },
+    reordered = { json!({"reorder": true}) },
+    duplicates_and_cut = { json!({"duplicate": true, "cut_after": 7}) },
+)]
+#[test_macro(tokio::test)]
+async fn answer_is_whole_despite(faults: Value) {
+    let (cluster, engine) = one_engine(SETTINGS).await;
+    fault(engine, faults).await;
+    let before = read(engine, "/v1/state").await["started"]["small/1"].as_u64();
+
+    let (status, stream) = cluster.complete(0, "r1", &body(20)).await;
+
+    assert_eq!(status, 200, "{stream}");
+    assert_eq!(texts(&stream), expected_texts(20));
+    assert_eq!(stream.matches("[DONE]").count(), 1);
+    let after = read(engine, "/v1/state").await["started"]["small/1"].as_u64();
+    assert_eq!(after, before.map(|count| count + 1), "the engine ran the request once");
+    let bills = cluster.bills("r1");
+    assert_eq!(bills.len(), 1);
+    assert_eq!(bills[0]["usage"]["completion_tokens"], 20);
+}
+
+/// Guards against a stream that waits for ever on a connection that went silent.
+#[tokio::test]
+async fn silent_connection_is_replaced() {
+    let cluster = Cluster::start(1, SETTINGS).await;
+    let addresses = cluster.harness.addresses(2).expect("addresses");
+    let relay = Relay::start(addresses[0], addresses[1]).await.expect("relay");
+    let (listen, advertise) = (addresses[1], relay.address().to_string());
+    let arguments = ["--version", "small/1", "--token-ms", "20", "--advertise", &advertise];
+    let _engine = cluster.stand_in_at(listen, "engine", "e0", &arguments);
+    cluster.serves("small").await;
+
+    let mut caller = Raw::post(cluster.entries[0], "r1", &body(40)).await;
+    let mut stream = caller.read_until("token5 ").await;
+    relay.silence();
+    stream.push_str(&caller.read_to_end().await);
+
+    assert_eq!(texts(&stream), expected_texts(40));
+    assert_eq!(stream.matches("[DONE]").count(), 1);
+    assert!(cluster.metric(0, "silent_streams_total").await >= 1.0);
+    assert_eq!(cluster.bills("r1").len(), 1);
+}
+
+/// Guards against a broken answer that looks whole, and against a record that stays open.
+#[tokio::test]
+async fn lost_engine_ends_the_stream_with_an_error() {
+    let mut cluster = Cluster::start(1, SETTINGS).await;
+    let address = cluster.harness.addresses(1).expect("address")[0];
+    let arguments = ["--version", "small/1", "--token-ms", "20"];
+    let mut engine = cluster.stand_in_at(address, "engine", "e0", &arguments);
+    cluster.serves("small").await;
+
+    let mut caller = Raw::post(cluster.entries[0], "r1", &body(500)).await;
+    let mut stream = caller.read_until("token5 ").await;
+    engine.kill().expect("kill");
+    stream.push_str(&caller.read_to_end().await);
+
+    assert!(stream.contains("event: error"), "{stream}");
+    assert!(stream.contains("\"code\":\"answer_incomplete\""), "{stream}");
+    assert!(!stream.contains("[DONE]"), "{stream}");
+    assert!(!stream.ends_with("0\r\n\r\n"), "the body has no regular end");
+    wait::until("the record is closed", || async {
+        Ok((cluster.metric(0, "unclosed_records").await == 0.0).then_some(()))
+    })
+    .await
+    .expect("closed");
+    drop(engine);
+    cluster.stand_in("engine", "e1", &arguments);
+}
+
+/// Guards against runs that go on, and records that stay open, after the caller is gone.
+#[tokio::test]
+async fn caller_who_leaves_cancels_the_run() {
+    let (cluster, engine) = one_engine("").await;
+
+    let mut caller = Raw::post(cluster.entries[0], "r1", &body(5_000)).await;
+    caller.read_until("token5 ").await;
+    drop(caller);
+
+    wait::until("the run has ended", || async {
+        let run = read(engine, "/v1/runs/athens%3Ar1").await;
+        Ok((run["state"] == "finished").then_some(()))
+    })
+    .await
+    .expect("cancelled");
+    let bill = wait::until("the record is closed", || async { Ok(cluster.bills("r1").pop()) });
+    let bill = bill.await.expect("billed");
+    let tokens = bill["usage"]["completion_tokens"].as_u64().expect("tokens");
+    assert!((5..5_000).contains(&tokens), "billed for what was generated: {tokens}");
+    assert_eq!(cluster.metric(0, "unclosed_records").await, 0.0);
+    assert_eq!(cluster.metric(0, "open_streams").await, 0.0);
+}
+
+/// Guards against whole answers without model or usage.
+#[tokio::test]
+async fn whole_answer_carries_model_and_usage() {
+    let (cluster, _) = one_engine("").await;
+    let body = json!({"model": "small", "prompt": "a b c", "max_tokens": 4});
+
+    let (status, text) = cluster.complete(0, "r1", &body).await;
+
+    assert_eq!(status, 200, "{text}");
+    let answer: Value = serde_json::from_str(&text).expect("JSON");
+    assert_eq!(answer["model"], "small/1");
+    assert_eq!(answer["choices"][0]["text"], "token0 token1 token2 token3 ");
+    assert_eq!(answer["usage"], json!({"prompt_tokens": 3, "completion_tokens": 4}));
+}
--- a/crates/standin/src/announce.rs
+++ b/crates/standin/src/announce.rs
@@ -27,6 +27,8 @@
     pub name: Endpoint,
     /// Address to listen on.
     pub listen: SocketAddr,
+    /// Address to announce instead of the one it listens on, for example that of a relay.
+    pub advertise: Option<SocketAddr>,
     /// Region.
     pub region: Region,
     /// Availability zone.
@@ -66,7 +68,7 @@
             endpoint: identity.name.clone(),
             incarnation,
             sequence,
-            address,
+            address: identity.advertise.unwrap_or(address),
             region: identity.region.clone(),
             zone: identity.zone.clone(),
             role: role(),
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -87,6 +87,10 @@
         .help("Address to listen on; port 0 chooses a free one")
         .argument::<SocketAddr>("ADDRESS:PORT")
         .fallback(SocketAddr::from(([127, 0, 0, 1], 0)));
+    let advertise = bpaf::long("advertise")
+        .help("Address to announce instead, for example of a relay")
+        .argument::<SocketAddr>("ADDRESS:PORT")
+        .optional();
     let region = bpaf::long("region").help("Region").argument::<String>("NAME");
     let zone = bpaf::long("zone").help("Availability zone").argument::<String>("NAME");
     let announce = bpaf::long("announce")
@@ -99,10 +103,11 @@
         .help("Milliseconds from the announcement of leaving to the stop")
         .argument::<u64>("MS")
         .fallback(3_500);
-    bpaf::construct!(name, listen, region, zone, announce, announce_key, leave_ms).map(
-        |(name, listen, region, zone, announce, announce_key, leave_ms)| Identity {
+    bpaf::construct!(name, listen, advertise, region, zone, announce, announce_key, leave_ms).map(
+        |(name, listen, advertise, region, zone, announce, announce_key, leave_ms)| Identity {
             name: name.into(),
             listen,
+            advertise,
             region: region.into(),
             zone: zone.into(),
             announce,
