--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -23,6 +23,9 @@
 /// number below.
 const CLUSTER_SIZES: [usize; 3] = [1, 3, 5];
 
+/// What a hash of a key looks like.
+const HASH_EXPECTED: &str = "expected the SHA-256 of the key, 64 hexadecimal digits";
+
 /// Settings of a control replica.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -38,8 +41,8 @@
     pub replicas: Vec<Address>,
     /// Key between processes.
     pub cluster_key: Option<String>,
-    /// Key of endpoints that announce themselves here.
-    pub announce_key: Option<String>,
+    /// SHA-256 of the key of endpoints and the rater, if announcements and ratings need one.
+    pub announce_key_sha256: Option<String>,
     /// SHA-256 of each operator's key.
     pub operators: BTreeMap<Operator, String>,
     /// Length of an entry's lease.
@@ -64,6 +67,12 @@
     pub limits: Limits,
     /// Time between two rounds of the controllers.
     pub controller_period: Duration,
+    /// How long an endpoint is asked for a run of a dead entry before it counts as unreachable.
+    pub settle_patience: Duration,
+    /// Age at which a run of a dead entry is cancelled.
+    pub run_deadline: Duration,
+    /// Time between two orders to engines, for the rate limit of the weight store.
+    pub order_interval: Duration,
     /// Lowest level of log lines.
     pub log_level: slog::Level,
 }
@@ -78,7 +87,7 @@
             data: PathBuf::new(),
             replicas: Vec::new(),
             cluster_key: None,
-            announce_key: None,
+            announce_key_sha256: None,
             operators: BTreeMap::new(),
             lease: Duration::from_secs(3),
             lease_margin: Duration::from_millis(50),
@@ -91,6 +100,9 @@
             consensus: consensus::Settings::default(),
             limits: Limits::default(),
             controller_period: Duration::from_millis(250),
+            settle_patience: Duration::from_secs(10),
+            run_deadline: Duration::from_secs(600),
+            order_interval: Duration::from_secs(2),
             log_level: slog::Level::Info,
         }
     }
@@ -108,7 +120,10 @@
     let admin = control.required("admin", "ADDRESS:PORT");
     let data = control.required("data", "a folder");
     let cluster_key = control.text("cluster-key").filter(|key| !key.is_empty());
-    let announce_key = control.text("announce-key").filter(|key| !key.is_empty());
+    let announce_key_sha256 = control.text("announce-key-sha256").map(|hash| hash.to_lowercase());
+    if announce_key_sha256.as_ref().is_some_and(|hash| !is_hash(hash)) {
+        control.mistake("announce-key-sha256", HASH_EXPECTED);
+    }
     let advertise = control.optional("advertise", "RPC/ADMIN");
     let operators = operators(document);
     let limits = limits(document.section("records"));
@@ -125,7 +140,7 @@
         data,
         replicas: replicas(control, advertise),
         cluster_key,
-        announce_key,
+        announce_key_sha256,
         operators,
         limits,
         ..tuned
@@ -201,6 +216,24 @@
             standard.controller_period,
             20..=10_000,
         ),
+        settle_patience: milliseconds(
+            control,
+            "settle-patience-ms",
+            standard.settle_patience,
+            1_000..=600_000,
+        ),
+        run_deadline: milliseconds(
+            control,
+            "run-deadline-ms",
+            standard.run_deadline,
+            1_000..=86_400_000,
+        ),
+        order_interval: milliseconds(
+            control,
+            "order-interval-ms",
+            standard.order_interval,
+            100..=3_600_000,
+        ),
         log_level: control.or("log-level", "a log level", standard.log_level),
         ..standard
     }
@@ -222,6 +255,10 @@
     }
 }
 
+fn is_hash(text: &str) -> bool {
+    text.len() == 64 && text.bytes().all(|byte| byte.is_ascii_hexdigit())
+}
+
 fn operators(document: &Document) -> BTreeMap<Operator, String> {
     let section = document.section("operators");
     let mut operators = BTreeMap::new();
@@ -230,8 +267,8 @@
         if name == SYSTEM {
             section.mistake(&name, "this name stands for the system's own writes");
         }
-        if hash.len() != 64 || !hash.bytes().all(|byte| byte.is_ascii_hexdigit()) {
-            section.mistake(&name, "expected the SHA-256 of the key, 64 hexadecimal digits");
+        if !is_hash(&hash) {
+            section.mistake(&name, HASH_EXPECTED);
         }
         if operators.values().any(|known| *known == hash) {
             section.mistake(&name, "two operators have the same key");
