--- a/crates/fuzz/src/ledger.rs
+++ b/crates/fuzz/src/ledger.rs
@@ -126,7 +126,7 @@
         if !is_new {
             return;
         }
-        let has_base = operation.based_on == self.revision || **operation.operator == *SYSTEM;
+        let has_base = operation.based_on == self.revision || *operation.operator == *SYSTEM;
         self.check(has_base, "an accepted write is based on the newest revision", operation);
         if let Change::Withdraw { version, .. } = &operation.change {
             self.withdrawn.insert(version.clone(), revision);
--- a/crates/fuzz/src/oracle/operations.rs
+++ b/crates/fuzz/src/oracle/operations.rs
@@ -28,7 +28,7 @@
     }
 
     fn change(&mut self, at_ms: u64, operation: &Operation) -> Result<Revision, Kind> {
-        let by_system = &**operation.operator == "system";
+        let by_system = &*operation.operator == "system";
         let is_withdrawal = matches!(operation.change, Change::Withdraw { .. });
         if by_system && !is_withdrawal {
             return Err(Kind::NotAllowed);
--- a/crates/fuzz/src/world/bundles.rs
+++ b/crates/fuzz/src/world/bundles.rs
@@ -69,7 +69,7 @@
         }
     }
     for (number, (name, versions)) in plan.allowed.iter().enumerate() {
-        let versions: Vec<&str> = versions.iter().map(|version| &***version).collect();
+        let versions: Vec<&str> = versions.iter().map(|version| &**version).collect();
         text += &format!(
             "[workspace {name}]\nkey-sha256 = {}\nversions = {}\nservices = {SERVICE}\n",
             number.to_string().repeat(64),
