--- a/crates/consensus/src/core/io.rs
+++ b/crates/consensus/src/core/io.rs
@@ -91,7 +91,7 @@
 pub struct Output {
     /// Messages to send at once.
     pub messages: Vec<Message>,
-    /// Snapshot of the own state machine to write before the records.
+    /// Snapshot of the own state machine to write at any time.
     pub snapshot: Option<Arc<Snapshot>>,
     /// Snapshot from the leader, to write before the records and to restore the state machine from
     /// before `committed` is applied.
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -4,8 +4,8 @@
 //! monotonic time and carries out each [`core::Output`] in this order:
 //!
 //! 1. send `messages`;
-//! 2. write `snapshot` (or `install`), append `records` and sync, which is what
-//!    [`storage::Store::persist`] does;
+//! 2. write `install`, append `records` and sync, which is what [`storage::Store::persist`] does.
+//!    It also writes `snapshot` in steps, one per call, so it is called for every output;
 //! 3. send `after_sync`: these messages promise that the records are durable;
 //! 4. restore the state machine from `install`, apply `committed`, answer `replies`;
 //! 5. feed `Input::Persisted` with the output's `sequence`.
--- a/crates/consensus/src/settings.rs
+++ b/crates/consensus/src/settings.rs
@@ -33,6 +33,9 @@
     pub snapshot_chunk_bytes: usize,
     /// Largest snapshot a replica accepts in bytes.
     pub max_snapshot_bytes: u64,
+    /// Bytes of the own snapshot that the store writes per output. A larger step pauses the owner
+    /// for longer.
+    pub snapshot_step_bytes: usize,
     /// Entries kept in memory before the snapshot, so that a slow replica needs no snapshot.
     pub trailing_entries: u64,
     /// Entries by which a learner may trail the leader's log when it is promoted.
@@ -57,6 +60,7 @@
             max_address_bytes: 256,
             snapshot_chunk_bytes: 256 << 10,
             max_snapshot_bytes: 4 << 30,
+            snapshot_step_bytes: 1 << 20,
             trailing_entries: 4_096,
             promote_lag_entries: 64,
             segment_bytes: 16 << 20,
--- a/crates/consensus/src/storage/mod.rs
+++ b/crates/consensus/src/storage/mod.rs
@@ -112,6 +112,10 @@
     synced_frame: u64,
     hard_state: (u64, Option<ReplicaId>),
     snapshot_index: Option<u64>,
+    snapshot_step_bytes: usize,
+    /// Own snapshot that is being written, and the one to write next.
+    writing: Option<image::Writing>,
+    queued: Option<Arc<Snapshot>>,
     failed: bool,
 }
 
@@ -139,25 +143,36 @@
             synced_frame: 0,
             hard_state: (0, None),
             snapshot_index: None,
+            snapshot_step_bytes: settings.snapshot_step_bytes,
+            writing: None,
+            queued: None,
             failed: false,
         };
         let restored = store.recover(new_id)?;
         Ok((store, restored))
     }
 
-    /// Carries out the storage part of an output: writes snapshots, appends records and syncs.
-    /// After `Error::Full` the whole call may be repeated.
+    /// Carries out the storage part of an output: writes an installed snapshot, appends records,
+    /// syncs, and writes the next part of the own snapshot. Expected for every output, so that
+    /// the own snapshot advances. After `Error::Full` the whole call may be repeated.
     pub fn persist(&mut self, output: &Output) -> Result<(), Error> {
-        for snapshot in output.snapshot.iter().chain(&output.install) {
-            if self.snapshot_index.is_none_or(|index| index < snapshot.index) {
-                self.write_snapshot(snapshot)?;
-            }
+        let newest = self.snapshot_index;
+        if let Some(snapshot) = output.install.as_ref().filter(|one| newest < Some(one.index)) {
+            self.write_snapshot(snapshot)?;
+        }
+        if !output.records.is_empty() {
+            self.append(&output.records)?;
+            self.sync()?;
         }
-        if output.records.is_empty() {
-            return Ok(());
+        if let Some(snapshot) = &output.snapshot {
+            self.queue_snapshot(snapshot.clone());
         }
-        self.append(&output.records)?;
-        self.sync()
+        self.continue_snapshot()
+    }
+
+    /// Index of the newest durable snapshot.
+    pub fn snapshot_index(&self) -> Option<u64> {
+        self.snapshot_index
     }
 
     /// Adds records to the log. They are durable after [`Store::sync`].
@@ -226,18 +241,6 @@
         }
     }
 
-    /// Writes a snapshot durably, then removes the files that it replaces.
-    pub fn write_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
-        self.check()?;
-        let name = snapshot_name(snapshot.index);
-        self.create_file(&name, &[&image::encode_head(snapshot), &snapshot.data])?;
-        let old = self.snapshot_index.replace(snapshot.index);
-        if let Some(old) = old.filter(|old| *old != snapshot.index) {
-            self.remove(&snapshot_name(old))?;
-        }
-        self.remove_segments(snapshot.index)
-    }
-
     /// Removes the oldest segments while they hold nothing after `index`. Each removal is synced
     /// before the next, so that a crash leaves no gap.
     fn remove_segments(&mut self, index: u64) -> Result<(), Error> {
@@ -261,7 +264,7 @@
         let (term, vote) = self.hard_state;
         let record = Record::HardState { term, vote };
         frame::encode(&mut bytes, self.next_frame, self.synced_frame, &record);
-        self.create_file(&segment_name(number), &[&bytes])?;
+        self.create_file(&segment_name(number), &bytes)?;
         self.synced_frame = self.next_frame;
         self.next_frame += 1;
         self.length = bytes.len() as u64;
@@ -270,22 +273,23 @@
     }
 
     /// Creates a durable file with the given content.
-    fn create_file(&mut self, name: &str, parts: &[&[u8]]) -> Result<(), Error> {
+    fn create_file(&mut self, name: &str, content: &[u8]) -> Result<(), Error> {
         let temporary = format!("{name}{TEMPORARY_SUFFIX}");
-        if let Err(source) = self.fill(&temporary, parts) {
+        let created = self.disk.create(&temporary);
+        if let Err(source) = created.and_then(|()| self.disk.append(&temporary, content)) {
             // Frees the space; a leftover is removed when the store is opened.
             let _ = self.disk.remove(&temporary);
             return Err(Error::from_io("write", &temporary, source));
         }
         self.sync_file(&temporary)?;
-        let renamed = self.disk.rename(&temporary, name);
-        renamed.map_err(|source| Error::from_io("rename", name, source))?;
-        self.sync_folder()
+        self.rename(&temporary, name)
     }
 
-    fn fill(&mut self, name: &str, parts: &[&[u8]]) -> io::Result<()> {
-        self.disk.create(name)?;
-        parts.iter().try_for_each(|part| self.disk.append(name, part))
+    /// Gives a synced file its final name, durably.
+    fn rename(&mut self, temporary: &str, name: &str) -> Result<(), Error> {
+        let renamed = self.disk.rename(temporary, name);
+        renamed.map_err(|source| Error::from_io("rename", name, source))?;
+        self.sync_folder()
     }
 
     fn sync_file(&mut self, name: &str) -> Result<(), Error> {
--- a/crates/consensus/tests/common/mod.rs
+++ b/crates/consensus/tests/common/mod.rs
@@ -40,6 +40,7 @@
         max_append_entries: 4,
         max_inflight: 3,
         snapshot_chunk_bytes: 64,
+        snapshot_step_bytes: 100,
         trailing_entries: 4,
         segment_bytes: 512,
         ..Settings::default()
--- a/crates/consensus/tests/snapshots.rs
+++ b/crates/consensus/tests/snapshots.rs
@@ -47,6 +47,7 @@
         let expected = sim.get(leader).unwrap().0.clone();
         assert_eq!(expected.0.len() as u64, COUNT);
 
+        sim.run_for(SECOND);
         let names = sim.disk(leader).names();
         assert!(names.contains(&format!("snapshot-{index:016x}")), "{names:?}");
 
@@ -182,11 +183,14 @@
         names.into_iter().filter(|name| name.starts_with("snapshot-")).collect::<Vec<_>>()
     };
     sim.input(leader, Input::Snapshot { index: commit + 1, data: vec![1] });
+    sim.run_for(SECOND);
     assert!(snapshots(&sim).is_empty());
     let data = sim.get(leader).unwrap().0.snapshot();
     sim.input(leader, Input::Snapshot { index: commit, data });
+    sim.run_for(SECOND);
     let newest = snapshots(&sim);
     assert_eq!(newest.len(), 1);
     sim.input(leader, Input::Snapshot { index: commit - 1, data: vec![1] });
+    sim.run_for(SECOND);
     assert_eq!(snapshots(&sim), newest);
 }
--- a/crates/consensus/tests/storage.rs
+++ b/crates/consensus/tests/storage.rs
@@ -12,6 +12,7 @@
 use hickoryreel_consensus::ReplicaId;
 use hickoryreel_consensus::Settings;
 use hickoryreel_consensus::Snapshot;
+use hickoryreel_consensus::core::Output;
 use hickoryreel_consensus::sim::MemoryDisk;
 use hickoryreel_consensus::storage::Error;
 use hickoryreel_consensus::storage::Restored;
@@ -301,6 +302,57 @@
     }
 }
 
+fn own_snapshot(index: u64) -> Output {
+    let data = vec![index as u8; 1_000].into();
+    let snapshot = Snapshot { index, term: 1, members: Members::default(), data };
+    Output { snapshot: Some(snapshot.into()), ..Output::default() }
+}
+
+/// Guards against a large snapshot that delays heartbeats, against one that never ends because
+/// newer ones replace it, and against a crash in the middle that loses the log.
+#[test]
+fn own_snapshot_is_written_in_steps() {
+    let disk = MemoryDisk::default();
+    let (mut store, _) = open(&disk).unwrap();
+    store.append(&entries(1..=40)).unwrap();
+    store.sync().unwrap();
+    let mut size = disk.size();
+    store.persist(&own_snapshot(20)).unwrap();
+    for calls in 0.. {
+        assert!(calls < 15, "the first snapshot does not end");
+        assert!(disk.size() <= size + 150, "more than a step of 100 bytes and a head");
+        size = disk.size();
+        if store.snapshot_index() == Some(20) {
+            break;
+        }
+        store.persist(&own_snapshot(21 + calls)).unwrap();
+    }
+    store.persist(&Output::default()).unwrap();
+    drop(store);
+    disk.crash(&mut StdRng::seed_from_u64(1));
+    let restored = reopen(&disk);
+    assert_eq!(restored.snapshot.as_ref().map(|snapshot| snapshot.index), Some(20));
+    assert_eq!(indexes(&restored), (21..=40).collect::<Vec<_>>());
+}
+
+/// Guards against a snapshot that takes the last space from the log.
+#[test]
+fn own_snapshot_yields_to_the_log_on_a_full_disk() {
+    let disk = MemoryDisk::default();
+    let (mut store, _) = open(&disk).unwrap();
+    store.append(&entries(1..=3)).unwrap();
+    store.sync().unwrap();
+    disk.set_capacity(Some(disk.size() + 450));
+    store.persist(&own_snapshot(3)).unwrap();
+    for _ in 0..20 {
+        store.persist(&Output::default()).unwrap();
+    }
+    assert_eq!(store.snapshot_index(), None);
+    let records = entries(4..=6);
+    store.persist(&Output { records, ..Output::default() }).unwrap();
+    assert_eq!(indexes(&reopen(&disk)), [1, 2, 3, 4, 5, 6]);
+}
+
 /// Guards against a crash between the write of a received snapshot and the reset of the log, after
 /// which entries of an abandoned history follow the snapshot.
 #[test]
