Strengthen two membership tests

With learners counted as voters, learners_do_not_count still passed: three of four members were a quorum as well. The learner is now down as well when the two remaining voters must commit. A vote request of an outdated replica outside the member set that raises the term went unnoticed; it has a test now. Both tests fail with the safeguard removed.

--- a/crates/consensus/tests/membership.rs
+++ b/crates/consensus/tests/membership.rs
@@ -208,7 +208,9 @@
     sim.run_for(SECOND);
     assert_eq!(replica(&sim, new).role(), Role::Learner);
     sim.crash(others[0]);
+    sim.crash(new);
     fill(&mut sim, leader, 0..3);
+    sim.start(new);
     sim.crash(others[1]);
     sim.run_for(2 * SECOND);
     assert_ne!(replica(&sim, leader).role(), Role::Leader);
@@ -277,6 +279,24 @@
     assert_eq!(replica(&sim, next).term(), replica(&sim, removed).term().max(term + 1));
 }
 
+/// Guards against a removed member whose vote requests raise the term while there is no leader, so
+/// that the others' elections fail.
+#[test]
+fn outdated_stranger_does_not_raise_the_term() {
+    let (mut sim, leader, others) = cluster(3);
+    fill(&mut sim, leader, 0..3);
+    sim.run_for(SECOND);
+    let id = others[0];
+    let mut voter = common::take(&mut sim, id, &common::small_settings());
+    let (term, last) = (voter.term(), voter.last_index());
+    let vote = |index| Body::Vote { last: Position { index, term }, transfer: false };
+    let stranger = ReplicaId(12_345);
+    voter.step(common::message(stranger, id, term + 5, vote(last - 1)), SECOND);
+    assert_eq!(voter.term(), term);
+    voter.step(common::message(others[1], id, term + 5, vote(last - 1)), SECOND);
+    assert_eq!(voter.term(), term + 5);
+}
+
 /// Guards against a leader that stays in office, or leaves a gap of an election timeout, after its
 /// own removal.
 #[test]
