--- a/crates/bench/src/entry.rs
+++ b/crates/bench/src/entry.rs
@@ -40,7 +40,7 @@
 const ONE_RANK: Rank = Rank::Bulk;
 
 /// Time that a cascade keeps for the first token of its second run.
-const SECOND_FIRST_TOKEN: Duration = Duration::from_millis(300);
+const SECOND_FIRST_TOKEN: Duration = Duration::from_millis(200);
 
 /// What is left to do for a request.
 #[derive(Clone, Debug)]
@@ -290,9 +290,11 @@
             .collect();
         let usual = Duration::from_secs_f64(1.0 / rates(models[0]).tokens_per_s);
         let gap = self.view.token_gap(&version_of(&models[0].model)).unwrap_or(usual);
-        let time = gap * request.output_limit + SECOND_FIRST_TOKEN;
+        let target = TARGETS[request.rank.index()];
+        let settings = &self.policy.choice;
         let patient = request.rank != Rank::Urgent || self.policy.urgent_cascade;
-        let two_runs = patient && time <= TARGETS[request.rank.index()];
+        let two_runs = patient
+            && settings.allows_two_runs(target, request.output_limit, gap, SECOND_FIRST_TOKEN);
         match self.planner.plan(&request.task, &options, two_runs, random.random()) {
             Some(Plan::Direct(model)) => (model, None),
             Some(Plan::Cascade { first, then }) => (first, Some(then)),
--- a/crates/bench/src/scenario/rollout.rs
+++ b/crates/bench/src/scenario/rollout.rs
@@ -5,6 +5,8 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::collections::VecDeque;
+use std::time::Duration;
 
 use hickoryreel_policy::health;
 use hickoryreel_policy::health::Signal;
@@ -20,6 +22,7 @@
 use crate::setup::Deployment;
 use crate::setup::Setup;
 use crate::sim::RATED;
+use crate::workload::CHECK;
 
 /// Runs of a version that turns bad, and roll-outs of a healthy version.
 const BAD_RUNS: u64 = 100;
@@ -53,11 +56,11 @@
 }
 
 const USUAL: Quality = Quality { failures: USUAL_FAILURES, good: USUAL_GOOD, slowness: 1.0 };
-/// Ways to turn bad: errors, latency, ratings.
+/// Ways to turn bad: errors, latency, quality of the answers.
 const BAD: [(&str, Quality); 3] = [
     ("errors", Quality { failures: 0.30, ..USUAL }),
     ("latency", Quality { slowness: 3.0, ..USUAL }),
-    ("ratings", Quality { good: 0.40, ..USUAL }),
+    ("quality", Quality { good: 0.40, ..USUAL }),
 ];
 
 type Signals = BinaryHeap<Reverse<(u64, u64, usize)>>;
@@ -67,12 +70,14 @@
     random: Xoshiro256PlusPlus,
     signals: Signals,
     facts: Vec<Signal>,
+    /// Whether the check at run time is applied to the answers.
+    checked: bool,
 }
 
 impl Trial {
     fn new(seed: u64) -> Self {
         let random = Xoshiro256PlusPlus::seed_from_u64(seed);
-        Self { random, signals: Signals::new(), facts: Vec::new() }
+        Self { random, signals: Signals::new(), facts: Vec::new(), checked: true }
     }
 
     /// Draws an answer that was asked for at `at` and schedules its signals.
@@ -82,12 +87,15 @@
         let took = self.random.random_range(ANSWER_S.0..ANSWER_S.1);
         let first = at + 0.2 * ratio;
         self.schedule(first, Signal::Latency { ratio });
-        // An error shows early; a good outcome only at the end.
-        let end = if failed { first } else { at + took };
-        self.schedule(end, Signal::Outcome { failed });
+        self.schedule(first, Signal::Outcome { failed });
+        let end = at + took;
+        let good = self.random.random_bool(quality.good);
+        let accepted = self.random.random_bool(if good { CHECK.0 } else { CHECK.1 });
+        if !failed && self.checked {
+            self.schedule(end, Signal::Check { accepted });
+        }
         if !failed && self.random.random_bool(RATED.0) {
             let late = self.random.random_range(RATED.1..RATED.2);
-            let good = self.random.random_bool(quality.good);
             self.schedule(end + late, Signal::Rating { good });
         }
     }
@@ -112,19 +120,34 @@
     }
 }
 
-/// Who decides on the withdrawal.
+/// What a judge says after a signal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ruling {
+    GoOn,
+    Pause,
+    Slow,
+    Withdraw,
+}
+
+/// Who decides on pauses and the withdrawal.
 trait Judge {
-    fn observe(&mut self, at: f64, signal: Signal) -> bool;
-    fn next_step(&mut self) {}
+    fn observe(&mut self, at: f64, signal: Signal);
+    fn ruling(&mut self, at: f64) -> Ruling;
+    fn on_served(&mut self) {}
 }
 
 impl Judge for Test {
-    fn observe(&mut self, _at: f64, signal: Signal) -> bool {
-        matches!(Self::observe(self, signal), Verdict::Bad(_))
+    fn observe(&mut self, at: f64, signal: Signal) {
+        Self::observe(self, signal, Duration::from_secs_f64(at));
     }
 
-    fn next_step(&mut self) {
-        Self::next_step(self);
+    fn ruling(&mut self, at: f64) -> Ruling {
+        match self.verdict(Duration::from_secs_f64(at)) {
+            Verdict::Bad(_) => Ruling::Withdraw,
+            Verdict::Hold => Ruling::Pause,
+            Verdict::Slow => Ruling::Slow,
+            Verdict::Learning | Verdict::Healthy => Ruling::GoOn,
+        }
     }
 }
 
@@ -134,18 +157,89 @@
     window: u64,
     count: u32,
     errors: u32,
+    bad: bool,
 }
 
 impl Judge for FixedWindow {
-    fn observe(&mut self, at: f64, signal: Signal) -> bool {
+    fn observe(&mut self, at: f64, signal: Signal) {
         let window = (at / WINDOW.0) as u64;
         if window != self.window {
-            *self = Self { window, ..Self::default() };
+            *self = Self { window, bad: self.bad, ..Self::default() };
+        }
+        if let Signal::Outcome { failed } = signal {
+            self.count += 1;
+            self.errors += u32::from(failed);
+        }
+        let most = WINDOW.2 * f64::from(self.count);
+        self.bad |= self.count >= WINDOW.1 && f64::from(self.errors) > most;
+    }
+
+    fn ruling(&mut self, _at: f64) -> Ruling {
+        if self.bad { Ruling::Withdraw } else { Ruling::GoOn }
+    }
+}
+
+/// A roll-out under a judge. Rulings are in force everywhere after the propagation time.
+struct Pilot<'a> {
+    judge: &'a mut dyn Judge,
+    trial: Trial,
+    rulings: VecDeque<(f64, Ruling)>,
+    in_force: Ruling,
+    at: f64,
+    /// Times of the requests that the version received.
+    served: Vec<f64>,
+    offered: u32,
+}
+
+impl<'a> Pilot<'a> {
+    fn new(judge: &'a mut dyn Judge, seed: u64) -> Self {
+        Self {
+            judge,
+            trial: Trial::new(seed),
+            rulings: VecDeque::new(),
+            in_force: Ruling::GoOn,
+            at: 0.0,
+            served: Vec::new(),
+            offered: 0,
+        }
+    }
+
+    /// Carries out the roll-out at `rate` requests per second until `end`, with answers of
+    /// `quality`. Returns whether a withdrawal is in force.
+    fn until(&mut self, end: f64, rate: f64, quality: Quality) -> bool {
+        while self.at < end {
+            self.at += self.trial.gap(rate);
+            while let Some((when, signal)) = self.trial.due(self.at) {
+                self.judge.observe(when, signal);
+                self.rule(when);
+            }
+            self.rule(self.at);
+            while let Some((_, ruling)) =
+                self.rulings.pop_front_if(|(when, _)| *when + PROPAGATION_S <= self.at)
+            {
+                self.in_force = ruling;
+            }
+            match self.in_force {
+                Ruling::Withdraw => return true,
+                Ruling::Slow if !self.offered.is_multiple_of(health::SLOW_PART) => {}
+                Ruling::Pause => {}
+                Ruling::Slow | Ruling::GoOn => {
+                    self.judge.on_served();
+                    self.trial.answer(self.at, quality);
+                    self.served.push(self.at);
+                }
+            }
+            self.offered += 1;
+        }
+        false
+    }
+
+    fn rule(&mut self, at: f64) {
+        let ruling = self.judge.ruling(at);
+        let last = self.rulings.back().map_or(self.in_force, |(_, last)| *last);
+        if ruling != last {
+            self.rulings.push_back((at, ruling));
         }
-        let Signal::Outcome { failed } = signal else { return false };
-        self.count += 1;
-        self.errors += u32::from(failed);
-        self.count >= WINDOW.1 && f64::from(self.errors) > WINDOW.2 * f64::from(self.count)
     }
 }
 
@@ -164,46 +258,52 @@
     test
 }
 
-/// Requests served after the onset, without those in the propagation time.
-fn exposed(judge: &mut dyn Judge, bad: Quality, rate: f64, seed: u64) -> f64 {
-    let mut trial = Trial::new(seed);
-    let (mut at, mut served) = (0.0, 0.0);
-    while at < GIVE_UP_S {
-        at += trial.gap(rate);
-        while let Some((when, signal)) = trial.due(at) {
-            if judge.observe(when, signal) && when > ONSET_S {
-                return served;
-            }
-        }
-        trial.answer(at, if at < ONSET_S { USUAL } else { bad });
-        served += f64::from(u8::from(at >= ONSET_S));
+/// Requests served after the onset, without those in the propagation time before the last one.
+fn exposed(judge: &mut dyn Judge, bad: Quality, rate: f64, seed: u64, checked: bool) -> f64 {
+    let mut pilot = Pilot::new(judge, seed);
+    pilot.trial.checked = checked;
+    if pilot.until(ONSET_S, rate, USUAL) {
+        return 0.0;
+    }
+    pilot.served.clear();
+    if !pilot.until(GIVE_UP_S, rate, bad) {
+        return f64::INFINITY;
     }
-    f64::INFINITY
+    let last = pilot.served.last().copied().unwrap_or_default();
+    pilot.served.iter().filter(|at| **at < last - PROPAGATION_S).count() as f64
 }
 
 /// The version turns bad at a 5% step.
 pub(crate) fn bad(name: &str, deployment: &Deployment, seed: u64) -> Vec<Row> {
     let settings = settings(deployment);
     let rate = traffic(deployment);
-    let step = rate * STEPS[0];
+    let step = rate * share(&settings, STEPS[0], rate);
+    let runs = |quality: Quality, checked: bool| {
+        let run = |run| {
+            let seed = seed * 1_000_003 + run;
+            exposed(&mut trained(&settings, rate, seed), quality, step, seed, checked)
+        };
+        p95((0..BAD_RUNS).map(run).collect())
+    };
+    let window = |quality: Quality| {
+        let run = |run| {
+            let seed = seed * 1_000_003 + run;
+            exposed(&mut FixedWindow::default(), quality, step, seed, true)
+        };
+        p95((0..BAD_RUNS).map(run).collect())
+    };
     let kinds = BAD.iter().map(|(kind, quality)| {
-        let runs = (0..BAD_RUNS).map(|run| seed * 1_000_003 + run);
-        let ours = runs
-            .clone()
-            .map(|seed| exposed(&mut trained(&settings, rate, seed), *quality, step, seed));
-        let window = runs.map(|seed| exposed(&mut FixedWindow::default(), *quality, step, seed));
         let measure = format!("requests after the onset, p95, {kind}");
-        Row::new(name, &measure, p95(ours.collect()), "requests", Bound::AtMost(EXPOSED))
-            .against("fixed-window error threshold", p95(window.collect()))
+        let ours = runs(*quality, true);
+        Row::new(name, &measure, ours, "requests", Bound::AtMost(EXPOSED))
+            .against("fixed-window error threshold", window(*quality))
     });
     let mut rows: Vec<Row> = kinds.collect();
-    rows.push(Row::new(
-        name,
-        "requests of the propagation time",
-        step * PROPAGATION_S,
-        "requests",
-        None,
-    ));
+    let unchecked = runs(BAD[2].1, false);
+    let measure = "requests after the onset, p95, quality by ratings alone";
+    rows.push(Row::new(name, measure, unchecked, "requests", None));
+    let propagation = step * PROPAGATION_S;
+    rows.push(Row::new(name, "requests of the propagation time", propagation, "requests", None));
     rows
 }
 
@@ -224,40 +324,50 @@
     let settings = settings(deployment);
     let rate = traffic(deployment);
     let runs = (0..HEALTHY_RUNS).map(|run| seed * 1_000_033 + run);
-    let ours = runs
+    let ours: Vec<_> = runs
         .clone()
-        .filter(|seed| withdrawn(&mut trained(&settings, rate, *seed), rate, *seed))
-        .count();
-    let window = runs.filter(|seed| withdrawn(&mut FixedWindow::default(), rate, *seed)).count();
+        .map(|s| roll_out(&mut trained(&settings, rate, s), &settings, rate, s))
+        .collect();
+    let window = runs.map(|s| roll_out(&mut FixedWindow::default(), &settings, rate, s));
+    let withdrawn = ours.iter().filter(|(withdrawn, _)| *withdrawn).count();
+    let paused = ours.iter().map(|(_, paused)| paused).sum::<f64>() / ours.len() as f64;
+    let window = window.filter(|(withdrawn, _)| *withdrawn).count();
     vec![
         Row::new(
             name,
             "false withdrawals in 1,000 roll-outs",
-            ours as f64,
+            withdrawn as f64,
             "roll-outs",
             Bound::AtMost(2.0),
         )
         .against("fixed-window error threshold", window as f64),
+        Row::new(name, "traffic withheld by pauses", paused, "share", None)
+            .against("fixed-window error threshold", 0.0),
     ]
 }
 
-fn withdrawn(judge: &mut dyn Judge, rate: f64, seed: u64) -> bool {
-    let mut trial = Trial::new(seed);
-    let mut at = 0.0;
-    for (step, fraction) in (0_u8..).zip(STEPS) {
-        let end = f64::from(step + 1) * STEP_S;
-        while at < end {
-            at += trial.gap(rate * fraction);
-            while let Some((when, signal)) = trial.due(at) {
-                if judge.observe(when, signal) {
-                    return true;
-                }
-            }
-            trial.answer(at, USUAL);
-        }
-        judge.next_step();
-    }
-    false
+/// A whole roll-out of a healthy version: whether it was withdrawn, and the share of its traffic
+/// that pauses withheld.
+fn roll_out(
+    judge: &mut dyn Judge,
+    settings: &health::Settings,
+    rate: f64,
+    seed: u64,
+) -> (bool, f64) {
+    let mut pilot = Pilot::new(judge, seed);
+    let mut end = 0.0;
+    let withdrawn = STEPS.iter().any(|fraction| {
+        end += STEP_S;
+        pilot.until(end, rate * share(settings, *fraction, rate), USUAL)
+    });
+    let served = pilot.served.len() as f64 / f64::from(pilot.offered.max(1));
+    (withdrawn, 1.0 - served)
+}
+
+/// Share of the traffic at a step.
+fn share(settings: &health::Settings, step: f64, rate: f64) -> f64 {
+    let delay = (ANSWER_S.0 + ANSWER_S.1 + RATED.1 + RATED.2) / 2.0;
+    health::paced(settings, step, STEPS[0], rate, Duration::from_secs_f64(delay))
 }
 
 fn settings(deployment: &Deployment) -> health::Settings {
--- a/crates/bench/src/sim.rs
+++ b/crates/bench/src/sim.rs
@@ -593,7 +593,6 @@
         for (entry, (own, total)) in self.entries.iter_mut().zip(&previous) {
             entry.on_digest(own, total);
         }
-        self.entries.iter_mut().for_each(|entry| entry.planner.rebalance());
     }
 
     /// Demand of the entries that `entry` can hear from.
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -8,6 +8,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use hickoryreel_base::bundle::Bundle;
 use hickoryreel_base::name::Model;
@@ -115,6 +116,11 @@
     (xxh3_64_with_seed(key.as_bytes(), seed) >> 11) as f64 / (1_u64 << 53) as f64
 }
 
+/// Price of a good answer before the first plan, as a multiple of the dearest run.
+const FIRST_PRICE: f64 = 5.0;
+/// Most that ratings move the aim away from the target.
+const MOST_CORRECTION: f64 = 0.03;
+
 /// Beta posterior of a probability.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Beta {
@@ -185,15 +191,44 @@
     pub target: f64,
     /// Added to the target, to cover the error of the posteriors.
     pub margin: f64,
+    /// Output length that a request is expected to have, as a part of the limit that it states.
+    pub output_part: f64,
     /// Share of requests whose plan may not be the best, to keep learning.
     pub explore: f64,
+    /// Relative change of the price for one plan whose expected quality misses the target by 1.
+    pub gain: f64,
+    /// Change of the aim for one rating that misses it by 1. It closes the gap that the errors of
+    /// the posteriors leave.
+    pub feedback: f64,
     /// Most weight of past observations in a posterior.
     pub memory: f64,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Self { target: 0.95, margin: 0.003, explore: 0.01, memory: 2_000.0 }
+        Self {
+            target: 0.95,
+            margin: 0.004,
+            output_part: 0.85,
+            explore: 0.005,
+            gain: 0.05,
+            feedback: 0.0003,
+            memory: 2_000.0,
+        }
+    }
+}
+
+impl Settings {
+    /// Whether a rank's `target` for the first token allows two runs: one whole run of at most
+    /// `output_limit` tokens that are `gap` apart, and the first token of the second run.
+    pub fn allows_two_runs(
+        &self,
+        target: Duration,
+        output_limit: u32,
+        gap: Duration,
+        first_token: Duration,
+    ) -> bool {
+        gap.mul_f64(self.output_part * f64::from(output_limit)) + first_token <= target
     }
 }
 
@@ -224,33 +259,20 @@
 ///
 /// Each plan has an expected cost and an expected quality. The planner minimises
 /// `cost - price * quality`, where `price` is what one more good answer may cost. The price is the
-/// same for all task kinds, which spends the slack of the target where it saves most, and it is
-/// moved by [`Planner::rebalance`] until the expected quality over the recent mix meets the target.
+/// same for all task kinds, which spends the slack of the target where it saves most. It rises
+/// after each plan whose expected quality is below the target and falls after each one above it.
 #[derive(Clone, Debug)]
 pub struct Planner {
     settings: Settings,
     posteriors: BTreeMap<(Task, Model), Posterior>,
-    mix: BTreeMap<(Task, bool), Seen>,
-    price: f64,
+    price: Option<f64>,
     correction: f64,
 }
 
-#[derive(Clone, Debug, Default)]
-struct Seen {
-    count: f64,
-    options: Vec<Candidate>,
-}
-
 impl Planner {
     /// A planner without observations.
     pub fn new(settings: Settings) -> Self {
-        Self {
-            settings,
-            posteriors: BTreeMap::new(),
-            mix: BTreeMap::new(),
-            price: f64::INFINITY,
-            correction: 0.0,
-        }
+        Self { settings, posteriors: BTreeMap::new(), price: None, correction: 0.0 }
     }
 
     /// What is known about `model` on `task`.
@@ -270,10 +292,9 @@
         let entry = self.entry(task, model);
         let beta = if accepted { &mut entry.good_accepted } else { &mut entry.good_rejected };
         beta.observe(good, memory);
-        // Integral control closes the gap that errors of the posteriors leave open.
-        let step =
-            0.002 * (self.settings.target + self.settings.margin - f64::from(u8::from(good)));
-        self.correction = (self.correction + step).clamp(-0.03, 0.03);
+        let aim = self.settings.target + self.settings.margin;
+        let step = self.settings.feedback * (aim - f64::from(u8::from(good)));
+        self.correction = (self.correction + step).clamp(-MOST_CORRECTION, MOST_CORRECTION);
     }
 
     /// Chooses the plan. `options` are the allowed models from cheap to dear; `two_runs` says
@@ -285,41 +306,17 @@
         two_runs: bool,
         random: f64,
     ) -> Option<Plan> {
-        let seen = self.mix.entry((task.clone(), two_runs)).or_default();
-        seen.count += 1.0;
-        if seen.options != options {
-            seen.options = options.to_vec();
-        }
         if random < self.settings.explore && two_runs && options.len() > 1 {
             let (first, then) = (&options[0], &options[options.len() - 1]);
             return Some(Plan::Cascade { first: first.model.clone(), then: then.model.clone() });
         }
-        self.best(task, options, two_runs, self.price).map(|(plan, _, _)| plan)
-    }
-
-    /// Moves the price of quality so that the recent mix meets the target. To be called about once
-    /// a second; the cost grows with the number of task kinds only.
-    pub fn rebalance(&mut self) {
+        let dearest = options.iter().map(|option| option.cost).fold(0.0, f64::max);
+        let price = self.price.unwrap_or(FIRST_PRICE * dearest);
+        let (plan, _, quality) = self.best(task, options, two_runs, price)?;
         let wanted = self.settings.target + self.settings.margin + self.correction;
-        let dearest = self.mix.values().flat_map(|seen| &seen.options).map(|option| option.cost);
-        let (mut low, mut high) = (0.0, 1_000.0 * dearest.fold(f64::MIN_POSITIVE, f64::max));
-        for _ in 0..40 {
-            let middle = 0.5 * (low + high);
-            if self.expected_quality(middle) >= wanted { high = middle } else { low = middle }
-        }
-        self.price = high;
-        self.mix.values_mut().for_each(|seen| seen.count *= 0.98);
-    }
-
-    fn expected_quality(&self, price: f64) -> f64 {
-        let (mut sum, mut count) = (0.0, 0.0);
-        for ((task, two_runs), seen) in &self.mix {
-            if let Some((_, _, quality)) = self.best(task, &seen.options, *two_runs, price) {
-                sum += quality * seen.count;
-                count += seen.count;
-            }
-        }
-        if count > 0.0 { sum / count } else { 1.0 }
+        let moved = price * (self.settings.gain * (wanted - quality)).exp();
+        self.price = Some(moved.clamp(0.1 * dearest, 1_000.0 * dearest));
+        Some(plan)
     }
 
     fn best(
@@ -340,9 +337,7 @@
         let cascades =
             pairs.filter(|_| two_runs).filter_map(|(first, then)| self.cascade(task, first, then));
         direct.chain(cascades).min_by(|a, b| {
-            let value = |plan: &(Plan, f64, f64)| {
-                if price.is_finite() { plan.1 - price * plan.2 } else { -plan.2 }
-            };
+            let value = |plan: &(Plan, f64, f64)| plan.1 - price * plan.2;
             value(a).total_cmp(&value(b))
         })
     }
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -1,10 +1,24 @@
 //! Sequential test of a version against the one that it replaces.
 //!
-//! Three signals are tested: ratings, errors and latency. Each is a sequence of yes or no, and each
+//! Four signals are tested: ratings, errors, checks at run time and latency. Each is a sequence of yes or no, and each
 //! has a cumulative sum of log-likelihood ratios against several sizes of deterioration. The sums
 //! never fall below zero, so that a version that turns bad after a long good time is found as fast
 //! as one that is bad from the start.
 
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Failure probabilities assumed of the replaced version before it is observed: ratings, errors,
+/// checks.
+const PRIOR: [f64; 3] = [0.05, 0.01, 0.1];
+/// Latencies of the replaced version that are kept to estimate their quantile.
+const LATENCIES: usize = 1_024;
+/// Ratio that counts as slow before the replaced version is observed.
+const UNKNOWN_SLOW: f64 = 2.0;
+
+/// One in this many requests of a step goes to the tested version while a suspicion is unsettled.
+pub const SLOW_PART: u32 = 8;
+
 /// Signals of one answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Signal {
@@ -13,11 +27,19 @@
         /// Whether the answer meets the quality bar.
         good: bool,
     },
-    /// The request ended.
+    /// The first token arrived, or the version failed the request. Good outcomes are counted at the
+    /// first token and not at the end: failures show early, and counting successes later would make
+    /// each increase of the traffic look like a wave of failures.
     Outcome {
         /// Whether the version failed it.
         failed: bool,
     },
+    /// The result of the check that cascades run on an answer. It is less certain than a rating, but
+    /// every answer has one as soon as it is complete.
+    Check {
+        /// Whether the check accepts the answer.
+        accepted: bool,
+    },
     /// A latency, as the observed divided by the expected time.
     Latency {
         /// Observed divided by expected time.
@@ -34,6 +56,8 @@
     Errors,
     /// Latency.
     Latency,
+    /// Results of the check at run time.
+    Checks,
 }
 
 /// State of a roll-out step.
@@ -41,8 +65,11 @@
 pub enum Verdict {
     /// Not enough is known; the step goes on.
     Learning,
-    /// The exposure budget is spent without enough evidence; the step takes no further requests.
+    /// The step takes no new requests for now: the exposure budget is spent without enough
+    /// evidence, or the ratings raise a suspicion that those on their way will settle.
     Hold,
+    /// A pause settled nothing: the step takes one in [`SLOW_PART`] of its requests.
+    Slow,
     /// The evidence suffices for the next step.
     Healthy,
     /// The version is worse than the one it replaces.
@@ -52,8 +79,18 @@
 /// Settings of the test.
 #[derive(Clone, Debug)]
 pub struct Settings {
-    /// Sum of log-likelihood ratios that withdraws the version.
-    pub threshold: f64,
+    /// Sum of log-likelihood ratios that withdraws the version: for ratings, errors, checks
+    /// and latency.
+    pub thresholds: [f64; 4],
+    /// Sum of the ratings or of the checks at which the version takes no new requests until the ratings that are on
+    /// their way have arrived. Ratings are late, so most of the exposure to a version that answers
+    /// badly falls between its answers and the ratings.
+    pub suspicion: f64,
+    /// Longest pause for one suspicion: the propagation of the pause, then the longest usual time
+    /// from an answer's request to its rating.
+    pub pause: Duration,
+    /// Requests of the first step that may wait for their ratings at a time.
+    pub pending: f64,
     /// Failure probabilities tested against, as the part of the way from the baseline to 1.
     pub sizes: [f64; 3],
     /// Lowest baseline failure probability, so that a baseline without failures makes one failure
@@ -70,8 +107,11 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            threshold: 11.0,
-            sizes: [0.15, 0.35, 0.65],
+            thresholds: [14.0, 14.0, 15.0, 18.0],
+            suspicion: 5.0,
+            pause: Duration::from_secs(12),
+            pending: 12.0,
+            sizes: [0.2, 0.4, 0.65],
             least: 0.01,
             slow_share: 0.1,
             enough: [60, 15],
@@ -102,6 +142,42 @@
     }
 }
 
+/// Latencies of the replaced version, and the quantile above which one counts as slow.
+#[derive(Clone, Debug)]
+struct Latencies {
+    recent: VecDeque<f64>,
+    share: f64,
+    slow: f64,
+    unseen: usize,
+}
+
+impl Latencies {
+    fn new(share: f64) -> Self {
+        Self { recent: VecDeque::new(), share, slow: UNKNOWN_SLOW, unseen: 0 }
+    }
+
+    fn observe(&mut self, ratio: f64) {
+        self.recent.push_back(ratio);
+        if self.recent.len() > LATENCIES {
+            self.recent.pop_front();
+        }
+        self.unseen += 1;
+        if self.unseen >= LATENCIES / 16 {
+            self.unseen = 0;
+            let mut sorted: Vec<f64> = self.recent.iter().copied().collect();
+            sorted.sort_unstable_by(f64::total_cmp);
+            let rank = (sorted.len() as f64 * (1.0 - self.share)) as usize;
+            self.slow = sorted[rank.min(sorted.len() - 1)];
+        }
+    }
+
+    /// Upper estimate of the slow share: three deviations of the estimated quantile.
+    fn upper(&self, share: f64) -> f64 {
+        let count = self.recent.len().max(20) as f64;
+        share + 3.0 * (share * (1.0 - share) / count).sqrt()
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Sums([f64; 3]);
 
@@ -113,38 +189,61 @@
                 if bad { (worse / normal).ln() } else { ((1.0 - worse) / (1.0 - normal)).ln() };
             *sum = (*sum + ratio).max(0.0);
         }
+        self.largest()
+    }
+
+    fn largest(&self) -> f64 {
         self.0.iter().copied().fold(0.0, f64::max)
     }
 }
 
+/// Share of the traffic that a step may send to the tested version.
+///
+/// `step` is the share of the bundle and `first` that of its first step. Where the traffic is so
+/// high that more than the pending requests would wait for their ratings, the share is smaller:
+/// whatever the test does, the requests of one rating delay are exposed.
+pub fn paced(
+    settings: &Settings,
+    step: f64,
+    first: f64,
+    traffic_per_s: f64,
+    rating_delay: Duration,
+) -> f64 {
+    let pending = settings.pending * step / first;
+    let most = pending / (traffic_per_s * rating_delay.as_secs_f64()).max(f64::EPSILON);
+    if step >= 1.0 { step } else { step.min(most) }
+}
+
 /// The sequential test of one version in one roll-out.
 #[derive(Clone, Debug)]
 pub struct Test {
     settings: Settings,
-    /// Ratings, errors, latency of the replaced version.
+    /// Ratings, errors and checks of the replaced version.
     baseline: [Baseline; 3],
-    sums: [Sums; 3],
-    /// Ratio above which a latency counts as slow.
-    slow: f64,
+    sums: [Sums; 4],
+    latencies: Latencies,
     served: u32,
     outcomes: u32,
     ratings: u32,
     bad: Option<Cause>,
+    /// Since when ratings or checks raise a suspicion.
+    paused_at: Option<Duration>,
 }
 
 impl Test {
     /// A test without observations.
     pub fn new(settings: Settings) -> Self {
-        let expected = [0.05, 0.01, settings.slow_share];
+        let slow_share = settings.slow_share;
         Self {
-            settings,
-            baseline: expected.map(|bad| Baseline { bad: 20.0 * bad, count: 20.0 }),
+            baseline: PRIOR.map(|bad| Baseline { bad: 20.0 * bad, count: 20.0 }),
             sums: Default::default(),
-            slow: 1.5,
+            latencies: Latencies::new(slow_share),
             served: 0,
             outcomes: 0,
             ratings: 0,
             bad: None,
+            paused_at: None,
+            settings,
         }
     }
 
@@ -153,19 +252,13 @@
         match signal {
             Signal::Rating { good } => self.baseline[0].observe(!good),
             Signal::Outcome { failed } => self.baseline[1].observe(failed),
-            Signal::Latency { ratio } => {
-                let slow = ratio > self.slow;
-                self.baseline[2].observe(slow);
-                // Stochastic approximation of the quantile.
-                let step = 0.02 * self.slow;
-                let share = self.settings.slow_share;
-                self.slow += if slow { step * (1.0 - share) } else { -step * share };
-            }
+            Signal::Check { accepted } => self.baseline[2].observe(!accepted),
+            Signal::Latency { ratio } => self.latencies.observe(ratio),
         }
     }
 
     /// Takes in a signal of the tested version.
-    pub fn observe(&mut self, signal: Signal) -> Verdict {
+    pub fn observe(&mut self, signal: Signal, now: Duration) -> Verdict {
         let (index, cause, bad) = match signal {
             Signal::Rating { good } => {
                 self.ratings += 1;
@@ -175,14 +268,18 @@
                 self.outcomes += 1;
                 (1, Cause::Errors, failed)
             }
-            Signal::Latency { ratio } => (2, Cause::Latency, ratio > self.slow),
+            Signal::Check { accepted } => (2, Cause::Checks, !accepted),
+            Signal::Latency { ratio } => (3, Cause::Latency, ratio > self.latencies.slow),
+        };
+        let normal = match self.baseline.get(index) {
+            Some(baseline) => baseline.upper(self.settings.least),
+            None => self.latencies.upper(self.settings.slow_share),
         };
-        let normal = self.baseline[index].upper(self.settings.least);
         let sum = self.sums[index].add(bad, normal, &self.settings.sizes);
-        if sum >= self.settings.threshold && self.bad.is_none() {
+        if sum >= self.settings.thresholds[index] && self.bad.is_none() {
             self.bad = Some(cause);
         }
-        self.verdict()
+        self.verdict(now)
     }
 
     /// Records that the tested version received a request.
@@ -197,12 +294,28 @@
         self.ratings = 0;
     }
 
+    /// The verdict while ratings or checks raise a suspicion: a pause first, which waits for the ratings
+    /// on their way, then a reduced rate until more ratings settle it.
+    fn suspicion(&mut self, now: Duration) -> Option<Verdict> {
+        let sum = self.sums[0].largest().max(self.sums[2].largest());
+        if sum < self.settings.suspicion {
+            self.paused_at = None;
+            return None;
+        }
+        let since = *self.paused_at.get_or_insert(now);
+        let waiting = now.saturating_sub(since) <= self.settings.pause;
+        Some(if waiting { Verdict::Hold } else { Verdict::Slow })
+    }
+
     /// The present verdict.
-    pub fn verdict(&self) -> Verdict {
-        let Settings { enough, exposure_budget, .. } = &self.settings;
+    pub fn verdict(&mut self, now: Duration) -> Verdict {
         if let Some(cause) = self.bad {
             return Verdict::Bad(cause);
         }
+        if let Some(verdict) = self.suspicion(now) {
+            return verdict;
+        }
+        let Settings { enough, exposure_budget, .. } = &self.settings;
         let calm = self.sums.iter().flat_map(|sums| sums.0).all(|sum| sum < 2.0);
         if self.outcomes >= enough[0] && self.ratings >= enough[1] && calm {
             Verdict::Healthy
--- a/crates/policy/src/weights.rs
+++ b/crates/policy/src/weights.rs
@@ -5,7 +5,7 @@
 use crate::health;
 use crate::limit;
 
-/// Share of the three weights above which one of them counts as dominant.
+/// Share of the three weights from which one of them counts as dominant.
 const DOMINANT: f64 = 0.4;
 
 /// Settings that follow from the weights.
@@ -13,10 +13,9 @@
 pub struct Tuning {
     /// Share of each endpoint's limit kept free of normal and of bulk work.
     pub headroom: [f64; 2],
-    /// Factor on the exposure budget of a roll-out step.
+    /// Factor on the exposure budget of a roll-out step. Below 1 it also reduces the requests that
+    /// may wait for their ratings.
     pub exposure: f64,
-    /// Factor on the evidence that withdraws a version.
-    pub evidence: f64,
     /// Whether urgent requests may use a cascade.
     pub urgent_cascade: bool,
 }
@@ -30,8 +29,7 @@
         Self {
             headroom: [0.05 + 0.05 * urgent, 0.1 + 0.1 * urgent],
             exposure: (1.0 / (3.0 * exposure)).clamp(0.25, 2.0),
-            evidence: if exposure > DOMINANT { 0.9 } else { 1.0 },
-            urgent_cascade: urgent <= DOMINANT,
+            urgent_cascade: urgent < DOMINANT,
         }
     }
 
@@ -48,7 +46,7 @@
         let budget = f64::from(settings.exposure_budget) * self.exposure;
         health::Settings {
             exposure_budget: budget.round() as u32,
-            threshold: settings.threshold * self.evidence,
+            pending: settings.pending * self.exposure.min(1.0),
             ..settings
         }
     }
