--- a/crates/fuzz/src/event.rs
+++ b/crates/fuzz/src/event.rs
@@ -51,8 +51,8 @@
     Lapse(u8),
     /// An entry starts its next life.
     Restart(u8),
-    /// Control settles a record of a lapsed holder.
-    Settle { pick: u8, reachable: bool },
+    /// Control settles a record of a lapsed holder; `hasty` also takes those that have not lapsed.
+    Settle { pick: u8, reachable: bool, hasty: bool },
     /// A controller takes a fencing number.
     TakeFence,
     /// A controller changes the order lease or an order.
@@ -144,8 +144,8 @@
         1 => (0..ENTRIES).prop_map(Event::Kill),
         2 => (0..ENTRIES).prop_map(Event::Lapse),
         6 => (0..ENTRIES).prop_map(Event::Restart),
-        5 => (byte(), any::<bool>())
-            .prop_map(|(pick, reachable)| Event::Settle { pick, reachable }),
+        5 => (byte(), any::<bool>(), prop::bool::weighted(0.2))
+            .prop_map(|(pick, reachable, hasty)| Event::Settle { pick, reachable, hasty }),
         1 => Just(Event::TakeFence),
         3 => (0..2u8, order()).prop_map(|(controller, order)| Event::Order { controller, order }),
         1 => any::<bool>().prop_map(Event::Limits),
--- a/crates/fuzz/src/world.rs
+++ b/crates/fuzz/src/world.rs
@@ -141,7 +141,7 @@
             Event::Kill(entry) => self.kill(*entry),
             Event::Lapse(entry) => self.issue(Action::Lapse(self.holder(*entry))),
             Event::Restart(entry) => self.restart(*entry),
-            Event::Settle { pick, reachable } => self.settle(*pick, *reachable),
+            Event::Settle { pick, reachable, hasty } => self.settle(*pick, *reachable, *hasty),
             Event::TakeFence => self.issue(Action::TakeFence { purpose: "any".into() }),
             Event::Order { controller, order } => self.order(*controller, order),
             Event::Limits(are_wide) => self.issue(Action::SetLimits(limits(*are_wide))),
--- a/crates/fuzz/src/world/entries.rs
+++ b/crates/fuzz/src/world/entries.rs
@@ -270,11 +270,10 @@
     }
 
     /// Control asks the endpoint about an open record of a lapsed holder.
-    pub(super) fn settle(&mut self, pick: u8, reachable: bool) {
-        let unsettled =
-            self.oracle.records.iter().filter(|record| {
-                record.end.is_none() && self.oracle.has_lapsed(&record.open.holder)
-            });
+    pub(super) fn settle(&mut self, pick: u8, reachable: bool, hasty: bool) {
+        let unsettled = self.oracle.records.iter().filter(|record| {
+            record.end.is_none() && (hasty || self.oracle.has_lapsed(&record.open.holder))
+        });
         let unsettled: Vec<Open> = unsettled.map(|record| record.open.clone()).collect();
         let Some(open) = unsettled.get(index(pick, unsettled.len())) else { return };
         let dispatch = self.dispatches.iter().find(|dispatch| {
