--- a/crates/consensus/tests/storage.rs
+++ b/crates/consensus/tests/storage.rs
@@ -12,7 +12,9 @@
 use hickoryreel_consensus::ReplicaId;
 use hickoryreel_consensus::Settings;
 use hickoryreel_consensus::Snapshot;
+use hickoryreel_consensus::core::Output;
 use hickoryreel_consensus::sim::MemoryDisk;
+use hickoryreel_consensus::storage::Disk;
 use hickoryreel_consensus::storage::Error;
 use hickoryreel_consensus::storage::Restored;
 use hickoryreel_consensus::storage::Store;
@@ -149,7 +151,7 @@
     // Without its last segment a log is an older log, which the folder alone cannot show.
     for name in others[..others.len() - 1].iter().chain([last]) {
         let disk = build();
-        hickoryreel_consensus::storage::Disk::remove(&mut disk.clone(), name).unwrap();
+        Disk::remove(&mut disk.clone(), name).unwrap();
         corrupt(open(&disk));
     }
 }
@@ -160,7 +162,7 @@
 fn identity_does_not_outlive_the_log() {
     let (disk, mut store) = filled(&[entries(1..=3)]);
     store.write_snapshot(&snapshot(3, 1)).unwrap();
-    hickoryreel_consensus::storage::Disk::remove(&mut disk.clone(), FIRST_SEGMENT).unwrap();
+    Disk::remove(&mut disk.clone(), FIRST_SEGMENT).unwrap();
     corrupt(open(&disk));
 
     let first = Store::open(tempfile::tempdir().unwrap().path(), &Settings::default()).unwrap().1;
@@ -301,6 +303,57 @@
     }
 }
 
+fn own_snapshot(index: u64) -> Output {
+    let data = vec![index as u8; 1_000].into();
+    let snapshot = Snapshot { index, term: 1, members: Members::default(), data };
+    Output { snapshot: Some(snapshot.into()), ..Output::default() }
+}
+
+/// Guards against a large snapshot that delays heartbeats, against one that never ends because
+/// newer ones replace it, and against a crash in the middle that loses the log.
+#[test]
+fn own_snapshot_is_written_in_steps() {
+    let disk = MemoryDisk::default();
+    let (mut store, _) = open(&disk).unwrap();
+    store.append(&entries(1..=40)).unwrap();
+    store.sync().unwrap();
+    let mut size = disk.size();
+    store.persist(&own_snapshot(20)).unwrap();
+    for calls in 0.. {
+        assert!(calls < 15, "the first snapshot does not end");
+        assert!(disk.size() <= size + 150, "more than a step of 100 bytes and a head");
+        size = disk.size();
+        if store.snapshot_index() == Some(20) {
+            break;
+        }
+        store.persist(&own_snapshot(21 + calls)).unwrap();
+    }
+    store.persist(&Output::default()).unwrap();
+    drop(store);
+    disk.crash(&mut StdRng::seed_from_u64(1));
+    let restored = reopen(&disk);
+    assert_eq!(restored.snapshot.as_ref().map(|snapshot| snapshot.index), Some(20));
+    assert_eq!(indexes(&restored), (21..=40).collect::<Vec<_>>());
+}
+
+/// Guards against a snapshot that takes the last space from the log.
+#[test]
+fn own_snapshot_yields_to_the_log_on_a_full_disk() {
+    let disk = MemoryDisk::default();
+    let (mut store, _) = open(&disk).unwrap();
+    store.append(&entries(1..=3)).unwrap();
+    store.sync().unwrap();
+    disk.set_capacity(Some(disk.size() + 450));
+    store.persist(&own_snapshot(3)).unwrap();
+    for _ in 0..20 {
+        store.persist(&Output::default()).unwrap();
+    }
+    assert_eq!(store.snapshot_index(), None);
+    let records = entries(4..=6);
+    store.persist(&Output { records, ..Output::default() }).unwrap();
+    assert_eq!(indexes(&reopen(&disk)), [1, 2, 3, 4, 5, 6]);
+}
+
 /// Guards against a crash between the write of a received snapshot and the reset of the log, after
 /// which entries of an abandoned history follow the snapshot.
 #[test]
@@ -315,6 +368,19 @@
     assert_eq!(indexes(&reopen(&disk)), [9]);
 }
 
+/// Guards against the removal of files that belong to others, and against leftovers that fill the
+/// disk.
+#[test]
+fn only_own_temporary_files_are_removed() {
+    let (disk, _) = filled(&[entries(1..=3)]);
+    let names = ["log-0000000000000002.tmp", "notes.tmp", "snapshot-0000000000000009.tmp"];
+    for name in names {
+        Disk::create(&mut disk.clone(), name).unwrap();
+    }
+    reopen(&disk);
+    assert_eq!(disk.names(), [FIRST_SEGMENT, "notes.tmp"]);
+}
+
 /// Guards against two processes that write to one folder.
 #[test]
 fn folder_is_locked() {
