--- /dev/null
+++ b/crates/control/examples/measure/recovery.rs
@@ -0,0 +1,46 @@
+//! Time to start with many records.
+
+use std::time::Instant;
+
+use hickoryreel_testkit::Cluster;
+use hickoryreel_testkit::Harness;
+
+use crate::entry;
+use crate::entry::Entry;
+
+const BATCH: usize = 500;
+
+/// Records in each round; the limit per workspace is 100,000 closed records.
+const RECORDS: [usize; 3] = [1_000, 20_000, 100_000];
+
+pub(crate) async fn run() -> eyre::Result<()> {
+    for records in RECORDS {
+        let harness = Harness::new()?;
+        let mut cluster = Cluster::start(&harness, 1, "snapshot-bytes = 8000000\n")?;
+        let revision = entry::put_into_force(&cluster).await?;
+        let entry = Entry::new("entry0", cluster.replicas[0].rpc, revision)?;
+        for first in (0..records).step_by(BATCH) {
+            let requests: Vec<String> =
+                (first..first + BATCH).map(|number| format!("request-{number}")).collect();
+            let open: Vec<_> = requests.iter().map(|request| entry.open(request)).collect();
+            entry.submit(&open).await?;
+            let close: Vec<_> = requests.iter().map(|request| entry.close(request)).collect();
+            entry.submit(&close).await?;
+        }
+        cluster.replicas[0].kill()?;
+        let started = Instant::now();
+        cluster.replicas[0].start(&harness)?;
+        cluster.leader().await?;
+        let ms = started.elapsed().as_millis();
+        let log = harness.log("control0");
+        let mut snapshots = log.lines().filter(|line| line.contains("snapshot written"));
+        println!("recovery records={records} ms_to_first_read={ms}");
+        if let Some(last) = snapshots.next_back() {
+            println!("  last snapshot: {last}");
+        }
+        if let Some(opened) = log.lines().filter(|line| line.contains("log is open")).next_back() {
+            println!("  {opened}");
+        }
+    }
+    Ok(())
+}
--- a/crates/testkit/src/relay.rs
+++ b/crates/testkit/src/relay.rs
@@ -38,6 +38,7 @@
 #[derive(Debug, Default)]
 struct Faults {
     accepted: AtomicU64,
+    bytes: AtomicU64,
     /// Connections up to this number are silent.
     silent_up_to: AtomicU64,
     cut_to_target: AtomicBool,
@@ -74,6 +75,11 @@
         self.faults.accepted.load(Ordering::SeqCst)
     }
 
+    /// Bytes forwarded so far in both directions.
+    pub fn bytes(&self) -> u64 {
+        self.faults.bytes.load(Ordering::SeqCst)
+    }
+
     /// Stops forwarding on all open connections for good, without closing them. New ones work.
     pub fn silence(&self) {
         let accepted = self.faults.accepted.load(Ordering::SeqCst);
@@ -142,7 +148,9 @@
             std::future::pending::<()>().await;
         }
         match read {
-            Ok(length) if length > 0 && to.write_all(&buffer[..length]).await.is_ok() => {}
+            Ok(length) if length > 0 && to.write_all(&buffer[..length]).await.is_ok() => {
+                faults.bytes.fetch_add(length as u64, Ordering::SeqCst);
+            }
             _ => return,
         }
     }
