Send one entry at a time to a replica that takes none

A follower with a full disk refuses entries but matches what it has, so the leader took each answer for the end of a probe and sent a pipeline of appends again, every heartbeat and across regions. A probe now carries one entry and ends only when that entry is acknowledged.

Probes without any entry were ruled out: their success says nothing about the next entry.

--- a/crates/consensus/src/core/progress.rs
+++ b/crates/consensus/src/core/progress.rs
@@ -31,6 +31,8 @@
     pub(super) matched: u64,
     /// Next index to send.
     next: u64,
+    /// Index that a reply must reach to end the probe.
+    probed: u64,
     /// Last index of each append that has no reply yet.
     inflight: VecDeque<u64>,
     /// When the request of the one-at-a-time modes was sent, if it has no reply yet.
@@ -57,6 +59,7 @@
             mode: Mode::Probe,
             matched: 0,
             next: last + 1,
+            probed: last,
             inflight: VecDeque::new(),
             waiting: None,
             round: 0,
@@ -74,21 +77,28 @@
         }
         match &self.mode {
             Mode::Snapshot { .. } => Some(self.chunk(context)),
-            Mode::Probe => {
-                self.waiting = Some(context.now);
-                self.append(context)
-            }
+            Mode::Probe => self.probe(context),
             Mode::Replicate => self.pipelined(context),
         }
     }
 
+    /// One entry at most: a replica with a full disk refuses it, and stays in this mode.
+    fn probe(&mut self, context: &Context) -> Option<Body> {
+        self.waiting = Some(context.now);
+        let body = self.append(context, 1)?;
+        if let Body::Append { previous, entries, .. } = &body {
+            self.probed = previous.index + entries.len() as u64;
+        }
+        Some(body)
+    }
+
     fn pipelined(&mut self, context: &Context) -> Option<Body> {
         if self.next > context.log.last().index
             || self.inflight.len() >= context.settings.max_inflight
         {
             return None;
         }
-        let body = self.append(context)?;
+        let body = self.append(context, context.settings.max_append_entries)?;
         if let Body::Append { entries, .. } = &body {
             self.next += entries.len() as u64;
             self.inflight.push_back(self.next - 1);
@@ -96,11 +106,10 @@
         Some(body)
     }
 
-    fn append(&self, context: &Context) -> Option<Body> {
+    fn append(&self, context: &Context, max_entries: usize) -> Option<Body> {
         let index = self.next - 1;
         let previous = Position { index, term: context.log.term(index)? };
-        let Settings { max_append_entries, max_append_bytes, .. } = *context.settings;
-        let entries = context.log.batch(index, max_append_entries, max_append_bytes);
+        let entries = context.log.batch(index, max_entries, context.settings.max_append_bytes);
         Some(Body::Append { previous, entries, commit: context.commit, round: context.round })
     }
 
@@ -159,7 +168,7 @@
             self.inflight.pop_front();
         }
         let found = match &self.mode {
-            Mode::Probe => index + 1 >= self.next,
+            Mode::Probe => index >= self.probed,
             Mode::Snapshot { snapshot, .. } => index >= snapshot.index,
             Mode::Replicate => false,
         };
@@ -181,6 +190,7 @@
         }
         self.mode = Mode::Probe;
         self.next = hint.min(previous - 1).max(self.matched) + 1;
+        self.probed = self.next - 1;
         self.inflight.clear();
         self.waiting = None;
     }
--- a/crates/consensus/tests/elections.rs
+++ b/crates/consensus/tests/elections.rs
@@ -297,6 +297,35 @@
     assert!(matches!(propose(&mut sim, leader, 5), Outcome::Committed { .. }));
 }
 
+/// Guards against traffic without end to a replica that takes no entries because its disk is full.
+#[test]
+fn refusing_replica_is_sent_one_entry_at_a_time() {
+    let (mut sim, leader, _) = cluster(3);
+    let (mut one, messages) = lead(&mut sim, leader, &Settings::default());
+    let (to, term, last) = (messages[0].to, one.term(), one.last_index() - 1);
+    let proposals = (0..100).map(|token| Input::Propose { token, payload: vec![1; 400] });
+    one.step_all(proposals, Duration::ZERO);
+    let mut sent = 0;
+    for beat in 1..=20 {
+        let now = beat * Settings::default().heartbeat;
+        let matched = message::Outcome::Matched(last);
+        let replies = [message::Outcome::Rejected { previous: last + 50, hint: last }, matched]
+            .map(|outcome| Body::AppendReply { outcome, round: u64::from(beat) })
+            .map(|body| message(to, leader, term, body));
+        let output = one.step_all([Input::Tick].into_iter().chain(replies), now);
+        sent += output.messages.iter().filter(|one| one.to == to).map(entries).sum::<usize>();
+    }
+    assert_eq!(one.role(), Role::Leader);
+    assert!((5..=20).contains(&sent), "{sent} entries in 20 heartbeats");
+}
+
+fn entries(message: &Message) -> usize {
+    match &message.body {
+        Body::Append { entries, .. } => entries.len(),
+        _ => 0,
+    }
+}
+
 /// Guards against messages above the size limits, which a transport would refuse.
 #[test]
 fn messages_are_bounded() {
