Let the store keep what a full disk refuses

Every owner of a replica had to separate the part of an output that waits for the disk from the part that does not, keep it and try again; the simulation had its own copy of that. Store::write does it and returns the messages to send and the inputs to feed back, so the simulation now tests the code that the control process uses. Store::persist stays for owners that do not continue on a full disk.

--- a/crates/consensus/src/core/io.rs
+++ b/crates/consensus/src/core/io.rs
@@ -109,6 +109,18 @@
 }
 
 impl Output {
+    /// Moves out what the store writes and what waits for its sync. `install` is in both parts.
+    pub(crate) fn take_storage_part(&mut self) -> Self {
+        Self {
+            snapshot: self.snapshot.take(),
+            install: self.install.clone(),
+            records: std::mem::take(&mut self.records),
+            sequence: self.sequence,
+            after_sync: std::mem::take(&mut self.after_sync),
+            ..Self::default()
+        }
+    }
+
     /// Adds the output of a later step, so that both are carried out together.
     pub fn merge(&mut self, later: Self) {
         self.messages.extend(later.messages);
--- a/crates/consensus/src/core/mod.rs
+++ b/crates/consensus/src/core/mod.rs
@@ -33,6 +33,8 @@
 use crate::message::Position;
 use crate::storage::Restored;
 
+use log::Log;
+
 pub use io::Input;
 pub use io::MemberChange;
 pub use io::Outcome;
@@ -85,8 +87,6 @@
     out: Output,
 }
 
-use log::Log;
-
 #[derive(Debug)]
 enum State {
     Follower,
--- a/crates/consensus/src/sim/mod.rs
+++ b/crates/consensus/src/sim/mod.rs
@@ -25,7 +25,6 @@
 use crate::core::Replica;
 use crate::core::Reply;
 use crate::core::Role;
-use crate::storage::Error;
 use crate::storage::Store;
 
 pub use check::Check;
@@ -67,9 +66,6 @@
     machine: M,
     applied: u64,
     incarnation: u64,
-    /// The part of outputs that a full disk keeps from being written.
-    unwritten: Output,
-    disk_full: bool,
 }
 
 /// One machine of the cluster.
@@ -82,7 +78,7 @@
 enum Event {
     Tick(ReplicaId, u64),
     Deliver(Message),
-    Persisted { id: ReplicaId, incarnation: u64, up_to: u64 },
+    Input(ReplicaId, u64, Input),
 }
 
 /// Replicas in virtual time.
@@ -152,9 +148,7 @@
             snapshot.map_or_else(|| (0, M::default()), |one| (one.index, M::restore(&one.data)));
         let replica = Replica::new(self.settings.clone(), restored, self.random.random());
         let incarnation = self.next_number();
-        let unwritten = Output::default();
-        let process =
-            Process { replica, store, machine, applied, incarnation, unwritten, disk_full: false };
+        let process = Process { replica, store, machine, applied, incarnation };
         self.node(id).process = Some(process);
         self.schedule(TICK, Event::Tick(id, incarnation));
     }
@@ -230,7 +224,7 @@
 
     fn handle(&mut self, event: Event) {
         let id = match &event {
-            Event::Tick(id, _) | Event::Persisted { id, .. } => *id,
+            Event::Tick(id, _) | Event::Input(id, ..) => *id,
             Event::Deliver(message) => message.to,
         };
         let now = self.now;
@@ -245,8 +239,8 @@
                 self.schedule(TICK, event);
                 self.input(id, Input::Tick);
             }
-            Event::Persisted { incarnation, up_to, .. } if incarnation == current => {
-                self.input(id, Input::Persisted { up_to });
+            Event::Input(_, incarnation, input) if incarnation == current => {
+                self.input(id, input);
             }
             Event::Deliver(message) => self.input(id, Input::Message(message)),
             _ => {}
@@ -270,46 +264,23 @@
         self.carry_out(id, output);
     }
 
-    /// Commits do not depend on the own disk, so a full one delays only records and what promises
-    /// their durability.
     fn carry_out(&mut self, id: ReplicaId, mut output: Output) {
         for message in output.messages.drain(..) {
             self.transmit(&message, Duration::ZERO);
         }
         let Some(process) = &mut self.node(id).process else { return };
-        let (committed, replies) =
-            (std::mem::take(&mut output.committed), std::mem::take(&mut output.replies));
-        let install = output.install.clone();
-        process.unwritten.merge(output);
-        let full = match process.store.persist(&process.unwritten) {
-            Ok(()) => false,
-            Err(Error::Full) => true,
-            Err(_) => return self.crash(id),
-        };
-        let changed = std::mem::replace(&mut process.disk_full, full) != full;
-        if !full {
-            let written = std::mem::take(&mut process.unwritten);
-            self.after_sync(id, written);
-        }
-        self.apply(id, Output { install, committed, replies, ..Output::default() });
-        if changed {
-            self.input(id, Input::DiskFull(full));
-        }
-    }
-
-    fn after_sync(&mut self, id: ReplicaId, written: Output) {
-        let sync = match written.records.is_empty() {
-            true => Duration::ZERO,
-            false => self.random.random_range(Duration::ZERO..=self.max_sync),
-        };
+        let incarnation = process.incarnation;
+        let Ok(written) = process.store.write(&mut output) else { return self.crash(id) };
+        let synced = written.inputs.iter().any(|input| matches!(input, Input::Persisted { .. }));
+        let longest = if synced { self.max_sync } else { Duration::ZERO };
+        let sync = self.random.random_range(Duration::ZERO..=longest);
         for message in &written.after_sync {
             self.transmit(message, sync);
         }
-        let Some(process) = &self.node(id).process else { return };
-        let (incarnation, up_to) = (process.incarnation, written.sequence);
-        if !written.records.is_empty() {
-            self.schedule(sync, Event::Persisted { id, incarnation, up_to });
+        for input in written.inputs {
+            self.schedule(sync, Event::Input(id, incarnation, input));
         }
+        self.apply(id, output);
     }
 
     fn apply(&mut self, id: ReplicaId, output: Output) {
--- a/crates/consensus/src/storage/mod.rs
+++ b/crates/consensus/src/storage/mod.rs
@@ -19,10 +19,12 @@
 use derive_more::Error;
 
 use crate::Entry;
+use crate::Message;
 use crate::Record;
 use crate::ReplicaId;
 use crate::Settings;
 use crate::Snapshot;
+use crate::core::Input;
 use crate::core::Output;
 
 pub use disk::Disk;
@@ -116,9 +118,21 @@
     /// Own snapshot that is being written, and the one to write next.
     writing: Option<image::Writing>,
     queued: Option<Arc<Snapshot>>,
+    /// What a full disk keeps from being written.
+    unwritten: Output,
+    full: bool,
     failed: bool,
 }
 
+/// What the owner of a store must do after a write.
+#[derive(Debug, Default)]
+pub struct Written {
+    /// Messages to send now.
+    pub after_sync: Vec<Message>,
+    /// Inputs to feed to the replica.
+    pub inputs: Vec<Input>,
+}
+
 impl Store {
     /// Opens or creates the store in `folder`.
     pub fn open(folder: &Path, settings: &Settings) -> Result<(Self, Restored), Error> {
@@ -146,12 +160,40 @@
             snapshot_step_bytes: settings.snapshot_step_bytes,
             writing: None,
             queued: None,
+            unwritten: Output::default(),
+            full: false,
             failed: false,
         };
         let restored = store.recover(new_id)?;
         Ok((store, restored))
     }
 
+    /// Carries out the storage part of an output, which it takes out of `output`. While the disk is
+    /// full the part is kept and tried again with each call; the rest of the output does not
+    /// depend on it.
+    pub fn write(&mut self, output: &mut Output) -> Result<Written, Error> {
+        let mut unwritten = std::mem::take(&mut self.unwritten);
+        unwritten.merge(output.take_storage_part());
+        let full = match self.persist(&unwritten) {
+            Ok(()) => false,
+            Err(Error::Full) => true,
+            Err(error) => return Err(error),
+        };
+        let mut written = Written::default();
+        if std::mem::replace(&mut self.full, full) != full {
+            written.inputs.push(Input::DiskFull(full));
+        }
+        if full {
+            self.unwritten = unwritten;
+            return Ok(written);
+        }
+        if !unwritten.records.is_empty() {
+            written.inputs.push(Input::Persisted { up_to: unwritten.sequence });
+        }
+        written.after_sync = unwritten.after_sync;
+        Ok(written)
+    }
+
     /// Carries out the storage part of an output: writes an installed snapshot, appends records,
     /// syncs, and writes the next part of the own snapshot. Expected for every output, so that
     /// the own snapshot advances. After `Error::Full` the whole call may be repeated.
@@ -185,7 +227,7 @@
         for (record, number) in records.iter().zip(self.next_frame..) {
             frame::encode(&mut bytes, number, self.synced_frame, record);
         }
-        self.write(&bytes)?;
+        self.write_tail(&bytes)?;
         self.length += bytes.len() as u64;
         self.next_frame += records.len() as u64;
         for record in records {
@@ -195,7 +237,7 @@
     }
 
     /// Writes to the last segment. After an error nothing of `bytes` is left in it.
-    fn write(&mut self, bytes: &[u8]) -> Result<(), Error> {
+    fn write_tail(&mut self, bytes: &[u8]) -> Result<(), Error> {
         let name = self.last_segment();
         let Err(source) = self.disk.append(&name, bytes) else { return Ok(()) };
         if self.disk.truncate(&name, self.length).is_err() {
@@ -235,7 +277,7 @@
     /// torn tail. The mark itself becomes durable later; it costs no sync and may be lost.
     fn mark(&mut self) {
         let bytes = frame::encode_mark(self.next_frame, self.synced_frame);
-        if self.write(&bytes).is_ok() {
+        if self.write_tail(&bytes).is_ok() {
             self.length += bytes.len() as u64;
             self.next_frame += 1;
         }
--- a/crates/consensus/tests/basic.rs
+++ b/crates/consensus/tests/basic.rs
@@ -12,19 +12,16 @@
 use hickoryreel_consensus::core::Role;
 use hickoryreel_consensus::storage::Store;
 
-/// Steps the inputs, persists the output and reports it until there is nothing left to persist.
+/// Steps the inputs and what the store returns until there is nothing left to write.
 fn drive(replica: &mut Replica, store: &mut Store, inputs: Vec<Input>, now: Duration) -> Output {
-    let mut all = replica.step_all(inputs, now);
-    store.persist(&all).expect("persist");
-    loop {
-        let later = replica.step(Input::Persisted { up_to: all.sequence }, now);
-        store.persist(&later).expect("persist");
-        let done = later.records.is_empty();
-        all.merge(later);
-        if done {
-            return all;
-        }
+    let mut all = Output::default();
+    let mut inputs = inputs;
+    while !inputs.is_empty() {
+        let mut output = replica.step_all(inputs, now);
+        inputs = store.write(&mut output).expect("write").inputs;
+        all.merge(output);
     }
+    all
 }
 
 fn commands(output: &Output) -> Vec<Vec<u8>> {
