--- a/crates/consensus/src/storage/mod.rs
+++ b/crates/consensus/src/storage/mod.rs
@@ -55,7 +55,7 @@
     /// Another process uses the folder.
     #[display("the folder is in use by another process")]
     InUse,
-    /// Another error of the file system.
+    /// Another error of the file system. The process must stop.
     #[display("{operation} {file}: {source}")]
     Io {
         /// Operation.
