--- a/crates/policy/src/pick.rs
+++ b/crates/policy/src/pick.rs
@@ -23,6 +23,9 @@
 /// Bytes in a gigabyte, the unit of region prices.
 const BYTES_PER_GB: f64 = 1e9;
 
+/// Holders of a prefix that are looked at, latest first.
+const MAX_HOLDERS: usize = 8;
+
 /// Settings of the endpoint choice.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -234,7 +237,7 @@
         found.extend(turned.filter(|slot| usable(*slot) == Use::Full).take(settings.compared));
     }
     let holder = ask.prefixes.iter().find_map(|(hash, _)| {
-        let mut holders = view.holders(*hash);
+        let mut holders = view.holders(*hash).take(MAX_HOLDERS);
         holders.find(|slot| slots.contains(slot) && usable(*slot) == Use::Full)
     });
     found.extend(holder);
--- a/crates/policy/src/view.rs
+++ b/crates/policy/src/view.rs
@@ -129,21 +129,22 @@
         u32::try_from(total.max(i64::from(self.open))).unwrap_or(0)
     }
 
-    /// Records that the endpoint holds the prefix with hash `prefix`.
-    pub fn add_prefix(&mut self, prefix: u64) {
+    /// Records that the endpoint holds the prefix with hash `prefix`. Returns the prefix that had to
+    /// be forgotten for it.
+    fn add_prefix(&mut self, prefix: u64) -> Option<u64> {
         if !self.prefixes.insert(prefix) {
-            return;
+            return None;
         }
         self.prefix_order.push_back(prefix);
-        if self.prefix_order.len() > MAX_PREFIXES
-            && let Some(oldest) = self.prefix_order.pop_front()
-        {
-            self.prefixes.remove(&oldest);
+        if self.prefix_order.len() <= MAX_PREFIXES {
+            return None;
         }
+        let oldest = self.prefix_order.pop_front()?;
+        self.prefixes.remove(&oldest);
+        Some(oldest)
     }
 
-    /// Records that the endpoint dropped the prefix with hash `prefix`.
-    pub fn remove_prefix(&mut self, prefix: u64) {
+    fn remove_prefix(&mut self, prefix: u64) {
         if self.prefixes.remove(&prefix) {
             self.prefix_order.retain(|held| *held != prefix);
         }
@@ -217,6 +218,8 @@
     endpoints: Vec<Endpoint>,
     by_name: HashMap<name::Endpoint, usize>,
     by_version: HashMap<Version, Vec<u32>>,
+    /// Whether the endpoint in the slot belongs to the subset of one of its versions.
+    in_subset: Vec<bool>,
     holders: HashMap<u64, SmallVec<[name::Endpoint; 2]>>,
 }
 
@@ -232,6 +235,7 @@
             endpoints: Vec::new(),
             by_name: HashMap::new(),
             by_version: HashMap::new(),
+            in_subset: Vec::new(),
             holders: HashMap::new(),
         }
     }
@@ -264,7 +268,8 @@
     /// Removes an endpoint whose announcement expired.
     pub fn remove(&mut self, id: &name::Endpoint) {
         if let Some(slot) = self.by_name.remove(id) {
-            self.endpoints.swap_remove(slot);
+            let removed = self.endpoints.swap_remove(slot);
+            removed.prefix_order.iter().for_each(|prefix| self.drop_holder(*prefix, id));
             if let Some(moved) = self.endpoints.get(slot) {
                 self.by_name.insert(moved.id.clone(), slot);
             }
@@ -380,18 +385,28 @@
         }
     }
 
-    /// Records a cache event: `id` holds, or no longer holds, the prefix with hash `prefix`.
+    /// Records a cache event: `id` holds, or no longer holds, the prefix with hash `prefix`. Events
+    /// of endpoints outside the subset are ignored.
     pub fn on_cache(&mut self, id: &name::Endpoint, prefix: u64, held: bool) {
         let Some(&slot) = self.by_name.get(id) else { return };
-        let holders = self.holders.entry(prefix).or_default();
-        holders.retain(|holder| holder != id);
-        if held {
-            holders.push(id.clone());
-            self.endpoints[slot].add_prefix(prefix);
-        } else {
+        if !self.in_subset[slot] {
+            return;
+        }
+        self.drop_holder(prefix, id);
+        if !held {
             self.endpoints[slot].remove_prefix(prefix);
+            return;
         }
-        if self.holders.get(&prefix).is_some_and(SmallVec::is_empty) {
+        self.holders.entry(prefix).or_default().push(id.clone());
+        if let Some(forgotten) = self.endpoints[slot].add_prefix(prefix) {
+            self.drop_holder(forgotten, id);
+        }
+    }
+
+    fn drop_holder(&mut self, prefix: u64, id: &name::Endpoint) {
+        let Some(holders) = self.holders.get_mut(&prefix) else { return };
+        holders.retain(|holder| holder != id);
+        if holders.is_empty() {
             self.holders.remove(&prefix);
         }
     }
@@ -399,10 +414,8 @@
     /// Slots of the endpoints that are believed to hold `prefix`, latest first.
     pub fn holders(&self, prefix: u64) -> impl Iterator<Item = u32> {
         let holders = self.holders.get(&prefix).into_iter().flatten().rev();
-        holders
-            .filter_map(|id| self.by_name.get(id))
-            .filter(move |slot| self.endpoints[**slot].holds(prefix))
-            .filter_map(|slot| u32::try_from(*slot).ok())
+        let slots = holders.filter_map(|id| self.by_name.get(id));
+        slots.filter_map(|slot| u32::try_from(*slot).ok())
     }
 
     /// Rebuilds the subset of each version: the endpoints with the smallest hash of entry and name.
@@ -421,5 +434,9 @@
             list.into_iter().map(|(_, slot)| slot).collect()
         };
         self.by_version = ranked.into_iter().map(|(v, list)| (v, first(list))).collect();
+        self.in_subset = vec![false; self.endpoints.len()];
+        for slot in self.by_version.values().flatten() {
+            self.in_subset[*slot as usize] = true;
+        }
     }
 }
--- /dev/null
+++ b/crates/policy/tests/eject.rs
@@ -0,0 +1,97 @@
+//! Ejection and return of endpoints.
+
+use std::time::Duration;
+
+use hickoryreel_policy::eject::Ejection;
+use hickoryreel_policy::eject::Outcome;
+use hickoryreel_policy::eject::Settings;
+use hickoryreel_policy::eject::Use;
+
+const GOOD: Outcome = Outcome::Answered { ratio: 1.0 };
+const SLOW: Outcome = Outcome::Answered { ratio: 10.0 };
+
+fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn after(outcomes: &[Outcome]) -> Ejection {
+    let mut ejection = Ejection::default();
+    outcomes.iter().for_each(|outcome| ejection.observe(&Settings::default(), *outcome, at(1)));
+    ejection
+}
+
+fn usable(ejection: &Ejection, now: Duration) -> Use {
+    ejection.usable(&Settings::default(), now)
+}
+
+/// Guards against a slow endpoint that stays in service.
+#[test]
+fn a_slow_endpoint_is_ejected() {
+    assert_eq!(usable(&after(&[SLOW; 2]), at(1)), Use::Full);
+    assert_eq!(usable(&after(&[SLOW; 3]), at(1)), Use::No);
+}
+
+/// Guards against an endpoint that is ejected for single outliers or for what callers do.
+#[test]
+fn outliers_and_cancellations_do_not_eject() {
+    let mixed = [GOOD, GOOD, SLOW, GOOD, Outcome::Failed, GOOD, Outcome::Failed, GOOD];
+
+    assert_eq!(usable(&after(&mixed), at(1)), Use::Full);
+    assert_eq!(usable(&after(&[Outcome::Neutral; 9]), at(1)), Use::Full);
+}
+
+/// Guards against a failing endpoint that stays in service.
+#[test]
+fn failures_in_a_row_eject() {
+    assert_eq!(usable(&after(&[Outcome::Failed; 3]), at(1)), Use::No);
+}
+
+/// Guards against a slow endpoint that is found only by the requests it delays.
+#[test]
+fn slow_reports_eject() {
+    let mut ejection = Ejection::default();
+
+    ejection.on_report(&Settings::default(), 10.0, at(1));
+    assert_eq!(usable(&ejection, at(1)), Use::Full);
+    ejection.on_report(&Settings::default(), 10.0, at(1));
+
+    assert_eq!(usable(&ejection, at(1)), Use::No);
+}
+
+/// Guards against a returning endpoint that receives full traffic at once.
+#[test]
+fn probes_go_one_at_a_time_until_three_are_good() {
+    let mut ejection = after(&[Outcome::Failed; 3]);
+    assert_eq!(usable(&ejection, at(3)), Use::Probe);
+
+    for _ in 0..3 {
+        ejection.on_sent(at(3));
+        assert_eq!(usable(&ejection, at(3)), Use::No);
+        ejection.observe(&Settings::default(), GOOD, at(4));
+    }
+
+    assert_eq!(usable(&ejection, at(4)), Use::Full);
+}
+
+/// Guards against an endpoint that is never tried again because a probe was lost.
+#[test]
+fn a_lost_probe_permits_another() {
+    let mut ejection = after(&[Outcome::Failed; 3]);
+
+    ejection.on_sent(at(3));
+
+    assert_eq!(usable(&ejection, at(12)), Use::No);
+    assert_eq!(usable(&ejection, at(13)), Use::Probe);
+}
+
+/// Guards against constant probing of an endpoint that stays bad.
+#[test]
+fn each_ejection_lasts_longer() {
+    let mut ejection = after(&[Outcome::Failed; 3]);
+
+    ejection.on_sent(at(3));
+    ejection.observe(&Settings::default(), Outcome::Failed, at(3));
+
+    assert_eq!(usable(&ejection, at(6)), Use::No);
+    assert_eq!(usable(&ejection, at(7)), Use::Probe);
+}
