--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -118,8 +118,6 @@
 
 /// Price of a good answer before the first plan, as a multiple of the dearest run.
 const FIRST_PRICE: f64 = 5.0;
-/// Most that ratings move the aim away from the target.
-const MOST_CORRECTION: f64 = 0.03;
 
 /// Beta posterior of a probability.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -179,7 +177,7 @@
         Self {
             accepted: Beta { good: 1.0, bad: 1.0 },
             good_accepted: Beta { good: 9.0, bad: 1.0 },
-            good_rejected: Beta { good: 1.0, bad: 3.0 },
+            good_rejected: Beta { good: 0.5, bad: 0.5 },
         }
     }
 }
@@ -197,9 +195,6 @@
     pub explore: f64,
     /// Relative change of the price for one plan whose expected quality misses the target by 1.
     pub gain: f64,
-    /// Change of the aim for one rating that misses it by 1. It closes the gap that the errors of
-    /// the posteriors leave.
-    pub feedback: f64,
     /// Most weight of past observations in a posterior.
     pub memory: f64,
 }
@@ -208,11 +203,10 @@
     fn default() -> Self {
         Self {
             target: 0.95,
-            margin: 0.004,
+            margin: 0.003,
             output_part: 0.85,
             explore: 0.005,
-            gain: 0.05,
-            feedback: 0.0003,
+            gain: 0.2,
             memory: 2_000.0,
         }
     }
@@ -266,13 +260,12 @@
     settings: Settings,
     posteriors: BTreeMap<(Task, Model), Posterior>,
     price: Option<f64>,
-    correction: f64,
 }
 
 impl Planner {
     /// A planner without observations.
     pub fn new(settings: Settings) -> Self {
-        Self { settings, posteriors: BTreeMap::new(), price: None, correction: 0.0 }
+        Self { settings, posteriors: BTreeMap::new(), price: None }
     }
 
     /// What is known about `model` on `task`.
@@ -292,9 +285,6 @@
         let entry = self.entry(task, model);
         let beta = if accepted { &mut entry.good_accepted } else { &mut entry.good_rejected };
         beta.observe(good, memory);
-        let aim = self.settings.target + self.settings.margin;
-        let step = self.settings.feedback * (aim - f64::from(u8::from(good)));
-        self.correction = (self.correction + step).clamp(-MOST_CORRECTION, MOST_CORRECTION);
     }
 
     /// Chooses the plan. `options` are the allowed models from cheap to dear; `two_runs` says
@@ -313,7 +303,7 @@
         let dearest = options.iter().map(|option| option.cost).fold(0.0, f64::max);
         let price = self.price.unwrap_or(FIRST_PRICE * dearest);
         let (plan, _, quality) = self.best(task, options, two_runs, price)?;
-        let wanted = self.settings.target + self.settings.margin + self.correction;
+        let wanted = self.settings.target + self.settings.margin;
         let moved = price * (self.settings.gain * (wanted - quality)).exp();
         self.price = Some(moved.clamp(0.1 * dearest, 1_000.0 * dearest));
         Some(plan)
