Guard the admission queue against extreme weights and costs

A weight of 0, or one that is tiny against the others, kept the round robin turning without end or for millions of rounds; a cost that is not a number did the same. Weights and costs are bounded, and rounds in which nobody can pay are carried out at once. A retried request of a workspace that the queue had not seen was lost; it is now queued.

--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -15,6 +15,11 @@
 
 use crate::share::Demand;
 
+/// Largest cost of one request, in slot-seconds.
+const MOST_COST: f64 = 3_600.0;
+/// Least weight of a workspace; a workspace with weight 0 would never be served.
+const LEAST_WEIGHT: f64 = 1e-3;
+
 /// Settings of the queue.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -129,6 +134,10 @@
         Self { items: VecDeque::new(), backlog: 0.0, deficit: 0.0, weight, part: 1.0, arrivals }
     }
 
+    fn first_cost(&self) -> f64 {
+        self.items.front().map_or(0.0, |item| item.cost)
+    }
+
     fn local_weight(&self) -> f64 {
         self.weight * self.part
     }
@@ -230,17 +239,11 @@
     }
 
     /// Queues the request or refuses it.
-    pub fn offer(&mut self, item: Item<T>, now: Duration) -> Offer<T> {
+    pub fn offer(&mut self, mut item: Item<T>, now: Duration) -> Offer<T> {
         let rank = item.rank.index();
-        let weight = self.weights.get(&item.workspace).copied().unwrap_or(1.0);
         let window = self.settings.window;
-        let lane = &mut self.lanes[rank];
-        if !lane.flows.contains_key(&item.workspace) {
-            lane.flows.insert(item.workspace.clone(), Flow::new(weight));
-        }
-        if let Some(flow) = lane.flows.get_mut(&item.workspace) {
-            flow.arrivals.add(item.cost, window, now);
-        }
+        item.cost = if item.cost.is_finite() { item.cost.clamp(0.0, MOST_COST) } else { MOST_COST };
+        self.flow(item.rank, &item.workspace).arrivals.add(item.cost, window, now);
         let predicted = self.predicted_wait(item.rank, &item.workspace);
         let target = self.settings.targets[rank];
         if predicted > target {
@@ -315,8 +318,20 @@
         None
     }
 
+    /// The flow of the workspace, which is created when needed.
+    fn flow(&mut self, rank: Rank, workspace: &Workspace) -> &mut Flow<T> {
+        let flows = &mut self.lanes[rank.index()].flows;
+        if !flows.contains_key(workspace) {
+            let weight = self.weights.get(workspace).copied().unwrap_or(1.0);
+            let weight = if weight.is_finite() { weight.max(LEAST_WEIGHT) } else { 1.0 };
+            flows.insert(workspace.clone(), Flow::new(weight));
+        }
+        flows.entry(workspace.clone()).or_insert_with(|| Flow::new(1.0))
+    }
+
     /// Puts back a request that could not be dispatched after all.
     pub fn put_back(&mut self, item: Item<T>) {
+        self.flow(item.rank, &item.workspace);
         let lane = &mut self.lanes[item.rank.index()];
         if let Some(flow) = lane.flows.get_mut(&item.workspace) {
             flow.deficit += item.cost;
@@ -380,18 +395,38 @@
 
     /// The workspace whose turn it is. Moves the round on until one can pay for its first request.
     fn turn(&mut self, quantum: f64) -> Option<Workspace> {
-        let heaviest =
-            self.round.iter().map(|w| self.flows[w].local_weight()).fold(0.0_f64, f64::max);
-        while let Some(workspace) = self.round.front().cloned() {
-            let flow = self.flows.get_mut(&workspace)?;
-            let cost = flow.items.front().map_or(0.0, |item| item.cost);
-            if flow.deficit >= cost {
-                return Some(workspace);
+        let weights = self.round.iter().map(|workspace| self.flows[workspace].local_weight());
+        let scale = quantum / weights.fold(f64::EPSILON, f64::max);
+        loop {
+            for _ in 0..self.round.len() {
+                let workspace = self.round.front()?;
+                let flow = self.flows.get_mut(workspace)?;
+                if flow.deficit >= flow.first_cost() {
+                    return Some(workspace.clone());
+                }
+                flow.deficit += scale * flow.local_weight();
+                self.round.rotate_left(1);
+            }
+            if self.round.is_empty() {
+                return None;
+            }
+            self.skip_rounds(scale);
+        }
+    }
+
+    /// Carries out at once the rounds in which nobody can pay. Very unequal weights would otherwise
+    /// take millions of rounds.
+    fn skip_rounds(&mut self, scale: f64) {
+        let missing = |flow: &Flow<T>| {
+            (flow.first_cost() - flow.deficit) / (scale * flow.local_weight()) - 1.0
+        };
+        let rounds = self.round.iter().map(|workspace| missing(&self.flows[workspace]));
+        let rounds = rounds.fold(f64::INFINITY, f64::min).floor().max(0.0);
+        for workspace in &self.round {
+            if let Some(flow) = self.flows.get_mut(workspace) {
+                flow.deficit += rounds * scale * flow.local_weight();
             }
-            flow.deficit += quantum * flow.local_weight() / heaviest.max(f64::EPSILON);
-            self.round.rotate_left(1);
         }
-        None
     }
 
     fn take(&mut self, workspace: &Workspace) -> Option<Item<T>> {
--- a/crates/policy/tests/queue.rs
+++ b/crates/policy/tests/queue.rs
@@ -165,3 +165,31 @@
 
     assert_eq!(next.map(|next| next.item.rank), Some(Rank::Bulk));
 }
+
+/// Guards against weights and costs that stop the round robin or a workspace.
+#[test]
+fn extreme_weights_and_costs_are_served() {
+    let weights = [("zero", 0.0), ("tiny", 1e-300), ("huge", 1e12), ("wrong", f64::NAN)];
+    let by_name = weights.iter().map(|(name, weight)| (Workspace::from(*name), *weight));
+    let mut queue: Queue<u32> = Queue::new(Settings::default(), by_name.collect());
+    for (name, _) in weights {
+        for cost in [0.0, 1e300, f64::NAN] {
+            let offer = queue.offer(Item { cost, ..item(Rank::Bulk, name, 0) }, NOW);
+            assert!(matches!(offer, Offer::Queued { .. }));
+        }
+    }
+
+    assert_eq!(serve(&mut queue, 12).len(), 12);
+}
+
+/// Guards against a retried request that is lost because its workspace is new to the queue.
+#[test]
+fn a_request_put_back_is_served_first() {
+    let mut queue = queue(Settings::default());
+    fill(&mut queue, Rank::Normal, "a", 2);
+
+    queue.put_back(item(Rank::Normal, "b", 7));
+
+    assert_eq!(serve(&mut queue, 1)[0].payload, 7);
+    assert_eq!(serve(&mut queue, 3).len(), 2);
+}
