--- a/crates/control/src/controllers/orders.rs
+++ b/crates/control/src/controllers/orders.rs
@@ -52,16 +52,27 @@
 /// Pause after an engine refused an order, before it gets the same one again.
 const REFUSED_PAUSE: Duration = Duration::from_secs(30);
 
+/// A version is loaded after no engine has served it for this long, so that an engine that starts
+/// again, or whose announcements are late, causes no load.
+const MISSING_TIME: Duration = Duration::from_secs(5);
+
 /// Order controller.
 pub(super) struct Orders {
     client: HttpClient,
+    /// Since when no engine serves a version that the bundles in use name.
+    missing: BTreeMap<Version, Instant>,
     last_sent: Option<Instant>,
     refused: BTreeMap<(Endpoint, Version), Instant>,
 }
 
 impl Default for Orders {
     fn default() -> Self {
-        Self { client: client::http_client(), last_sent: None, refused: BTreeMap::new() }
+        Self {
+            client: client::http_client(),
+            missing: BTreeMap::new(),
+            last_sent: None,
+            refused: BTreeMap::new(),
+        }
     }
 }
 
@@ -83,6 +94,7 @@
     async fn order(&mut self, control: &Control, board: &Blackboard) -> Result<(), Failure> {
         let now = Instant::now();
         let engines = engines(control.directory.present(now));
+        self.note_missing(board, &engines, now);
         observe(control, board, &engines).await?;
         let paced = self.last_sent.is_none_or(|at| now >= at + control.settings.order_interval);
         if !paced || board.orders.len() > 1 {
@@ -96,6 +108,16 @@
         self.send(control, board, holder, engine, version).await
     }
 
+    fn note_missing(&mut self, board: &Blackboard, engines: &[Engine], now: Instant) {
+        let served = |version: &Version| engines.iter().any(|one| one.versions.contains(version));
+        let missing: Vec<Version> =
+            wanted(board).into_iter().filter(|version| !served(version)).collect();
+        self.missing.retain(|version, _| missing.contains(version));
+        for version in missing {
+            self.missing.entry(version).or_insert(now);
+        }
+    }
+
     /// The unfinished order, or else the first version that no engine serves, for the engine that
     /// serves the fewest versions.
     fn next<'a>(&self, board: &Blackboard, engines: &'a [Engine]) -> Option<(&'a Engine, Version)> {
@@ -106,10 +128,9 @@
             };
             return Some((engine, version));
         }
-        let missing = wanted(board)
-            .into_iter()
-            .filter(|version| !engines.iter().any(|engine| engine.versions.contains(version)));
-        missing.into_iter().find_map(|version| {
+        let now = Instant::now();
+        let missing = self.missing.iter().filter(|(_, since)| now >= **since + MISSING_TIME);
+        missing.map(|(version, _)| version.clone()).find_map(|version| {
             let willing = engines.iter().filter(|engine| {
                 !self.refused.contains_key(&(engine.endpoint.clone(), version.clone()))
             });
@@ -142,7 +163,10 @@
         let Some(result) = post(&self.client, engine, &order).await else { return Ok(()) };
         info!(control.log, "an engine answered an order"; "endpoint" => %engine.endpoint,
             "fence" => fence, "version" => %version, "result" => ?result);
-        if result == Ended::Failed {
+        if result == Ended::Done {
+            // The announcement that shows the version comes later.
+            self.missing.insert(version, Instant::now());
+        } else {
             self.refused.insert((engine.endpoint.clone(), version), Instant::now());
         }
         propose(control, Change::Answered { fence, result }).await?;
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -59,6 +59,7 @@
     Propose { action: Action, reply: Answer<Outcome> },
     Change { change: MemberChange, reply: Answer<()> },
     Read(Reader),
+    BatchedRead(Reader),
     Inspect(Reader),
     Messages(Vec<Message>),
     Bootstrap(Members),
@@ -138,6 +139,17 @@
         self.wait(answer).await?
     }
 
+    /// Like [`Core::read`], but waits up to one tick of the log for other reads, so that many reads
+    /// need few rounds of the quorum.
+    pub async fn read_batched<T: Send + 'static>(
+        &self,
+        read: impl FnOnce(&View<'_>) -> T + Send + 'static,
+    ) -> Result<T> {
+        let (reply, answer) = oneshot::channel();
+        self.queue(Task::BatchedRead(reader(read, reply)))?;
+        self.wait(answer).await?
+    }
+
     /// Runs `inspect` on this replica's state, which may be behind.
     pub async fn inspect<T: Send + 'static>(
         &self,
--- a/crates/control/src/core/owner.rs
+++ b/crates/control/src/core/owner.rs
@@ -27,6 +27,7 @@
 use slog::info;
 use slog::warn;
 
+use super::Reader;
 use super::Start;
 use super::Task;
 use super::View;
@@ -48,6 +49,8 @@
     store: Store,
     machine: Machine,
     waiting: Waiting,
+    /// Reads that wait for the next tick.
+    batched: Vec<Reader>,
     first_members: Option<Members>,
     applied: u64,
     snapshot_at: u64,
@@ -64,6 +67,7 @@
             first_members: first_members(&restored.entries),
             machine: Machine::default(),
             waiting: Waiting::default(),
+            batched: Vec::new(),
             applied: 0,
             snapshot_at: 0,
             bytes_since_snapshot: 0,
@@ -95,6 +99,10 @@
             if Instant::now() >= next_tick {
                 next_tick = Instant::now() + TICK;
                 inputs.push(Input::Tick);
+                for reader in std::mem::take(&mut self.batched) {
+                    let token = self.waiting.add(Waiter::Read(reader));
+                    inputs.push(Input::Read { token });
+                }
                 self.retry_held()?;
             }
             for task in first.into_iter().chain(inbox.try_iter().take(MAX_STEP)) {
@@ -129,6 +137,7 @@
                 let token = self.waiting.add(Waiter::Read(reader));
                 inputs.push(Input::Read { token });
             }
+            Task::BatchedRead(reader) => self.batched.push(reader),
             Task::Inspect(reader) => reader(Ok(self.view())),
             Task::Messages(messages) => inputs.extend(messages.into_iter().map(Input::Message)),
             Task::Bootstrap(members) => {
--- a/crates/control/src/rpc.rs
+++ b/crates/control/src/rpc.rs
@@ -65,7 +65,7 @@
 async fn lease_renew(control: &Arc<Control>, renew: Renew) -> Reply<Grant> {
     let granting = Arc::clone(control);
     let (known, directory) = (renew.revision, renew.directory);
-    let read = control.core.read(move |view| {
+    let read = control.core.read_batched(move |view| {
         let holder = &renew.holder;
         if view.machine.has_lapsed(holder) {
             return Err(leases::lapsed(holder));
--- a/crates/testkit/src/wait.rs
+++ b/crates/testkit/src/wait.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 /// Pause between two polls.
-const PAUSE: Duration = Duration::from_millis(20);
+pub const PAUSE: Duration = Duration::from_millis(20);
 
 /// Limit for states that a test waits for.
 pub const LIMIT: Duration = Duration::from_secs(60);
