--- a/crates/operator/src/cli/mod.rs
+++ b/crates/operator/src/cli/mod.rs
@@ -10,6 +10,7 @@
 use crate::ops::failure::Failure;
 
 mod billing;
+mod burn;
 mod check;
 mod diff;
 mod endpoints;
@@ -94,6 +95,9 @@
     /// List billed requests
     #[bpaf(command)]
     Billing,
+    /// Report how fast each rank uses up its error budget
+    #[bpaf(command)]
+    Burn(#[bpaf(external(burn::cli))] burn::Burn),
     /// Tell whether a revision is in force at every entry
     #[bpaf(command("in-force"))]
     InForce(#[bpaf(external(in_force::cli))] in_force::InForce),
@@ -155,6 +159,7 @@
         Command::Status => status::exec(context).await,
         Command::Endpoints => endpoints::exec(context).await,
         Command::Billing => billing::exec(context).await,
+        Command::Burn(arguments) => burn::exec(context, &arguments).await,
         Command::InForce(arguments) => in_force::exec(context, &arguments).await,
         Command::Replica(arguments) => replica::exec(context, &arguments).await,
     }
--- a/crates/operator/src/ops/file.rs
+++ b/crates/operator/src/ops/file.rs
@@ -1,5 +1,8 @@
-//! Bundle files.
+//! Files that a subcommand reads or writes.
 
+use std::fs::File;
+use std::fs::OpenOptions;
+use std::io::Write;
 use std::path::Path;
 
 use hickoryreel_base::bundle;
@@ -7,7 +10,7 @@
 
 use crate::ops::failure::Failure;
 
-/// Reads the text of a bundle file.
+/// Reads the text of a file.
 pub fn read(path: &Path) -> Result<String, Failure> {
     std::fs::read_to_string(path)
         .map_err(|cause| Failure::Arguments(format!("cannot read {}: {cause}", path.display())))
@@ -20,3 +23,19 @@
         Failure::Mistakes(lines.join("\n"))
     })
 }
+
+/// Writes a text file.
+pub fn write(path: &Path, text: &str) -> Result<(), Failure> {
+    std::fs::write(path, text).map_err(|cause| not_written(path, &cause))
+}
+
+/// Adds lines to a text file, which is created if it doesn't exist.
+pub fn append(path: &Path, lines: &[String]) -> Result<(), Failure> {
+    let opened = OpenOptions::new().create(true).append(true).open(path);
+    let write = |mut file: File| lines.iter().try_for_each(|line| writeln!(file, "{line}"));
+    opened.and_then(write).map_err(|cause| not_written(path, &cause))
+}
+
+fn not_written(path: &Path, cause: &std::io::Error) -> Failure {
+    Failure::Arguments(format!("cannot write {}: {cause}", path.display()))
+}
--- a/crates/operator/src/ops/mod.rs
+++ b/crates/operator/src/ops/mod.rs
@@ -4,5 +4,6 @@
 pub mod failure;
 pub mod file;
 pub mod print;
+pub mod samples;
 pub mod wait;
 pub mod write;
--- a/crates/state/tests/withdrawals.rs
+++ b/crates/state/tests/withdrawals.rs
@@ -54,7 +54,7 @@
 
     assert_eq!(withdrawn.revision, again.revision);
     let withdrawal = &log.machine.withdrawals()["quill/v2"];
-    assert_eq!((&**withdrawal.by, &*withdrawal.reason), (SYSTEM, "error rate"));
+    assert_eq!((&*withdrawal.by, &*withdrawal.reason), (SYSTEM, "error rate"));
     assert!(log.machine.roll_out().is_some_and(|running| running.paused));
 }
 
