--- a/crates/entry/benches/overhead.rs
+++ b/crates/entry/benches/overhead.rs
@@ -38,6 +38,9 @@
 const TOKENS: u32 = 30;
 const TOKEN_MS: &str = "10";
 
+/// Longest time that is told apart, in microseconds.
+const LONGEST: u64 = 60_000_000;
+
 /// Callers of the throughput measurement.
 const CALLERS: usize = 64;
 
@@ -52,7 +55,7 @@
 
 impl Samples {
     fn new() -> Self {
-        let histogram = || Histogram::new(3).expect("precision");
+        let histogram = || Histogram::new_with_bounds(1, LONGEST, 3).expect("bounds");
         Self { first: histogram(), between: histogram(), errors: 0 }
     }
 
--- a/crates/entry/src/blackboard.rs
+++ b/crates/entry/src/blackboard.rs
@@ -21,6 +21,7 @@
     lease_until: RwLock<Option<Instant>>,
     routing: RwLock<Arc<Routing>>,
     holder: RwLock<Holder>,
+    stopping: AtomicBool,
     draining: AtomicBool,
 }
 
@@ -31,6 +32,7 @@
             lease_until: RwLock::default(),
             routing: RwLock::default(),
             holder: RwLock::new(holder),
+            stopping: AtomicBool::new(false),
             draining: AtomicBool::new(false),
         }
     }
@@ -43,6 +45,14 @@
         self.check_lease(now)
     }
 
+    /// Fails unless a load balancer should send work here at `now`.
+    pub fn check_attractive(&self, now: Instant) -> error::Result<()> {
+        if self.stopping.load(Ordering::Relaxed) {
+            return Err(Error::new(Kind::Draining, "the entry is about to shut down"));
+        }
+        self.check_ready(now)
+    }
+
     /// Fails unless the lease is valid at `now`.
     pub fn check_lease(&self, now: Instant) -> error::Result<()> {
         match *self.lease_until.read() {
@@ -84,6 +94,11 @@
         holder.incarnation = incarnation.max(holder.incarnation + 1);
     }
 
+    /// Turns readiness off; work is still taken.
+    pub fn announce_stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
     /// Stops taking new work.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -45,7 +45,7 @@
 /// Handles a call to a plain service.
 pub async fn handle(state: &mut State) -> Result<Response<Body>, gotham::handler::HandlerError> {
     let app = server::App::<App>::borrow_from(state).clone().0;
-    let mut tally = Tally::new(Arc::clone(&app.metrics));
+    let mut tally = Tally::new(Arc::clone(&app));
     Ok(match call(state, app, &mut tally).await {
         Ok(stored) => {
             tally.ok();
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -75,7 +75,7 @@
 /// Handles a completion.
 pub async fn handle(state: &mut State) -> Result<Response<Body>, gotham::handler::HandlerError> {
     let app = server::App::<App>::borrow_from(state).clone().0;
-    let mut tally = Tally::new(Arc::clone(&app.metrics));
+    let mut tally = Tally::new(Arc::clone(&app));
     let result = complete(state, app, &mut tally).await;
     Ok(result.unwrap_or_else(|fault| {
         tally.fault(&fault);
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -34,7 +34,7 @@
 
 fn ready(state: State) -> (State, Response<Body>) {
     let app = server::App::<App>::borrow_from(&state);
-    let response = match app.0.blackboard.check_ready(Instant::now()) {
+    let response = match app.0.blackboard.check_attractive(Instant::now()) {
         Ok(()) => server::json(200, &"ready"),
         Err(error) => server::error_response(&error),
     };
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -105,6 +105,8 @@
     let ticking = tokio::spawn(tick(Arc::clone(&app.schedule)));
     let stop = async {
         server::stop_signal().await;
+        app.blackboard.announce_stop();
+        tokio::time::sleep(app.settings.drain_wait).await;
         app.blackboard.drain();
         info!(app.log, "entry is draining"; "unclosed" => app.records.unclosed());
     };
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -70,6 +70,8 @@
     pub max_stored: usize,
     /// Longest time that the end of an answer waits for the acknowledged close of its record.
     pub close_wait: Duration,
+    /// Time at a stop between readiness turning off and the end of accepting.
+    pub drain_wait: Duration,
     /// Longest wait for the last records at a stop.
     pub stop_timeout: Duration,
     /// Lowest level of log lines.
@@ -104,6 +106,7 @@
             max_answer: 4 << 20,
             max_stored: 4 << 10,
             close_wait: Duration::from_secs(1),
+            drain_wait: Duration::ZERO,
             stop_timeout: Duration::from_secs(60),
             log_level: slog::Level::Info,
         }
@@ -183,7 +186,7 @@
 fn timeouts(entry: &Section<'_>, settings: &mut Settings) {
     let list = [
         ("body-timeout-ms", &mut settings.body_timeout, 10..=600_000),
-        // Six renewals have to fit into a lease of 3 s, so that one lost answer does not end it.
+        // Six renewals have to fit into a lease of 3 s, so that a few lost answers don't end it.
         ("renew-every-ms", &mut settings.renew_every, 10..=500),
         ("record-timeout-ms", &mut settings.record_timeout, 100..=60_000),
         ("dispatch-timeout-ms", &mut settings.dispatch_timeout, 100..=600_000),
@@ -192,6 +195,7 @@
         ("progress-timeout-ms", &mut settings.progress_timeout, 50..=600_000),
         ("call-timeout-ms", &mut settings.call_timeout, 50..=600_000),
         ("close-wait-ms", &mut settings.close_wait, 0..=10_000),
+        ("drain-wait-ms", &mut settings.drain_wait, 0..=600_000),
         ("stop-timeout-ms", &mut settings.stop_timeout, 0..=3_600_000),
     ];
     for (key, value, range) in list {
--- a/crates/entry/src/tally.rs
+++ b/crates/entry/src/tally.rs
@@ -4,17 +4,24 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hickoryreel_base::name::Request;
+use hickoryreel_base::name::Workspace;
 use hickoryreel_base::rank::Rank;
+use slog::debug;
+use slog::info;
 
 use crate::authority::Caller;
 use crate::fault::Fault;
 use crate::metrics;
 use crate::metrics::Ended;
 use crate::metrics::Metrics;
+use crate::run::App;
 
-/// Counts one request when it ends; a request that is dropped counts as `cancelled`.
+/// Counts and logs one request when it ends; a request that is dropped counts as `cancelled`.
 pub struct Tally {
-    metrics: Option<Arc<Metrics>>,
+    app: Option<Arc<App>>,
+    request: Option<Request>,
+    workspace: Option<Workspace>,
     arrived: Instant,
     rank: Rank,
     class: &'static str,
@@ -24,7 +31,9 @@
 impl Default for Tally {
     fn default() -> Self {
         Self {
-            metrics: None,
+            app: None,
+            request: None,
+            workspace: None,
             arrived: Instant::now(),
             rank: Rank::Normal,
             class: "unknown",
@@ -35,19 +44,27 @@
 
 impl Tally {
     /// A request that arrived now.
-    pub fn new(metrics: Arc<Metrics>) -> Self {
-        Self { metrics: Some(metrics), ..Self::default() }
+    pub fn new(app: Arc<App>) -> Self {
+        let mut tally = Self::default();
+        tally.app = Some(app);
+        tally
+    }
+
+    fn metrics(&self) -> Option<&Metrics> {
+        self.app.as_deref().map(|app| &*app.metrics)
     }
 
     /// Notes who asks.
     pub fn caller(&mut self, caller: &Caller) {
         self.rank = caller.rank;
+        self.request = Some(caller.request.clone());
+        self.workspace = Some(caller.workspace.clone());
         self.class = if caller.terms.weight > 1.0 { "large" } else { "small" };
     }
 
     /// Records the first token.
     pub fn first_token(&self) {
-        if let Some(metrics) = &self.metrics {
+        if let Some(metrics) = self.metrics() {
             let seconds = self.arrived.elapsed().as_secs_f64();
             metrics.first_token.get_or_create(&metrics::ranked(self.rank)).observe(seconds);
         }
@@ -55,7 +72,7 @@
 
     /// Records the time between two pieces.
     pub fn between_tokens(&self, gap: Duration) {
-        if let Some(metrics) = &self.metrics {
+        if let Some(metrics) = self.metrics() {
             let histogram = metrics.between_tokens.get_or_create(&metrics::ranked(self.rank));
             histogram.observe(gap.as_secs_f64());
         }
@@ -63,7 +80,7 @@
 
     /// Counts an open stream until the end of the request.
     pub fn streaming(&mut self) {
-        if let Some(metrics) = &self.metrics {
+        if let Some(metrics) = self.metrics() {
             metrics.open_streams.inc();
             self.streaming = true;
         }
@@ -71,26 +88,41 @@
 
     /// The request ended with a whole answer.
     pub fn ok(&mut self) {
-        self.end("ok");
+        self.end("ok", None);
     }
 
     /// The request ended with an error.
     pub fn fault(&mut self, fault: &Fault) {
-        self.end(fault.error.kind.answer().code);
+        self.end(fault.error.kind.answer().code, Some(fault));
     }
 
-    fn end(&mut self, outcome: &'static str) {
-        let Some(metrics) = self.metrics.take() else { return };
+    fn end(&mut self, outcome: &'static str, fault: Option<&Fault>) {
+        let Some(app) = self.app.take() else { return };
         if self.streaming {
-            metrics.open_streams.dec();
+            app.metrics.open_streams.dec();
         }
         let ended = Ended { rank: metrics::rank(self.rank), class: self.class, outcome };
-        metrics.requests.get_or_create(&ended).inc();
+        app.metrics.requests.get_or_create(&ended).inc();
+        let name = |name: Option<&str>| name.unwrap_or_default().to_owned();
+        let values = slog::o!(
+            "request" => name(self.request.as_deref()),
+            "workspace" => name(self.workspace.as_deref()),
+            "rank" => metrics::rank(self.rank),
+            "outcome" => outcome,
+            "ms" => u64::try_from(self.arrived.elapsed().as_millis()).unwrap_or(u64::MAX),
+            "revision" => app.blackboard.routing().config.revision,
+        );
+        match fault {
+            Some(fault) => {
+                info!(app.log, "request failed"; values, "error" => &fault.error.message)
+            }
+            None => debug!(app.log, "request ended"; values),
+        }
     }
 }
 
 impl Drop for Tally {
     fn drop(&mut self) {
-        self.end("cancelled");
+        self.end("cancelled", None);
     }
 }
