--- a/crates/control/src/health.rs
+++ b/crates/control/src/health.rs
@@ -4,6 +4,7 @@
 //! makes a step last longer.
 
 use std::collections::BTreeMap;
+use std::time::Instant;
 
 use hickoryreel_base::name::Version;
 use hickoryreel_policy::health::Settings;
@@ -30,11 +31,19 @@
 }
 
 /// Health of the versions that are being rolled out.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Health {
+    /// Origin of the times that the tests see.
+    origin: Instant,
     tests: Mutex<BTreeMap<Version, (Subject, Test)>>,
 }
 
+impl Default for Health {
+    fn default() -> Self {
+        Self { origin: Instant::now(), tests: Mutex::default() }
+    }
+}
+
 impl Health {
     /// The verdict on a version. The first question starts its test; a later step continues it.
     pub fn verdict(&self, subject: &Subject) -> Verdict {
@@ -49,7 +58,7 @@
             known.step = subject.step;
             test.next_step();
         }
-        test.verdict()
+        test.verdict(self.origin.elapsed())
     }
 
     /// Whether a version is being judged.
@@ -73,7 +82,7 @@
     pub fn observe(&self, version: &Version, signal: Signal) {
         for (subject, test) in self.tests.lock().values_mut() {
             if subject.version == *version {
-                test.observe(signal);
+                test.observe(signal, self.origin.elapsed());
             } else if subject.replaces.as_ref() == Some(version) {
                 test.observe_baseline(signal);
             }
