--- a/crates/control/src/health.rs
+++ b/crates/control/src/health.rs
@@ -33,14 +33,14 @@
 /// Health of the versions that are being rolled out.
 #[derive(Debug)]
 pub struct Health {
-    /// Origin of the times that the tests are given.
-    started: Instant,
+    /// Origin of the times that the tests see.
+    origin: Instant,
     tests: Mutex<BTreeMap<Version, (Subject, Test)>>,
 }
 
 impl Default for Health {
     fn default() -> Self {
-        Self { started: Instant::now(), tests: Mutex::default() }
+        Self { origin: Instant::now(), tests: Mutex::default() }
     }
 }
 
@@ -58,7 +58,7 @@
             known.step = subject.step;
             test.next_step();
         }
-        test.verdict(self.started.elapsed())
+        test.verdict(self.origin.elapsed())
     }
 
     /// Whether a version is being judged.
@@ -82,7 +82,7 @@
     pub fn observe(&self, version: &Version, signal: Signal) {
         for (subject, test) in self.tests.lock().values_mut() {
             if subject.version == *version {
-                test.observe(signal, self.started.elapsed());
+                test.observe(signal, self.origin.elapsed());
             } else if subject.replaces.as_ref() == Some(version) {
                 test.observe_baseline(signal);
             }
