Choose again when control knows of a withdrawal first

Traffic through two entries during a withdrawal got stale_revision: control refuses a record for a withdrawn version while an entry still routes by the older revision, up to 500 ms. The entry now asks for the configuration at once and chooses again; no byte was sent before. Waiting for the next renewal was ruled out, it would add the renewal period to these requests.

--- a/crates/entry/src/blackboard.rs
+++ b/crates/entry/src/blackboard.rs
@@ -11,7 +11,9 @@
 use hickoryreel_base::error::Kind;
 use hickoryreel_base::name::Version;
 use hickoryreel_state::command::Holder;
+use hickoryreel_state::command::Revision;
 use parking_lot::RwLock;
+use tokio::sync::Notify;
 
 use crate::routing::Routing;
 
@@ -23,6 +25,10 @@
     holder: RwLock<Holder>,
     stopping: AtomicBool,
     draining: AtomicBool,
+    /// Asks the lease controller to renew now.
+    hurry: Notify,
+    /// Tells that newer routing is in force.
+    changed: Notify,
 }
 
 impl Blackboard {
@@ -34,6 +40,8 @@
             holder: RwLock::new(holder),
             stopping: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            hurry: Notify::new(),
+            changed: Notify::new(),
         }
     }
 
@@ -104,6 +112,28 @@
         self.draining.store(true, Ordering::Relaxed);
     }
 
+    /// Completes when a request handler needs newer configuration.
+    pub async fn hurried(&self) {
+        self.hurry.notified().await;
+    }
+
+    /// Asks for newer configuration than `revision` and waits for it, at most `longest`.
+    pub async fn newer_than(&self, revision: Revision, longest: Duration) {
+        let newer = async {
+            loop {
+                let changed = self.changed.notified();
+                tokio::pin!(changed);
+                changed.as_mut().enable();
+                if self.routing.read().config.revision > revision {
+                    return;
+                }
+                self.hurry.notify_one();
+                changed.await;
+            }
+        };
+        let _ = tokio::time::timeout(longest, newer).await;
+    }
+
     /// The routing in force.
     pub fn routing(&self) -> Arc<Routing> {
         Arc::clone(&self.routing.read())
@@ -115,6 +145,7 @@
         let newer = routing.config.revision >= current.config.revision;
         if newer {
             *current = Arc::new(routing);
+            self.changed.notify_waiters();
         }
         newer
     }
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -29,6 +29,9 @@
 use hickoryreel_state::record::Stored;
 use hickoryreel_state::record::Target;
 use hickoryreel_state::record::Usage;
+use http_body_util::BodyExt;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::authority;
@@ -49,7 +52,7 @@
     Ok(match call(state, app, &mut tally).await {
         Ok(stored) => {
             tally.ok();
-            server::whole(stored.status, "application/json", Bytes::copy_from_slice(&stored.body))
+            passed_on(&stored)
         }
         Err(fault) => {
             tally.fault(&fault);
@@ -58,6 +61,20 @@
     })
 }
 
+/// A service's answer for the caller. An empty body is sent as a stream without chunks: the server
+/// takes a status of 404 or 405 with a body known to be empty for a path without a route, and
+/// would answer that nothing ran.
+fn passed_on(stored: &Stored) -> Response<Body> {
+    let body = Bytes::copy_from_slice(&stored.body);
+    let is_empty = body.is_empty();
+    let mut response = server::whole(stored.status, "application/json", body);
+    if is_empty {
+        let none = futures_util::stream::empty::<std::io::Result<Frame<Bytes>>>();
+        *response.body_mut() = StreamBody::new(none).boxed_unsync();
+    }
+    response
+}
+
 async fn call(state: &mut State, app: Arc<App>, tally: &mut Tally) -> Result<Stored, Fault> {
     let arrived = Instant::now();
     app.blackboard.check_ready(arrived)?;
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -8,6 +8,7 @@
 use std::borrow::Cow;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::time::Duration;
 use std::time::Instant;
 
 use bytes::Bytes;
@@ -23,6 +24,7 @@
 use hickoryreel_base::name::Version;
 use hickoryreel_base::server;
 use hickoryreel_policy::choice::Chosen;
+use hickoryreel_state::command::Revision;
 use hickoryreel_state::record::Key;
 use hickoryreel_state::record::Open;
 use hickoryreel_state::record::Outcome;
@@ -50,8 +52,12 @@
 use crate::start::Started;
 use crate::tally::Tally;
 
-/// Dispatches of one request because its session turned out to be pinned elsewhere.
-const MAX_PINNED: u32 = 2;
+/// Further dispatches of one request because control knows a newer pin of its session or a newer
+/// configuration.
+const MAX_CORRECTED: u32 = 3;
+
+/// Longest wait for the configuration that control already has.
+const NEWER_CONFIG_WAIT: Duration = Duration::from_secs(1);
 
 /// Body of a caller's request.
 #[derive(Debug, Deserialize)]
@@ -124,6 +130,8 @@
     Answering(Box<(Reply, Answer)>),
     /// The session is pinned to another version.
     Pinned(Version),
+    /// The version may not be used any more; the entry's configuration is older than control's.
+    Outdated { error: Error, revision: Revision, record: Box<Option<Record>> },
     /// The dispatch failed before a byte of the answer; `record` stays open if it was.
     Failed { fault: Fault, record: Box<Option<Record>>, endpoint: Endpoint },
 }
@@ -134,7 +142,7 @@
         let mut record = None;
         let mut tried = Vec::new();
         let mut dispatched = false;
-        let (mut attempts, mut pinned) = (0, 0);
+        let (mut attempts, mut corrected) = (0, 0);
         let late = |error: Error, dispatched| Fault { error, dispatched };
         loop {
             let routing = self.app.blackboard.routing();
@@ -148,15 +156,22 @@
             attempts += 1;
             match self.dispatch(chosen, grant, record.take()).await? {
                 Step::Answering(answering) => return Ok(*answering),
-                Step::Pinned(version) if pinned < MAX_PINNED => {
-                    pinned += 1;
+                Step::Pinned(version) if corrected < MAX_CORRECTED => {
+                    corrected += 1;
                     dispatched = true;
                     pin = Some(version);
                 }
+                Step::Outdated { revision, record: kept, .. } if corrected < MAX_CORRECTED => {
+                    corrected += 1;
+                    dispatched = true;
+                    record = *kept;
+                    self.app.blackboard.newer_than(revision, NEWER_CONFIG_WAIT).await;
+                }
                 Step::Pinned(_) => {
                     let message = "the version of the session keeps changing";
                     return Err(late(Error::new(Kind::NoEndpoint, message), true));
                 }
+                Step::Outdated { error, .. } => return Err(late(error, true)),
                 Step::Failed { mut fault, record: kept, endpoint } => {
                     dispatched |= fault.dispatched;
                     fault.dispatched = dispatched;
@@ -192,6 +207,7 @@
         record: Option<Record>,
     ) -> Result<Step, Fault> {
         let open = self.open(&chosen.version, &grant);
+        let revision = open.revision;
         let run = answer::Run {
             id: engine::run_id(&self.caller.workspace, &self.caller.request),
             endpoint: grant.endpoint.endpoint.clone(),
@@ -205,6 +221,7 @@
             Some(record) => (record, Some(open)),
             None => (self.app.records.reserve(open)?, None),
         };
+        let is_move = moved_to.is_some();
         let mut starting = Starting::Pending(Box::pin(start::start(app, dispatch)));
         record.dispatched();
         let opened = starting.beside(record.commit(moved_to)).await;
@@ -218,6 +235,10 @@
             }
             Verdict::Refused(error) => {
                 tokio::spawn(starting.discard(Arc::clone(&self.app.dial), run, grant));
+                if error.kind == Kind::StaleRevision {
+                    let record = Box::new(is_move.then_some(record));
+                    return Ok(Step::Outdated { error, revision, record });
+                }
                 return Err(Fault { error, dispatched: true });
             }
         };
--- a/crates/entry/src/lease.rs
+++ b/crates/entry/src/lease.rs
@@ -23,7 +23,10 @@
     let mut directory = 0;
     let mut was_held = false;
     loop {
-        ticks.tick().await;
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = app.blackboard.hurried() => {}
+        }
         let is_held = app.blackboard.check_lease(Instant::now()).is_ok();
         if was_held && !is_held {
             // Control ends a holder whose lease lapsed for good, so this entry needs a new one.
--- a/crates/entry/tests/membership.rs
+++ b/crates/entry/tests/membership.rs
@@ -28,7 +28,7 @@
 /// Guards against work for an endpoint that leaves, and against answers that its stop cuts off.
 #[tokio::test]
 async fn leaving_endpoint_gets_nothing_new() {
-    let mut cluster = Cluster::start(1, "").await;
+    let mut cluster = Cluster::start(2, "").await;
     let addresses = cluster.harness.addresses(1).expect("address");
     let arguments = ["--version", "small/1", "--leave-ms", "3000"];
     let mut leaving = cluster.stand_in_at(addresses[0], "engine", "e0", &arguments);
@@ -36,18 +36,7 @@
     cluster.serves("small").await;
     let cluster = Arc::new(cluster);
     let stop = Arc::new(AtomicBool::new(false));
-    let traffic = {
-        let (cluster, stop) = (Arc::clone(&cluster), Arc::clone(&stop));
-        tokio::spawn(async move {
-            let mut sent = 0;
-            while !stop.load(Ordering::Relaxed) {
-                let (status, text) = cluster.complete(0, &format!("r{sent}"), &body(4)).await;
-                assert_eq!(status, 200, "{text}");
-                sent += 1;
-            }
-            sent
-        })
-    };
+    let traffic = traffic(&cluster, &stop, 0);
     wait::until("both engines serve", || async {
         Ok((started(addresses[0], "small/1").await > 3).then_some(()))
     })
@@ -59,7 +48,10 @@
     assert!(ended.expect("stopped").success());
     stop.store(true, Ordering::Relaxed);
     assert!(traffic.await.expect("every request was answered") > 0);
-    assert_eq!(cluster.metric(0, "retries_total").await, 0.0, "nothing was sent to it at its end");
+    for entry in 0..2 {
+        let retries = cluster.metric(entry, "retries_total").await;
+        assert_eq!(retries, 0.0, "nothing was sent to the engine at its end");
+    }
 }
 
 /// Guards against a stop of an entry that cuts off a stream or leaves a record open.
@@ -98,6 +90,10 @@
     cluster.serves("small").await;
     let session = session_on(&cluster, "small/1").await;
 
+    let cluster = Arc::new(cluster);
+    let stop = Arc::new(AtomicBool::new(false));
+    let traffic: Vec<_> = (0..8).map(|caller| traffic(&cluster, &stop, caller)).collect();
+
     cluster.operate("maria-key", &["withdraw", "small/1", "--reason", "test"]).expect("withdraw");
     for entry in 0..2 {
         wait::until("the withdrawal is in force", || async {
@@ -107,9 +103,15 @@
         .expect("in force");
     }
     let before = started(engine, "small/1").await;
-    for request in 0..60 {
-        let (status, text) = cluster.complete(request % 2, &format!("r{request}"), &body(1)).await;
-        assert_eq!(status, 200, "{text}");
+    let others = started(engine, "small/2").await;
+    wait::until("the other version gets work", || async {
+        Ok((started(engine, "small/2").await > others + 100).then_some(()))
+    })
+    .await
+    .expect("traffic");
+    stop.store(true, Ordering::Relaxed);
+    for caller in traffic {
+        assert!(caller.await.expect("every request was answered") > 0);
     }
 
     assert_eq!(started(engine, "small/1").await, before);
@@ -120,6 +122,25 @@
     assert!(!head.contains("x-session-moved"), "it moves only once: {head}");
 }
 
+/// Sends one request after the other through alternating entries; counts the answers.
+fn traffic(
+    cluster: &Arc<Cluster>,
+    stop: &Arc<AtomicBool>,
+    caller: usize,
+) -> tokio::task::JoinHandle<usize> {
+    let (cluster, stop) = (Arc::clone(cluster), Arc::clone(stop));
+    tokio::spawn(async move {
+        let mut sent = 0;
+        while !stop.load(Ordering::Relaxed) {
+            let id = format!("t{caller}-{sent}");
+            let (status, text) = cluster.complete(sent % 2, &id, &body(2)).await;
+            assert_eq!(status, 200, "{text}");
+            sent += 1;
+        }
+        sent
+    })
+}
+
 /// Guards against a dispatch to a withdrawn version by an entry that was paused meanwhile.
 #[tokio::test]
 async fn paused_entry_does_not_use_a_withdrawn_version() {
--- a/crates/entry/tests/run_once.rs
+++ b/crates/entry/tests/run_once.rs
@@ -68,6 +68,22 @@
     assert!(cluster.bills("m1").len() <= 1);
 }
 
+/// Guards against a service's own empty answer that is taken for a path without a route, which
+/// would say that nothing ran.
+#[tokio::test]
+async fn empty_not_found_of_a_service_is_passed_on() {
+    let (cluster, service) = one_service(2, "").await;
+    fault(service, json!({"empty_404": true})).await;
+    let asked = now_ms();
+
+    for entry in [0, 1] {
+        let (status, text) = cluster.call(entry, "m1", "transfers", asked).await;
+        assert_eq!((status, text.as_str()), (404, ""));
+    }
+
+    assert_eq!(runs(service, "m1").await, 1);
+}
+
 /// Guards against a call whose outcome is lost because its caller did not wait.
 #[tokio::test]
 async fn caller_who_leaves_finds_the_outcome_later() {
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -38,6 +38,8 @@
     pub drop_answer: bool,
     /// A service runs the call, never answers and keeps the connection open.
     pub hang: bool,
+    /// A service answers status 404 without a body after it ran the call.
+    pub empty_404: bool,
     /// A service answers status 500 after it ran the call.
     pub fail: bool,
     /// Load reports are this old, in milliseconds.
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use gotham::helpers::http::Body;
 use gotham::hyper::HeaderMap;
 use gotham::hyper::Response;
@@ -156,6 +157,9 @@
         if faults.fail || self.switch.fails_next() {
             return server::error_response(&Error::new(Kind::Internal, "failed by fault"));
         }
+        if faults.empty_404 {
+            return server::whole(404, "application/json", Bytes::new());
+        }
         if faults.drop_answer {
             let broken = futures_util::stream::iter([Err(std::io::Error::other("cut by fault"))]);
             return Response::new(StreamBody::new(broken).boxed_unsync());
