--- a/crates/bench/src/scenario/deployments.rs
+++ b/crates/bench/src/scenario/deployments.rs
@@ -10,6 +10,7 @@
 use crate::setup::PARTS;
 use crate::setup::Policy;
 use crate::setup::Setup;
+use crate::setup::TARGETS;
 use crate::setup::auction;
 use crate::setup::registry;
 use crate::sim;
@@ -19,7 +20,11 @@
 const FLOOD_S: (u64, u64) = (10, 55);
 const STEADY_S: f64 = 20.0;
 
-/// The three measures that the weights apply to, each as a score from 0 to 1.
+/// The three measures that the weights apply to, each as a score: the part of the
+/// target that the first token p95 of urgent work leaves, times the share within the target; the
+/// worst exposure to a bad version against its bound; and the service of the other ranks against
+/// the capacity that urgent work leaves. The last is not cut off at 1, or the weights would make no
+/// difference to it.
 #[derive(Clone, Copy, Debug)]
 struct Scores {
     urgent: f64,
@@ -49,12 +54,14 @@
     let outcome = sim::run(&setup);
     let (from, to) = (STEADY_S, FLOOD_S.1 as f64);
     let served = outcome.served_rate(from, to, |record| record.rank != Rank::Urgent);
+    let first = outcome.first_token(Rank::Urgent, from, to, 0.95);
+    let target = TARGETS[0].as_secs_f64();
     let tuned = Deployment { weights: *weights, ..deployment.clone() };
     let exposed = rollout::worst_exposure(&tuned, seed);
     Scores {
-        urgent: outcome.within_target(Rank::Urgent, from, to),
+        urgent: outcome.within_target(Rank::Urgent, from, to) * (1.0 - first / target).max(0.0),
         exposure: 1.0 / (1.0 + exposed / rollout::EXPOSED),
-        flood: (served / (0.6 * capacity)).min(1.0),
+        flood: served / (0.6 * capacity),
     }
 }
 
@@ -70,7 +77,7 @@
     let result = own.weighted(&deployment.weights);
     let foreign_result = foreign.weighted(&deployment.weights);
     vec![
-        row("urgent within target in a flood", own.urgent, foreign.urgent),
+        row("urgent latency in a flood", own.urgent, foreign.urgent),
         row("containment of a bad version", own.exposure, foreign.exposure),
         row("service kept in a flood", own.flood, foreign.flood),
         Row::new(name, "weighted result", result, "score", Bound::AtLeast(foreign_result))
--- a/crates/bench/src/scenario/failure.rs
+++ b/crates/bench/src/scenario/failure.rs
@@ -20,8 +20,12 @@
 const LENGTH_S: u64 = 60;
 const BEGIN_S: u64 = 20;
 const END_S: u64 = 40;
-/// Windows in which recovery is looked for, in seconds, and the share within target that counts.
-const WINDOW_S: f64 = 0.5;
+/// Windows in which recovery is looked for, in seconds, and the share within target that counts. A
+/// shorter window holds fewer than 20 requests, of which one miss is more than 5%.
+const WINDOW_S: f64 = 1.0;
+/// Recovery that the bound allows, in seconds, and the objective for urgent work after it.
+const RECOVERY_S: f64 = 5.0;
+const OBJECTIVE: f64 = 0.995;
 const RECOVERED: f64 = 0.95;
 /// The engine that becomes slow.
 const SLOW: usize = 3;
@@ -45,11 +49,28 @@
     let mut setup = setup(deployment, seed, 0.6);
     let half = (0..deployment.engines / 2).collect();
     setup.faults = vec![(seconds(BEGIN_S), Fault::Down(half))];
-    let ours = recovery(&sim::run(&setup));
-    let in_turn = recovery(&sim::run(&setup.under(Plain::RoundRobin)));
+    let ours = sim::run(&setup);
+    let in_turn = sim::run(&setup.under(Plain::RoundRobin));
+    let after = |outcome: &Outcome| {
+        outcome.within_target(Rank::Urgent, BEGIN_S as f64 + RECOVERY_S, LENGTH_S as f64)
+    };
     vec![
-        Row::new(name, "recovery to the target for urgent work", ours, "s", Bound::AtMost(5.0))
-            .against("round robin", in_turn),
+        Row::new(
+            name,
+            "recovery to the target for urgent work",
+            recovery(&ours),
+            "s",
+            Bound::AtMost(RECOVERY_S),
+        )
+        .against("round robin", recovery(&in_turn)),
+        Row::new(
+            name,
+            "urgent within target after the recovery time",
+            after(&ours),
+            "share",
+            Bound::AtLeast(OBJECTIVE),
+        )
+        .against("round robin", after(&in_turn)),
     ]
 }
 
