--- a/crates/fuzz/src/cluster.rs
+++ b/crates/fuzz/src/cluster.rs
@@ -16,6 +16,7 @@
 use hickoryreel_base::name::Version;
 use hickoryreel_consensus::ReplicaId;
 use hickoryreel_consensus::core::Input;
+use hickoryreel_consensus::core::MemberChange;
 use hickoryreel_consensus::core::Outcome;
 use hickoryreel_consensus::sim;
 use hickoryreel_consensus::sim::Network;
@@ -110,6 +111,8 @@
     pub in_force: u64,
     /// Records settled.
     pub settled: u64,
+    /// Replicas whose disk was lost and that were replaced.
+    pub repairs: u64,
     /// Checks of guarantees.
     pub checks: u64,
 }
@@ -119,6 +122,8 @@
     pub(crate) sim: Sim<Replicated>,
     pub(crate) replicas: Vec<ReplicaId>,
     pub(crate) entries: Vec<Entry>,
+    /// A replica whose disk was lost, and the new one in its place.
+    repair: Option<(ReplicaId, ReplicaId)>,
     /// What each replica knows from its newest term as the leader.
     pub(crate) duties: BTreeMap<ReplicaId, Duties>,
     pub(crate) waits: BTreeMap<u64, Wait>,
@@ -153,6 +158,7 @@
             sim,
             replicas,
             entries: (0..3).map(Entry::new).collect(),
+            repair: None,
             duties: BTreeMap::new(),
             waits: BTreeMap::new(),
             answers: Vec::new(),
@@ -188,6 +194,7 @@
         self.take_replies();
         self.observe();
         self.perform_duties();
+        self.repair_disk();
         self.hear_answers();
         self.act();
     }
@@ -196,7 +203,7 @@
         let any = self.sim.random.random_range(0..self.replicas.len());
         let other = self.sim.random.random_range(0..self.replicas.len());
         let (id, other) = (self.replicas[any], self.replicas[other]);
-        match self.sim.random.random_range(0..12) {
+        match self.sim.random.random_range(0..13) {
             0 => self.sim.crash(id),
             1 | 2 => {
                 let time = self.sim.random.random_range(200..4_000);
@@ -206,10 +213,45 @@
             5 | 6 => self.sim.heal(),
             7 | 8 => self.restart_replicas(),
             9 => self.kill_entry(),
+            10 => self.lose_disk(id),
             _ => self.pause_entry(),
         }
     }
 
+    /// The disk of a replica is lost; a new replica takes its place. The next loss waits for the
+    /// repair.
+    fn lose_disk(&mut self, id: ReplicaId) {
+        if self.repair.is_none() {
+            self.sim.crash(id);
+            self.replicas.retain(|replica| *replica != id);
+            let new = self.sim.add();
+            self.replicas.push(new);
+            self.repair = Some((id, new));
+        }
+    }
+
+    /// Asks for the next step of the repair, one membership change at a time.
+    fn repair_disk(&mut self) {
+        let Some((old, new)) = self.repair else { return };
+        let Some(leader) = self.sim.leader() else { return };
+        let Some((_, replica)) = self.sim.get(leader) else { return };
+        let members = replica.members();
+        let change = match members.get(new) {
+            None => MemberChange::AddLearner { id: new, address: "".into() },
+            Some(member) if !member.voter => MemberChange::Promote { id: new },
+            Some(_) if members.get(old).is_some() => MemberChange::Remove { id: old },
+            Some(_) => {
+                if replica.commit_index() == replica.last_index() {
+                    self.repair = None;
+                    self.reached.repairs += 1;
+                }
+                return;
+            }
+        };
+        let token = self.next_token(Wait::Nothing);
+        self.sim.input(leader, Input::Change { token, change });
+    }
+
     fn restart_replicas(&mut self) {
         for id in self.replicas.clone() {
             if !self.sim.is_running(id) {
--- a/crates/fuzz/src/main.rs
+++ b/crates/fuzz/src/main.rs
@@ -71,12 +71,13 @@
         Ok(reached) => println!(
             "clusters, seed {seed}: {count} runs of {CLUSTER_STEPS} steps, {} commands committed, \
              {} leases granted, {} dispatches, {} withdrawals in force, {} records settled, \
-             {} checks held",
+             {} lost disks replaced, {} checks held",
             reached.committed,
             reached.grants,
             reached.dispatches,
             reached.in_force,
             reached.settled,
+            reached.repairs,
             reached.checks
         ),
         Err((seed, reason)) => {
--- a/crates/fuzz/tests/cluster.rs
+++ b/crates/fuzz/tests/cluster.rs
@@ -14,3 +14,12 @@
         assert!(reached.in_force > 0, "seed {seed}: {reached:?}");
     }
 }
+
+/// Guards against a new leader that declares a withdrawal in force while an entry still holds a
+/// lease of an earlier leader. Seed 15 failed without the wait of one lease length.
+#[test]
+fn a_new_leader_counts_unknown_leases_as_held() {
+    let reached = Cluster::new(15).run(1_500);
+
+    assert!(reached.in_force > 0, "{reached:?}");
+}
--- a/crates/state/benches/records.rs
+++ b/crates/state/benches/records.rs
@@ -135,8 +135,22 @@
     line.trim().strip_suffix(" kB")?.trim().parse::<u64>().ok().map(|kib| kib * 1024)
 }
 
+/// All logs stay alive until the end, because freed memory is used again without being resident
+/// anew.
+fn print_memory() {
+    let mut logs = Vec::new();
+    for count in [10_000, 100_000, 1_000_000] {
+        let before = resident();
+        logs.push(Log::with_records(count));
+        if let (Some(before), Some(after)) = (before, resident()) {
+            println!("{count} records: {} resident bytes each", (after - before) / count);
+        }
+    }
+}
+
 fn applies(criterion: &mut Criterion) {
     print_sizes();
+    print_memory();
     let mut group = criterion.benchmark_group("apply");
     for batch in [1, 64] {
         // 32 of 64 changes are opens; a batch of 1 alternates between opens and closes.
@@ -180,12 +194,7 @@
     let mut group = criterion.benchmark_group("snapshot");
     group.sample_size(10);
     for count in [10_000, 100_000, 1_000_000] {
-        let before = resident();
         let log = Log::with_records(count);
-        let after = resident();
-        if let (Some(before), Some(after)) = (before, after) {
-            println!("{count} records: {} resident bytes each", (after - before) / count);
-        }
         let snapshot = log.machine.snapshot();
         println!("{count} records: snapshot of {} bytes", snapshot.len());
         group.bench_function(format!("write {count}"), |bencher| {
