Grant no lease to a holder whose lapse is proposed

The simulated leader proposed the lapse of an expired holder, granted that holder a lease before the lapse was committed, and then settled its record as not run while the entry sent the request under the new lease. The machine can't see leases, so the rule belongs to control and is stated at Action::Lapse: the leader grants none from the proposal on. A lapse that is lost with a leader's term is no danger, because the next leader applies all earlier entries before it serves the read that a grant needs.

Seed 1036 is a test of its own.

--- a/crates/fuzz/src/cluster/control.rs
+++ b/crates/fuzz/src/cluster/control.rs
@@ -1,6 +1,7 @@
 //! The leader's duties: leases, withdrawals in force, settling, and the operators' writes.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use hickoryreel_base::name::Version;
@@ -24,12 +25,14 @@
 use super::entries::holder;
 
 /// What a leader knows in one of its terms; the next leader starts anew.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Duties {
     term: u64,
     /// When this leader began. Leases of earlier leaders end one length later at the latest.
     since: Duration,
     leases: BTreeMap<Holder, Lease>,
+    /// Holders whose lapse was proposed; they get no lease even before it commits.
+    lapsing: BTreeSet<Holder>,
 }
 
 #[derive(Debug)]
@@ -52,7 +55,8 @@
         let holder = holder(to.0, to.1);
         let Some((replicated, replica)) = self.sim.get(id) else { return };
         let Some(duties) = self.duties.get_mut(&id) else { return };
-        if replicated.machine.has_lapsed(&holder) || replica.role() != Role::Leader {
+        let is_ending = duties.lapsing.contains(&holder) || replicated.machine.has_lapsed(&holder);
+        if is_ending || replica.role() != Role::Leader {
             return;
         }
         let config = replicated.machine.config();
@@ -70,7 +74,7 @@
         let is_new = self.duties.get(&leader).is_none_or(|duties| duties.term != term);
         if replica.role() == Role::Leader && is_new {
             let since = self.sim.now();
-            self.duties.insert(leader, Duties { term, since, leases: BTreeMap::new() });
+            self.duties.insert(leader, Duties { term, since, ..Duties::default() });
         }
     }
 
@@ -120,6 +124,9 @@
             expires.unwrap_or(duties.since + LEASE) <= now && !machine.has_lapsed(holder)
         });
         for holder in expired.collect::<Vec<_>>() {
+            if let Some(duties) = self.duties.get_mut(&leader) {
+                duties.lapsing.insert(holder.clone());
+            }
             self.propose(leader, Action::Lapse(holder), Wait::Nothing);
         }
     }
--- a/crates/fuzz/tests/cluster.rs
+++ b/crates/fuzz/tests/cluster.rs
@@ -23,3 +23,12 @@
 
     assert!(reached.in_force > 0, "{reached:?}");
 }
+
+/// Guards against a lease that is granted between the proposal and the commit of the holder's
+/// lapse: the record was settled as not run, and the entry then sent the request. Seed 1036.
+#[test]
+fn a_holder_whose_lapse_is_proposed_gets_no_lease() {
+    let reached = Cluster::new(1036).run(1_500);
+
+    assert!(reached.settled > 0, "{reached:?}");
+}
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -45,7 +45,8 @@
     /// Enters one step of the running roll-out. Resending a step that was entered has no effect.
     Step(Step),
     /// Ends a holder for good once its lease has lapsed: it opens no more records, its open
-    /// records may be settled, and it must not be granted another lease.
+    /// records may be settled, and it must not be granted another lease. The leader grants it none
+    /// from the moment it proposes the lapse: a lease granted before the commit would outlive it.
     Lapse(Holder),
     /// Takes the next fencing number.
     TakeFence {
