--- a/crates/entry/benches/overhead.rs
+++ b/crates/entry/benches/overhead.rs
@@ -3,7 +3,8 @@
 //!
 //! Build the processes first: `cargo build --release --workspace --bins`, then
 //! `cargo bench -p hickoryreel-entry --bench overhead`. Direct and routed rounds alternate in one
-//! run, so that other load on the machine meets both. Each result is one JSON line.
+//! run, so that other load on the machine meets both. Each result is one JSON line. Arguments are
+//! numbers of open streams to measure instead of the standard ones.
 
 #[path = "../tests/common/mod.rs"]
 mod common;
@@ -20,6 +21,7 @@
 use hdrhistogram::Histogram;
 use hickoryreel_base::client;
 use hickoryreel_base::client::HttpClient;
+use hickoryreel_testkit::http::Http;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
@@ -138,12 +140,22 @@
     all
 }
 
-async fn latency(client: &HttpClient, engine: SocketAddr, entry: SocketAddr, streams: usize) {
+async fn latency(client: &HttpClient, engine: SocketAddr, cluster: &Cluster, streams: usize) {
     let (mut direct, mut routed) = (Samples::new(), Samples::new());
+    let (entry, process) = (cluster.entries[0], &cluster.entry_processes[0]);
+    let mut used = Duration::ZERO;
     for _ in 0..ROUNDS {
         direct.add(&round(client, Target::Engine(engine), streams).await);
+        let before = process.processor_time().expect("processor time");
         routed.add(&round(client, Target::Entry(entry), streams).await);
+        used += process.processor_time().expect("processor time") - before;
     }
+    let events = routed.between.len() + routed.first.len();
+    println!(
+        "{}",
+        json!({"bench": "processor", "streams": streams, "entry_s": used.as_secs_f64(),
+        "us_per_event": used.as_secs_f64() * 1e6 / events.max(1) as f64})
+    );
     let pairs =
         [("first", &direct.first, &routed.first), ("between", &direct.between, &routed.between)];
     for (measure, direct_to, routed_to) in pairs {
@@ -221,10 +233,20 @@
     let memory = resident_kb(cluster.entry_processes[0].id());
     println!("{}", json!({"bench": "memory", "idle_kb": memory}));
     let client = client::http_client();
-    for streams in STREAMS {
-        latency(&client, engine, cluster.entries[0], streams).await;
+    let asked: Vec<usize> = std::env::args().filter_map(|text| text.parse().ok()).collect();
+    for streams in if asked.is_empty() { STREAMS.to_vec() } else { asked } {
+        latency(&client, engine, &cluster, streams).await;
     }
     throughput(&client, &cluster, cluster.entries[0]).await;
     let memory = resident_kb(cluster.entry_processes[0].id());
     println!("{}", json!({"bench": "memory", "after_kb": memory}));
+    let metrics = Http::new().get(cluster.entries[0], "/metrics").await.expect("metrics");
+    let text = String::from_utf8_lossy(&metrics.body).into_owned();
+    for line in text.lines().filter(|line| {
+        line.contains("_requests_total")
+            || line.contains("resumes_total")
+            || line.contains("retries_total")
+    }) {
+        println!("{}", json!({"bench": "metric", "line": line}));
+    }
 }
--- a/crates/entry/src/dial.rs
+++ b/crates/entry/src/dial.rs
@@ -127,6 +127,10 @@
     pub fn keep(&self, connection: Connection) {
         let mut idle = self.idle.lock();
         let list = idle.entry(connection.address).or_default();
+        // The oldest are at the front, because the latest one is used first.
+        let timeout = self.settings.idle_timeout;
+        let expired = list.iter().take_while(|(since, _)| since.elapsed() >= timeout).count();
+        list.drain(..expired);
         if list.len() < self.settings.idle_most {
             list.push((Instant::now(), connection));
         }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -97,7 +97,7 @@
             record_timeout: Duration::from_secs(3),
             dispatch_timeout: Duration::from_secs(60),
             connect_timeout: Duration::from_millis(500),
-            idle_connections: 64,
+            idle_connections: 512,
             first_event_timeout: Duration::from_secs(5),
             progress_timeout: Duration::from_secs(2),
             resumes: 5,
--- a/crates/entry/src/tally.rs
+++ b/crates/entry/src/tally.rs
@@ -103,6 +103,9 @@
         }
         let ended = Ended { rank: metrics::rank(self.rank), class: self.class, outcome };
         app.metrics.requests.get_or_create(&ended).inc();
+        if fault.is_none() && !app.settings.log_level.is_at_least(slog::Level::Debug) {
+            return;
+        }
         let name = |name: Option<&str>| name.unwrap_or_default().to_owned();
         let values = slog::o!(
             "request" => name(self.request.as_deref()),
