--- a/crates/consensus/tests/membership.rs
+++ b/crates/consensus/tests/membership.rs
@@ -113,11 +113,12 @@
 fn messages_for_another_identity_are_dropped() {
     let (mut sim, leader, others) = cluster(3);
     let new = sim.add();
-    let last = Position { index: 50, term: 4 };
-    let body = Body::Vote { last, transfer: true };
-    let message = Message { from: leader, to: others[0], term: 9, body };
-    sim.input(new, Input::Message(message));
+    let previous = Position::default();
+    let append = Body::Append { previous, entries: Vec::new(), commit: 0, round: 1 };
+    sim.input(new, common::message(leader, others[0], 9, append.clone()));
     assert_eq!(replica(&sim, new).term(), 0);
+    sim.input(new, common::message(leader, new, 9, append));
+    assert_eq!(replica(&sim, new).term(), 9);
 }
 
 /// Guards against a voter that holds nothing: a quorum that counts it could lose data, and a
@@ -146,6 +147,40 @@
     assert!(matches!(change(&mut sim, leader, 103, promote), Outcome::Committed { .. }));
 }
 
+/// Guards against a voter that trails so far that commits wait for its catch-up.
+#[test]
+fn learner_that_fell_behind_is_not_promoted() {
+    let (mut sim, leader, _) = cluster(3);
+    let new = sim.add();
+    must_change(&mut sim, 100, add_learner(new));
+    sim.run_for(SECOND);
+    sim.cut(leader, new);
+    for token in 0..5 {
+        sim.input(leader, Input::Propose { token, payload: vec![1] });
+    }
+    let late = change(&mut sim, leader, 101, MemberChange::Promote { id: new });
+    assert_eq!(late, Outcome::Refused(Refusal::NotCaughtUp));
+    sim.heal();
+    must_change(&mut sim, 102, MemberChange::Promote { id: new });
+}
+
+/// Guards against a first replica that cannot become a cluster. Only the first one is started with
+/// a member set; the others join it.
+#[test]
+fn cluster_grows_from_one_voter() {
+    let (mut sim, first, _) = cluster(1);
+    fill(&mut sim, first, 0..5);
+    for round in 0..2 {
+        let new = sim.add();
+        must_change(&mut sim, 100 + 10 * round, add_learner(new));
+        must_change(&mut sim, 101 + 10 * round, MemberChange::Promote { id: new });
+    }
+    sim.crash(first);
+    let next = elect(&mut sim);
+    assert_eq!(sim.get(next).unwrap().0.0.len(), 5);
+    fill(&mut sim, next, 10..12);
+}
+
 /// Guards against a learner that answers but holds nothing yet, while the log is shorter than the
 /// permitted lag.
 #[test]
@@ -173,7 +208,9 @@
     sim.run_for(SECOND);
     assert_eq!(replica(&sim, new).role(), Role::Learner);
     sim.crash(others[0]);
+    sim.crash(new);
     fill(&mut sim, leader, 0..3);
+    sim.start(new);
     sim.crash(others[1]);
     sim.run_for(2 * SECOND);
     assert_ne!(replica(&sim, leader).role(), Role::Leader);
@@ -242,6 +279,24 @@
     assert_eq!(replica(&sim, next).term(), replica(&sim, removed).term().max(term + 1));
 }
 
+/// Guards against a removed member whose vote requests raise the term while there is no leader, so
+/// that the others' elections fail.
+#[test]
+fn outdated_stranger_does_not_raise_the_term() {
+    let (mut sim, leader, others) = cluster(3);
+    fill(&mut sim, leader, 0..3);
+    sim.run_for(SECOND);
+    let id = others[0];
+    let mut voter = common::take(&mut sim, id, &common::small_settings());
+    let (term, last) = (voter.term(), voter.last_index());
+    let vote = |index| Body::Vote { last: Position { index, term }, transfer: false };
+    let stranger = ReplicaId(12_345);
+    voter.step(common::message(stranger, id, term + 5, vote(last - 1)), SECOND);
+    assert_eq!(voter.term(), term);
+    voter.step(common::message(others[1], id, term + 5, vote(last - 1)), SECOND);
+    assert_eq!(voter.term(), term + 5);
+}
+
 /// Guards against a leader that stays in office, or leaves a gap of an election timeout, after its
 /// own removal.
 #[test]
