Cancel a superseded run before the next one with its id

Shown to fail with the safeguard removed, then restored: refused_permit_ writes_nothing and paused_entry_does_not_use_a_withdrawn_version (check before the write), answer_is_whole_despite::duplicates (offsets), caller_who_leaves_ cancels_the_run (cancel), failed_service::{fails,refuses} (status 5xx), empty_not_found_of_a_service_is_passed_on (empty 404).

--- a/crates/entry/src/blackboard.rs
+++ b/crates/entry/src/blackboard.rs
@@ -74,7 +74,7 @@
         self.check_lease(now)?;
         if self.routing.read().config.withdrawn.contains(version) {
             let message = format!("version {version} was withdrawn before the dispatch");
-            return Err(Error::new(Kind::NoEndpoint, message));
+            return Err(Error::new(Kind::StaleRevision, message));
         }
         Ok(())
     }
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -36,6 +36,7 @@
 
 use crate::authority;
 use crate::authority::Caller;
+use crate::completion;
 use crate::fault::Fault;
 use crate::records::Record;
 use crate::run::App;
@@ -197,7 +198,9 @@
                 Ok(stored)
             }
             Sent::NotRun(error) => {
-                grant.on_failure();
+                if !completion::is_own_check(error.kind) {
+                    grant.on_failure();
+                }
                 record.undo_dispatch();
                 Err(Fault { error, dispatched: false })
             }
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -131,7 +131,7 @@
     /// The session is pinned to another version.
     Pinned(Version),
     /// The version may not be used any more; the entry's configuration is older than control's.
-    Outdated { error: Error, revision: Revision, record: Box<Option<Record>> },
+    Outdated { revision: Revision, record: Box<Option<Record>>, dispatched: bool },
     /// The dispatch failed before a byte of the answer; `record` stays open if it was.
     Failed { fault: Fault, record: Box<Option<Record>>, endpoint: Endpoint },
 }
@@ -161,21 +161,24 @@
                     dispatched = true;
                     pin = Some(version);
                 }
-                Step::Outdated { revision, record: kept, .. } if corrected < MAX_CORRECTED => {
+                Step::Outdated { revision, record: kept, dispatched: sent }
+                    if corrected < MAX_CORRECTED =>
+                {
                     corrected += 1;
-                    dispatched = true;
+                    dispatched |= sent;
                     record = *kept;
                     self.app.blackboard.newer_than(revision, NEWER_CONFIG_WAIT).await;
                 }
-                Step::Pinned(_) => {
-                    let message = "the version of the session keeps changing";
+                Step::Pinned(_) | Step::Outdated { .. } => {
+                    let message = "the version for the request keeps changing";
                     return Err(late(Error::new(Kind::NoEndpoint, message), true));
                 }
-                Step::Outdated { error, .. } => return Err(late(error, true)),
                 Step::Failed { mut fault, record: kept, endpoint } => {
                     dispatched |= fault.dispatched;
                     fault.dispatched = dispatched;
-                    if !self.app.schedule.take_retry(&self.caller.workspace, attempts) {
+                    if is_own_check(fault.error.kind)
+                        || !self.app.schedule.take_retry(&self.caller.workspace, attempts)
+                    {
                         return Err(fault);
                     }
                     tried.push(endpoint);
@@ -230,15 +233,16 @@
             Verdict::Proceed { moved } => moved,
             Verdict::Pinned(version) => {
                 self.app.pins.put(&self.caller, &version);
-                tokio::spawn(starting.discard(Arc::clone(&self.app.dial), run, grant));
+                self.withdraw(starting, run).await;
                 return Ok(Step::Pinned(version));
             }
+            Verdict::Refused(error) if error.kind == Kind::StaleRevision => {
+                self.withdraw(starting, run).await;
+                let record = Box::new(is_move.then_some(record));
+                return Ok(Step::Outdated { revision, record, dispatched: true });
+            }
             Verdict::Refused(error) => {
                 tokio::spawn(starting.discard(Arc::clone(&self.app.dial), run, grant));
-                if error.kind == Kind::StaleRevision {
-                    let record = Box::new(is_move.then_some(record));
-                    return Ok(Step::Outdated { error, revision, record });
-                }
                 return Err(Fault { error, dispatched: true });
             }
         };
@@ -249,6 +253,13 @@
         Ok(self.settle(started, open_run, chosen.version, moved))
     }
 
+    /// Takes back a dispatch that another one of this request follows. The cancel is awaited: the
+    /// next run has the same id, and a late cancel would end it.
+    async fn withdraw(&self, starting: Starting, run: answer::Run) {
+        drop(starting);
+        run_guard::cancel(Arc::clone(&self.app.dial), run).await;
+    }
+
     fn settle(
         &self,
         started: Started,
@@ -280,8 +291,12 @@
             Started::Failed(error) => (error, true),
         };
         let endpoint = open_run.run.endpoint.clone();
-        let fault = Fault { error, dispatched };
-        Step::Failed { fault, record: Box::new(open_run.give_up(dispatched)), endpoint }
+        let record = Box::new(open_run.give_up(dispatched, !is_own_check(error.kind)));
+        if error.kind == Kind::StaleRevision {
+            // The newer configuration is in force here already.
+            return Step::Outdated { revision: 0, record, dispatched };
+        }
+        Step::Failed { fault: Fault { error, dispatched }, record, endpoint }
     }
 
     fn open(&self, version: &Version, grant: &Grant) -> Open {
@@ -313,6 +328,11 @@
     }
 }
 
+/// Whether the entry's own check refused the write; the endpoint has no part in it.
+pub fn is_own_check(kind: Kind) -> bool {
+    matches!(kind, Kind::NoLease | Kind::DeadlineUnmet | Kind::StaleRevision)
+}
+
 /// What the outcome of an open means for the request.
 enum Verdict {
     Proceed { moved: bool },
--- a/crates/entry/src/run_guard.rs
+++ b/crates/entry/src/run_guard.rs
@@ -54,10 +54,12 @@
     }
 
     /// Gives up the run and keeps its record for a run elsewhere. A run that may have started is
-    /// cancelled.
-    pub fn give_up(mut self, dispatched: bool) -> Option<Record> {
+    /// cancelled. `by_endpoint` tells whether the endpoint failed, and not the entry's own check.
+    pub fn give_up(mut self, dispatched: bool, by_endpoint: bool) -> Option<Record> {
         let (record, mut grant) = self.held.take()?;
-        grant.on_failure();
+        if by_endpoint {
+            grant.on_failure();
+        }
         if !dispatched {
             return Some(record);
         }
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -25,6 +25,7 @@
 use hickoryreel_wire::engine::RunState;
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
+use hyper::body::Frame;
 use hyper::header::HeaderValue;
 use parking_lot::Mutex;
 use serde_json::json;
@@ -158,7 +159,11 @@
             return server::error_response(&Error::new(Kind::Internal, "failed by fault"));
         }
         if faults.empty_404 {
-            return server::whole(404, "application/json", Bytes::new());
+            // A stream, because the server replaces a 404 whose body is known to be empty.
+            let none = futures_util::stream::empty::<std::io::Result<Frame<Bytes>>>();
+            let mut response = Response::new(StreamBody::new(none).boxed_unsync());
+            *response.status_mut() = hyper::StatusCode::NOT_FOUND;
+            return response;
         }
         if faults.drop_answer {
             let broken = futures_util::stream::iter([Err(std::io::Error::other("cut by fault"))]);
