Answer unrouted paths from the table only in processes of their own answers

The shared server turned every empty 404 into not_found with ran: no, also one that the entry passed on from a service that had run: a false "not run". The entry's test empty_not_found_of_a_service_is_passed_on found it. Only control asks for these answers now; other processes answer unrouted paths with an empty body as before.

--- a/crates/base/src/server.rs
+++ b/crates/base/src/server.rs
@@ -59,6 +59,28 @@
     router: Router,
     app: Arc<A>,
     stop: impl Future<Output = ()>,
+) {
+    serve_inner(listener, router, app, stop, false).await;
+}
+
+/// Like [`serve`], and answers paths without a route from the error table. Only for processes that
+/// never pass on another server's answer: an empty 404 of a service that ran must not become "not
+/// run".
+pub async fn serve_own<A: Send + Sync + 'static>(
+    listener: TcpListener,
+    router: Router,
+    app: Arc<A>,
+    stop: impl Future<Output = ()>,
+) {
+    serve_inner(listener, router, app, stop, true).await;
+}
+
+async fn serve_inner<A: Send + Sync + 'static>(
+    listener: TcpListener,
+    router: Router,
+    app: Arc<A>,
+    stop: impl Future<Output = ()>,
+    own: bool,
 ) {
     let router = Arc::new(router);
     let graceful = GracefulShutdown::new();
@@ -77,7 +99,7 @@
         let router = Arc::clone(&router);
         let app = App(Arc::clone(&app));
         let service =
-            service_fn(move |request| handle(Arc::clone(&router), app.clone(), request, peer));
+            service_fn(move |request| handle(Arc::clone(&router), app.clone(), request, peer, own));
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEADER_TIMEOUT)
@@ -93,12 +115,13 @@
     app: App<A>,
     request: Request<hyper::body::Incoming>,
     peer: SocketAddr,
+    own: bool,
 ) -> Result<Response<Body>, Infallible> {
     let mut state = State::from_request(request, peer);
     state.put(app);
     let response = call_handler(router, AssertUnwindSafe(state)).await;
     Ok(match response {
-        Ok(response) if is_unrouted(&response) => {
+        Ok(response) if own && is_unrouted(&response) => {
             error_response(&Error::new(Kind::NotFound, "no such path with this method"))
         }
         Ok(response) => response,
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -108,7 +108,7 @@
     info!(log, "control replica is up"; "rpc" => %control.settings.rpc,
         "admin" => %control.settings.admin);
     let (stop, stopping) = watch::channel(false);
-    let serving = tokio::spawn(server::serve(
+    let serving = tokio::spawn(server::serve_own(
         listener,
         admin::router(),
         Arc::clone(&control),
