Let a suspicion slow down or hold the step of a roll-out

A new command sets the pace of the present step; entries route by the step's share times its pace, and the next step starts at full pace. Using pause was ruled out: it leaves the share as it is and needs an operator to go on.

The oracle of the fuzzing models the pace, and its events set it. A state test covers holds, repeats, late decisions and the next step. Health tests are soft state: a new leader starts at full pace until it has evidence of its own. Not yet on the running system: pacing by the traffic and the rating delay, and the signals for latency and run-time checks.

--- a/crates/control/src/controllers/roll_out.rs
+++ b/crates/control/src/controllers/roll_out.rs
@@ -1,7 +1,8 @@
 //! Advances roll-outs by steps.
 //!
 //! A step lasts at least the bundle's `step-s`, and ends when every version that is new in the
-//! bundle is healthy. A bad version is withdrawn. When the exposure budget of a step is spent
+//! bundle is healthy. A suspicion slows the step down or holds it until late ratings settle it; a bad
+//! version is withdrawn. When the exposure budget of a step is spent
 //! without enough evidence, the roll-out is paused until an operator resumes or advances it.
 
 use futures_util::FutureExt;
@@ -11,10 +12,13 @@
 use hickoryreel_base::name::Operator;
 use hickoryreel_base::name::Request;
 use hickoryreel_base::name::Version;
+use hickoryreel_policy::health::SLOW_PART;
 use hickoryreel_state::command::Action;
 use hickoryreel_state::command::BundleId;
 use hickoryreel_state::command::Change;
+use hickoryreel_state::command::FULL_PACE;
 use hickoryreel_state::command::Operation;
+use hickoryreel_state::command::Pace;
 use hickoryreel_state::command::SYSTEM;
 use hickoryreel_state::command::Step;
 use hickoryreel_state::machine::Outcome;
@@ -41,6 +45,7 @@
 enum Decision {
     Wait,
     Advance,
+    Pace(u8),
     Hold,
     Withdraw(Version, String),
 }
@@ -64,6 +69,7 @@
             match decide(control, board, running, candidate) {
                 Decision::Wait => Ok(()),
                 Decision::Advance => advance(control, running).await,
+                Decision::Pace(parts) => pace(control, running, parts).await,
                 Decision::Hold => hold(control, board, running).await,
                 Decision::Withdraw(version, reason) => {
                     withdraw(control, running, version, &reason).await
@@ -123,6 +129,10 @@
     if running.paused {
         return Decision::Wait;
     }
+    let parts = verdicts.iter().map(|(_, verdict)| parts(*verdict)).min().unwrap_or(FULL_PACE);
+    if running.step > 0 && parts != running.pace {
+        return Decision::Pace(parts);
+    }
     if running.step == 0 {
         return Decision::Advance;
     }
@@ -136,6 +146,26 @@
     }
 }
 
+/// Parts of the step's share that may take new requests under a verdict.
+fn parts(verdict: Verdict) -> u8 {
+    match verdict {
+        Verdict::Hold | Verdict::Bad(_) => 0,
+        // The policy lets one in SLOW_PART requests of the step through.
+        Verdict::Slow => FULL_PACE / u8::try_from(SLOW_PART).unwrap_or(FULL_PACE),
+        Verdict::Learning | Verdict::Healthy => FULL_PACE,
+    }
+}
+
+async fn pace(control: &Control, running: &roll_out::RollOut, parts: u8) -> Result<(), Failure> {
+    let pace = Pace { bundle: running.bundle, step: running.step, parts };
+    if let Outcome::Operation(answer) = control.propose(Action::Pace(pace)).await? {
+        let accepted = answer?;
+        info!(control.log, "roll-out changed its pace"; "bundle" => pace.bundle,
+            "step" => pace.step, "parts" => parts, "revision" => accepted.revision);
+    }
+    Ok(())
+}
+
 async fn advance(control: &Control, running: &roll_out::RollOut) -> Result<(), Failure> {
     let step = Step { bundle: running.bundle, number: running.step + 1 };
     if let Outcome::Operation(answer) = control.propose(Action::Step(step)).await? {
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -29,8 +29,8 @@
     pub config: Config,
     /// The active bundle.
     pub active: Option<Arc<Bundle>>,
-    /// The bundle under roll-out and its share of requests in percent.
-    pub candidate: Option<(Arc<Bundle>, u8)>,
+    /// The bundle under roll-out and its share of requests, 0 to 1.
+    pub candidate: Option<(Arc<Bundle>, f64)>,
 }
 
 impl Routing {
@@ -41,7 +41,7 @@
             .candidate
             .as_ref()
             .map(|candidate| {
-                Ok::<_, eyre::Report>((parse(&candidate.published)?, candidate.percent))
+                Ok::<_, eyre::Report>((parse(&candidate.published)?, candidate.share()))
             })
             .transpose()?;
         Ok(Self { config, active, candidate })
@@ -116,7 +116,7 @@
             .as_deref()
             .ok_or_else(|| Error::new(Kind::NoEndpoint, "no bundle is in force"))?;
         let candidate = self.candidate.as_ref();
-        let candidate = candidate.map(|(bundle, percent)| (&**bundle, f64::from(*percent) / 100.0));
+        let candidate = candidate.map(|(bundle, share)| (&**bundle, *share));
         Ok(choice::Config { active, candidate, withdrawn })
     }
 
--- a/crates/fuzz/src/event.rs
+++ b/crates/fuzz/src/event.rs
@@ -1,5 +1,6 @@
 //! What operators, entries, endpoints and the network do, as small numbers that shrink well.
 
+use hickoryreel_state::command::FULL_PACE;
 use proptest::prelude::*;
 use proptest::strategy::BoxedStrategy;
 
@@ -31,6 +32,8 @@
     Resend(u8),
     /// A controller enters the step after the present one, or another one.
     Step(u8),
+    /// A controller sets the pace of the present step, or of another one.
+    Pace { ahead: u8, parts: u8 },
     /// A caller's request arrives at an entry.
     Request(Request),
     /// Record changes reach the log. `keep` leaves them in the network to arrive again; without
@@ -133,6 +136,7 @@
             .prop_map(|(allowed, restores)| Event::Publish { allowed, restores }),
         1 => byte().prop_map(Event::Resend),
         2 => (0..3u8).prop_map(Event::Step),
+        1 => (0..2u8, 0..=FULL_PACE + 1).prop_map(|(ahead, parts)| Event::Pace { ahead, parts }),
         12 => request().prop_map(Event::Request),
         14 => (proptest::collection::vec(byte(), 1..4), prop::bool::weighted(0.25), prop::bool::weighted(0.9))
             .prop_map(|(picks, keep, answered)| Event::Deliver { picks, keep, answered }),
--- a/crates/fuzz/src/oracle.rs
+++ b/crates/fuzz/src/oracle.rs
@@ -65,6 +65,7 @@
     percent: u8,
     started_ms: u64,
     is_paused: bool,
+    pace: u8,
 }
 
 #[derive(Clone, Debug)]
@@ -150,6 +151,11 @@
                 self.prune_all(at_ms);
                 Answer::Operation(result)
             }
+            Action::Pace(pace) => {
+                let result = self.pace(*pace);
+                self.prune_all(at_ms);
+                Answer::Operation(result)
+            }
             Action::Records(changes) => {
                 let answers = changes.iter().map(|change| self.record(at_ms, change)).collect();
                 for change in changes {
--- a/crates/fuzz/src/oracle/operations.rs
+++ b/crates/fuzz/src/oracle/operations.rs
@@ -3,7 +3,9 @@
 use hickoryreel_base::error::Kind;
 use hickoryreel_state::command::BundleId;
 use hickoryreel_state::command::Change;
+use hickoryreel_state::command::FULL_PACE;
 use hickoryreel_state::command::Operation;
+use hickoryreel_state::command::Pace;
 use hickoryreel_state::command::Revision;
 use hickoryreel_state::command::Step;
 
@@ -142,8 +144,7 @@
             self.put_into_force(id);
             return Ok(());
         }
-        let (step, percent, is_paused) = (0, 0, false);
-        self.roll_out = Some(RollOut { bundle: id, step, percent, started_ms: at_ms, is_paused });
+        self.run(at_ms, id, 0, 0);
         Ok(())
     }
 
@@ -164,12 +165,15 @@
         if percent == 100 {
             self.put_into_force(id);
         } else {
-            let is_paused = false;
-            self.roll_out =
-                Some(RollOut { bundle: id, step, percent, started_ms: at_ms, is_paused });
+            self.run(at_ms, id, step, percent);
         }
     }
 
+    fn run(&mut self, at_ms: u64, bundle: BundleId, step: u32, percent: u8) {
+        let (is_paused, pace) = (false, FULL_PACE);
+        self.roll_out = Some(RollOut { bundle, step, percent, started_ms: at_ms, is_paused, pace });
+    }
+
     fn put_into_force(&mut self, id: BundleId) {
         self.active = Some(id);
         self.roll_out = None;
@@ -209,6 +213,17 @@
         }
     }
 
+    pub(super) fn pace(&mut self, pace: Pace) -> Result<Revision, Kind> {
+        let running = self.running_mut(pace.bundle)?;
+        if running.step != pace.step || pace.parts > FULL_PACE {
+            return Err(Kind::WrongState);
+        }
+        let changes = running.pace != pace.parts;
+        running.pace = pace.parts;
+        self.revision += u64::from(changes);
+        Ok(self.revision)
+    }
+
     pub(super) fn prune_writes(&mut self, at_ms: u64) {
         let before_ms = at_ms.saturating_sub(self.limits.answer_age_ms);
         while let Some((_, _, at_ms)) = self.writes.first() {
--- a/crates/fuzz/src/world.rs
+++ b/crates/fuzz/src/world.rs
@@ -14,6 +14,7 @@
 use hickoryreel_state::command::Command;
 use hickoryreel_state::command::Holder;
 use hickoryreel_state::command::Operation;
+use hickoryreel_state::command::Pace;
 use hickoryreel_state::command::RecordChange;
 use hickoryreel_state::command::SYSTEM;
 use hickoryreel_state::command::Step;
@@ -132,6 +133,7 @@
                 }
             }
             Event::Step(ahead) => self.step(*ahead),
+            Event::Pace { ahead, parts } => self.pace(*ahead, *parts),
             Event::Request(request) => self.request(request),
             Event::Deliver { picks, keep, answered } => self.deliver(picks, *keep, *answered),
             Event::Proceed { pick, phases } => self.proceed(*pick, *phases),
@@ -210,6 +212,11 @@
         self.issue(Action::Step(Step { bundle, number: step + u32::from(ahead) }));
     }
 
+    fn pace(&mut self, ahead: u8, parts: u8) {
+        let (bundle, step) = self.oracle.running().unwrap_or((1, 0));
+        self.issue(Action::Pace(Pace { bundle, step: step + u32::from(ahead), parts }));
+    }
+
     fn order(&mut self, controller: u8, order: &Order) {
         let holder = ["leader-1", "leader-2"][usize::from(controller)].into();
         let change = match order {
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -44,6 +44,8 @@
     Records(Vec<RecordChange>),
     /// Enters one step of the running roll-out. Resending a step that was entered has no effect.
     Step(Step),
+    /// A controller slows down, holds or releases the running step.
+    Pace(Pace),
     /// Ends a holder for good once its lease has lapsed: it opens no more records, its open
     /// records may be settled, and it must not be granted another lease. The leader grants it none
     /// from the moment it proposes the lapse: a lease granted before the commit would outlive it.
@@ -68,6 +70,23 @@
     pub number: u32,
 }
 
+/// Parts of a step's share that take new requests when the step is neither slowed nor held.
+pub const FULL_PACE: u8 = 8;
+
+/// How much of a step's share takes new requests.
+///
+/// A suspicion against a version must not expose more requests until it is settled, and it must
+/// not need an operator when it turns out to be wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Pace {
+    /// The bundle.
+    pub bundle: BundleId,
+    /// The step it is in, counted from 1 in the bundle's list.
+    pub step: u32,
+    /// Parts of [`FULL_PACE`]; 0 holds the step.
+    pub parts: u8,
+}
+
 /// A write by an operator.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Operation {
--- a/crates/state/src/config.rs
+++ b/crates/state/src/config.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 
 use crate::command::BundleId;
+use crate::command::FULL_PACE;
 use crate::command::Revision;
 
 /// Configuration in force at one revision.
@@ -43,4 +44,13 @@
     pub step: u32,
     /// Whether the roll-out is paused.
     pub paused: bool,
+    /// Parts of [`FULL_PACE`] of the share that take new requests.
+    pub pace: u8,
+}
+
+impl Candidate {
+    /// Share of requests that follow the bundle at the present pace, 0 to 1.
+    pub fn share(&self) -> f64 {
+        f64::from(self.percent) / 100.0 * f64::from(self.pace) / f64::from(FULL_PACE)
+    }
 }
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -156,6 +156,7 @@
         match action {
             Action::Operate(operation) => Outcome::Operation(self.operate(at_ms, operation)),
             Action::Step(step) => Outcome::Operation(self.step(at_ms, *step)),
+            Action::Pace(pace) => Outcome::Operation(self.pace(*pace)),
             Action::Records(changes) => {
                 let changes = changes.iter();
                 Outcome::Records(changes.map(|change| self.record(at_ms, change)).collect())
--- a/crates/state/src/roll_out.rs
+++ b/crates/state/src/roll_out.rs
@@ -13,6 +13,8 @@
 
 use crate::admission::Rules;
 use crate::command::BundleId;
+use crate::command::FULL_PACE;
+use crate::command::Pace;
 use crate::command::Step;
 use crate::config::Candidate;
 use crate::config::Published;
@@ -42,6 +44,8 @@
     pub exposed_total: u64,
     /// Whether it is paused.
     pub paused: bool,
+    /// Parts of [`FULL_PACE`] of the step's share that take new requests.
+    pub pace: u8,
 }
 
 impl Machine {
@@ -68,9 +72,10 @@
             exposed: 0,
             exposed_total: 0,
             paused: false,
+            pace: FULL_PACE,
         });
         self.contents.config.candidate =
-            Some(Candidate { published, percent: 0, step: 0, paused: false });
+            Some(Candidate { published, percent: 0, step: 0, paused: false, pace: FULL_PACE });
         self.rules = Rules::of(&self.contents.config);
         Ok(Some(id))
     }
@@ -122,6 +127,34 @@
         step.number >= 1 && step.number <= reached
     }
 
+    /// Slows down, holds or releases the running step. The present pace is accepted again without
+    /// effect.
+    pub(crate) fn pace(&mut self, pace: Pace) -> error::Result<Accepted> {
+        let running = self.running(pace.bundle)?;
+        if running.step != pace.step {
+            let message = format!("bundle {} is in step {}", pace.bundle, running.step);
+            return Err(wrong_state(message));
+        }
+        if pace.parts > FULL_PACE {
+            let message = format!("found {} parts, expected 0 to {FULL_PACE}", pace.parts);
+            return Err(wrong_state(message));
+        }
+        if running.pace != pace.parts {
+            self.set_pace(pace.parts);
+            self.contents.config.revision += 1;
+        }
+        Ok(Accepted { revision: self.contents.config.revision, bundle: Some(pace.bundle) })
+    }
+
+    fn set_pace(&mut self, parts: u8) {
+        if let Some(running) = &mut self.contents.roll_out {
+            running.pace = parts;
+        }
+        if let Some(candidate) = &mut self.contents.config.candidate {
+            candidate.pace = parts;
+        }
+    }
+
     /// Enters a larger share of traffic for an operator.
     pub(crate) fn advance(
         &mut self,
@@ -208,6 +241,7 @@
             }
             return;
         }
+        self.set_pace(FULL_PACE);
         if let Some(running) = &mut self.contents.roll_out {
             running.step = step;
             running.percent = percent;
--- a/crates/state/tests/common/mod.rs
+++ b/crates/state/tests/common/mod.rs
@@ -13,6 +13,7 @@
 use hickoryreel_state::command::Command;
 use hickoryreel_state::command::Holder;
 use hickoryreel_state::command::Operation;
+use hickoryreel_state::command::Pace;
 use hickoryreel_state::command::RecordChange;
 use hickoryreel_state::command::Step;
 use hickoryreel_state::machine::Accepted;
@@ -100,6 +101,14 @@
         }
     }
 
+    /// Sets the pace of a step for a controller.
+    pub fn pace(&mut self, pace: Pace) -> error::Result<Accepted> {
+        match self.apply(Action::Pace(pace)) {
+            Outcome::Operation(answer) => answer,
+            other => panic!("unexpected outcome {other:?}"),
+        }
+    }
+
     pub fn step(&mut self, bundle: BundleId, number: u32) -> error::Result<Accepted> {
         match self.apply(Action::Step(Step { bundle, number })) {
             Outcome::Operation(result) => result,
--- a/crates/state/tests/roll_outs.rs
+++ b/crates/state/tests/roll_outs.rs
@@ -4,6 +4,8 @@
 
 use hickoryreel_base::error::Kind;
 use hickoryreel_state::command::Change;
+use hickoryreel_state::command::FULL_PACE;
+use hickoryreel_state::command::Pace;
 use hickoryreel_state::machine::Stage;
 use hickoryreel_state::record::Open;
 
@@ -138,3 +140,27 @@
 
     assert_eq!((running.exposed, running.exposed_total), (1, 2));
 }
+
+/// Guards against a suspicion that keeps exposing requests, one that outlives its step, and a
+/// controller's decision about an earlier step that changes the present one.
+#[test]
+fn a_pace_holds_its_step_only_and_changes_the_revision_once() {
+    let mut log = rolling();
+    let entered = log.step(2, 1).expect("the step is entered").revision;
+    let share = |log: &Log| log.machine.config().candidate.as_ref().map(|one| one.share());
+
+    let held = log.pace(Pace { bundle: 2, step: 1, parts: 0 });
+    let share_held = share(&log);
+    let again = log.pace(Pace { bundle: 2, step: 1, parts: 0 });
+    let too_much = log.pace(Pace { bundle: 2, step: 1, parts: FULL_PACE + 1 });
+    log.at_ms += STEP_MS;
+    log.step(2, 2).expect("the next step is entered");
+    let late = log.pace(Pace { bundle: 2, step: 1, parts: 0 });
+
+    assert_eq!(held.map(|accepted| accepted.revision), Ok(entered + 1));
+    assert_eq!(again.map(|accepted| accepted.revision), Ok(entered + 1));
+    assert_eq!(share_held, Some(0.0));
+    assert_eq!(too_much.map_err(|error| error.kind), Err(Kind::WrongState));
+    assert_eq!(late.map_err(|error| error.kind), Err(Kind::WrongState));
+    assert_eq!(share(&log), Some(0.5));
+}
