Show the weight store and the rater in the demo

Both stand-ins existed, and nothing used them: the rater offered its ratings while control expects them to be sent, and engines loaded versions without reading weights.

Entries do not hand answers to the rater yet.

--- a/crates/control/src/admin/soft.rs
+++ b/crates/control/src/admin/soft.rs
@@ -43,6 +43,7 @@
     let ratings: Vec<Rating> = server::read_json(state, MAX_BODY, BODY_TIMEOUT).await?;
     let control = super::control(state);
     for Rating { version, good } in ratings {
+        control.metrics.ratings.inc();
         control.health.observe(&version, Signal::Rating { good });
     }
     Ok("taken")
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -37,6 +37,8 @@
     pub renewals: Counter,
     /// Records settled after their entry died.
     pub settled: Counter,
+    /// Ratings received.
+    pub ratings: Counter,
     registry: Registry,
 }
 
@@ -57,6 +59,7 @@
             dropped_messages: Counter::default(),
             renewals: Counter::default(),
             settled: Counter::default(),
+            ratings: Counter::default(),
             registry: Registry::with_prefix("hickoryreel_control"),
         };
         metrics.register();
@@ -90,5 +93,6 @@
         registry.register("lease_renewals", "Leases granted", self.renewals.clone());
         let help = "Records settled after their entry died";
         registry.register("settled_records", help, self.settled.clone());
+        registry.register("ratings", "Ratings received", self.ratings.clone());
     }
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -19,6 +20,8 @@
 use gotham::router::builder::build_simple_router;
 use gotham::state::FromState;
 use gotham::state::State;
+use hickoryreel_base::client;
+use hickoryreel_base::client::Call;
 use hickoryreel_base::error::Error;
 use hickoryreel_base::error::Kind;
 use hickoryreel_base::name::Version;
@@ -67,6 +70,8 @@
     pub prefill_bytes_per_s: f64,
     /// Whether orders with an old fencing number are refused.
     pub checks_fence: bool,
+    /// Address of the weight store that a load order reads from.
+    pub weights: Option<SocketAddr>,
 }
 
 /// The engine.
@@ -216,7 +221,11 @@
 async fn orders(state: &mut State) -> Handled {
     let engine = engine_of(state);
     let order = server::read_json::<Order>(state, MAX_BODY, BODY_TIMEOUT).await;
-    Ok(match order.and_then(|order| engine.carry_out(&order)) {
+    let carried_out = match order {
+        Ok(order) => engine.fetch_weights(&order).await.and_then(|()| engine.carry_out(&order)),
+        Err(error) => Err(error),
+    };
+    Ok(match carried_out {
         Ok(()) => server::json(200, &engine.describe()),
         Err(error) => server::error_response(&error),
     })
@@ -269,6 +278,24 @@
         })
     }
 
+    /// Reads the weights for a load order; fails while the store's rate limit is reached.
+    async fn fetch_weights(&self, order: &Order) -> Result<(), Error> {
+        let (OrderAction::Load(version), Some(store)) = (&order.action, self.settings.weights)
+        else {
+            return Ok(());
+        };
+        let url = format!("http://{store}/v1/weights/{version}");
+        let sent = Call { url, ..Call::default() }.send(&client::http_client()).await;
+        match sent {
+            Ok(answer) if answer.status == 200 => Ok(()),
+            Ok(answer) => {
+                let message = format!("the weight store answered with status {}", answer.status);
+                Err(Error::new(Kind::QueueFull, message))
+            }
+            Err(cause) => Err(Error::new(Kind::EndpointUnavailable, format!("{cause:#}"))),
+        }
+    }
+
     fn carry_out(&self, order: &Order) -> Result<(), Error> {
         if order.expires_ms < unix_millis() {
             return Err(Error::new(Kind::WrongState, "the order has expired"));
--- a/scripts/lib/cluster.sh
+++ b/scripts/lib/cluster.sh
@@ -32,14 +32,14 @@
   pids+=("$!")
 }
 
-# Retries a command for up to 10 s.
+# Retries a command for up to 20 s.
 eventually() {
   local tries
-  for tries in $(seq 100); do
+  for tries in $(seq 200); do
     if "$@" >/dev/null 2>&1; then return 0; fi
     sleep 0.1
   done
-  fail "not reached in 10 s: $*"
+  fail "not reached in 20 s: $*"
 }
 
 # Chooses ports for three control replicas and COUNT entries. Sets rpc, admin, replicas, entries.
