Send the cluster key from the entry to control

Cause: control replicas with a cluster-key refuse JSON-RPC calls without it, and the entry had no setting for the key, so it only worked with unprotected control.

The entry's settings get cluster-key; every JSON-RPC call carries it as a bearer token. An empty value counts as absent, as in control. The header value is marked sensitive, so that it does not show in debug output.

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -10,6 +10,8 @@
 use hickoryreel_wire::rpc::Refusal;
 use hickoryreel_wire::rpc::Reply;
 use jsonrpsee::core::client::ClientT;
+use jsonrpsee::http_client::HeaderMap;
+use jsonrpsee::http_client::HeaderValue;
 use jsonrpsee::http_client::HttpClient;
 use jsonrpsee::http_client::HttpClientBuilder;
 use jsonrpsee::rpc_params;
@@ -26,13 +28,20 @@
 }
 
 impl Control {
-    /// A client of the replicas at `addresses`.
-    pub fn new(addresses: &[SocketAddr]) -> eyre::Result<Self> {
+    /// A client of the replicas at `addresses`, which sends `cluster_key` with every call.
+    pub fn new(addresses: &[SocketAddr], cluster_key: Option<&str>) -> eyre::Result<Self> {
+        let mut headers = HeaderMap::new();
+        if let Some(key) = cluster_key {
+            let mut value = HeaderValue::from_str(&format!("Bearer {key}"))?;
+            value.set_sensitive(true);
+            headers.insert("authorization", value);
+        }
         let replicas = addresses
             .iter()
             .map(|address| {
                 let client = HttpClientBuilder::default()
                     .request_timeout(CALL_TIMEOUT)
+                    .set_headers(headers.clone())
                     .build(format!("http://{address}"))?;
                 Ok::<_, eyre::Report>((*address, client))
             })
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -61,7 +61,7 @@
 
 /// Runs an entry until SIGTERM.
 pub fn run(settings: Settings) -> eyre::Result<()> {
-    let control = Arc::new(Control::new(&settings.control)?);
+    let control = Arc::new(Control::new(&settings.control, settings.cluster_key.as_deref())?);
     let (records, record_controller) =
         Records::new(Arc::clone(&control), settings.max_records, settings.record_timeout);
     let incarnation = unix_millis();
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -26,6 +26,8 @@
     pub listen: SocketAddr,
     /// JSON-RPC addresses of the control replicas.
     pub control: Vec<SocketAddr>,
+    /// Key that calls to the control replicas carry; they carry none when absent.
+    pub cluster_key: Option<String>,
     /// Region of this VM.
     pub region: Region,
     /// Availability zone of this VM.
@@ -84,6 +86,7 @@
             name: Entry::from("entry"),
             listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             control: Vec::new(),
+            cluster_key: None,
             region: Region::from("region"),
             zone: Zone::from("zone"),
             announce_key_sha256: None,
@@ -143,6 +146,7 @@
             name: entry.required("name", "a name")?,
             listen: entry.required("listen", "ADDRESS:PORT")?,
             control: entry.list("control", "ADDRESS:PORT"),
+            cluster_key: entry.text("cluster-key").filter(|key| !key.is_empty()),
             region: entry.required("region", "a region name")?,
             zone: entry.required("zone", "an availability zone name")?,
             announce_key_sha256: announce_key(&entry),
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -34,6 +34,11 @@
     /// Starts control and `count` entries and brings the bundle into force. `settings` is appended
     /// to the settings of each entry.
     pub(crate) async fn start(count: usize, settings: &str) -> Self {
+        Self::start_with_control(count, settings, "").await
+    }
+
+    /// Like [`Cluster::start`]; `control` is appended to the section `[control]`.
+    pub(crate) async fn start_with_control(count: usize, settings: &str, control: &str) -> Self {
         let harness = Harness::new().expect("harness");
         let addresses = harness.addresses(2 + count).expect("addresses");
         let (rpc, admin) = (addresses[0], addresses[1]);
@@ -45,7 +50,7 @@
             entry_processes: Vec::new(),
             others: Vec::new(),
         };
-        cluster.start_control();
+        cluster.start_control(control);
         for index in 0..count {
             let process = cluster.start_entry(index, rpc, settings);
             cluster.entry_processes.push(process);
@@ -57,11 +62,11 @@
         cluster
     }
 
-    fn start_control(&mut self) {
+    fn start_control(&mut self, extra: &str) {
         let data = self.harness.folder().join("control");
         let hash = hickoryreel_base::bundle::key_sha256;
         let settings = format!(
-            "[control]\nrpc = {}\nadmin = {}\ndata = {}\n[operators]\nmaria = {}\nnikos = {}\n",
+            "[control]\nrpc = {}\nadmin = {}\ndata = {}\n{extra}\n[operators]\nmaria = {}\nnikos = {}\n",
             self.rpc,
             self.admin,
             data.display(),
