Export the counters of the service-level objective from the entry

Cause: the burn report reads hickoryreel_slo_requests_total and hickoryreel_slo_good_requests_total from /metrics, and no entry exported them.

Every completion and service call counts once when it ends, except those refused with a 4xx status other than 429. Good are whole answers whose first event, or whole answer of a service, came within the first-token-ms of the rank in the active bundle. Callers who leave early count as not good. Before a bundle is active there is no deployment, so nothing counts. Requests refused before the caller is known count as rank normal.

The counting of service calls, of full queues and of callers who leave has no test yet.

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -30,12 +30,25 @@
     pub rank: &'static str,
 }
 
+/// Labels of the counters of the service-level objective. The burn report reads them.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Objective {
+    /// Deployment of the active bundle.
+    pub deployment: String,
+    /// Rank of the request.
+    pub rank: &'static str,
+}
+
 /// All metrics of an entry.
 #[derive(Debug)]
 pub struct Metrics {
     registry: Mutex<Registry>,
     /// Finished requests.
     pub requests: Family<Ended, Counter>,
+    /// Requests that count towards the objective.
+    pub objective_total: Family<Objective, Counter>,
+    /// Requests answered whole within the rank's target for the first token.
+    pub objective_good: Family<Objective, Counter>,
     /// Requests in the queue of each rank.
     pub queued: Family<Ranked, Gauge>,
     /// Seconds from the arrival of a request to its first token.
@@ -67,6 +80,8 @@
         let metrics = Self {
             registry: Mutex::default(),
             requests: Family::default(),
+            objective_total: Family::default(),
+            objective_good: Family::default(),
             queued: Family::default(),
             first_token: Family::new_with_constructor(|| seconds(0.001)),
             between_tokens: Family::new_with_constructor(|| seconds(0.000_5)),
@@ -93,6 +108,16 @@
 impl Metrics {
     fn register(&self) {
         let mut registry = self.registry.lock();
+        registry.register(
+            "hickoryreel_slo_requests",
+            "Requests that count towards the objective",
+            self.objective_total.clone(),
+        );
+        registry.register(
+            "hickoryreel_slo_good_requests",
+            "Requests answered within target",
+            self.objective_good.clone(),
+        );
         let registry = registry.sub_registry_with_prefix("hickoryreel_entry");
         registry.register("requests", "Finished requests", self.requests.clone());
         registry.register("queued", "Requests in the queue", self.queued.clone());
--- a/crates/entry/src/tally.rs
+++ b/crates/entry/src/tally.rs
@@ -15,6 +15,7 @@
 use crate::metrics;
 use crate::metrics::Ended;
 use crate::metrics::Metrics;
+use crate::metrics::Objective;
 use crate::run::App;
 
 /// Counts and logs one request when it ends; a request that is dropped counts as `cancelled`.
@@ -23,6 +24,8 @@
     request: Option<Request>,
     workspace: Option<Workspace>,
     arrived: Instant,
+    /// Time from the arrival to the first token.
+    first: Option<Duration>,
     rank: Rank,
     class: &'static str,
     streaming: bool,
@@ -35,6 +38,7 @@
             request: None,
             workspace: None,
             arrived: Instant::now(),
+            first: None,
             rank: Rank::Normal,
             class: "unknown",
             streaming: false,
@@ -63,9 +67,11 @@
     }
 
     /// Records the first token.
-    pub fn first_token(&self) {
+    pub fn first_token(&mut self) {
+        let first = self.arrived.elapsed();
+        self.first = Some(first);
         if let Some(metrics) = self.metrics() {
-            let seconds = self.arrived.elapsed().as_secs_f64();
+            let seconds = first.as_secs_f64();
             metrics.first_token.get_or_create(&metrics::ranked(self.rank)).observe(seconds);
         }
     }
@@ -103,6 +109,11 @@
         }
         let ended = Ended { rank: metrics::rank(self.rank), class: self.class, outcome };
         app.metrics.requests.get_or_create(&ended).inc();
+        let status = fault.map(|fault| fault.error.kind.answer().status);
+        // Mistakes of the caller say nothing about the service; a full queue does.
+        if !status.is_some_and(|status| (400..500).contains(&status) && status != 429) {
+            self.count_objective(&app, outcome == "ok");
+        }
         if fault.is_none() && !app.settings.log_level.is_at_least(slog::Level::Debug) {
             return;
         }
@@ -122,6 +133,22 @@
             None => debug!(app.log, "request ended"; values),
         }
     }
+
+    /// Counts the request towards the objective. Without an active bundle there is none.
+    fn count_objective(&self, app: &App, whole: bool) {
+        let routing = app.blackboard.routing();
+        let Some(bundle) = &routing.active else { return };
+        let Some(deployment) = &bundle.deployment else { return };
+        let labels =
+            Objective { deployment: deployment.to_string(), rank: metrics::rank(self.rank) };
+        let target = Duration::from_millis(bundle.rank(self.rank).first_token_ms.into());
+        // The answer of a plain service has no first token; the whole answer counts.
+        let first = self.first.unwrap_or_else(|| self.arrived.elapsed());
+        app.metrics.objective_total.get_or_create(&labels).inc();
+        if whole && first <= target {
+            app.metrics.objective_good.get_or_create(&labels).inc();
+        }
+    }
 }
 
 impl Drop for Tally {
