Release a record's permit before its close is answered

Cause: broken_connections_leave_nothing_behind was seen failing once with unclosed_records 1 instead of 0. The record controller answered the waiting request first and released the permit, from which the metric is computed, afterwards. A caller with its answer in hand could read the metric in between. The controller now releases the permit first.

The metric may also be above 0 after an answer that ended because close-wait-ms passed before control acknowledged the close.

Ruled out: a record left open by the broken connections.

Which of the two causes led to the one failure that was seen is not known.

--- a/crates/entry/src/records.rs
+++ b/crates/entry/src/records.rs
@@ -56,7 +56,7 @@
     /// After this time the change is given up; a close never is.
     until: Option<Instant>,
     tries: u32,
-    _permit: Option<Arc<OwnedSemaphorePermit>>,
+    permit: Option<Arc<OwnedSemaphorePermit>>,
 }
 
 impl Records {
@@ -107,7 +107,7 @@
     ) -> error::Result<Outcome> {
         let (reply, outcome) = oneshot::channel();
         let until = Some(Instant::now() + self.timeout);
-        let pending = Pending { change, reply: Some(reply), until, tries: 0, _permit: permit };
+        let pending = Pending { change, reply: Some(reply), until, tries: 0, permit };
         self.queue.send(pending).map_err(|_| stopped())?;
         outcome.await.map_err(|_| stopped())?
     }
@@ -204,8 +204,7 @@
             answer,
         };
         let change = RecordChange::Close(close);
-        let pending =
-            Pending { change, reply: Some(reply), until: None, tries: 0, _permit: permit };
+        let pending = Pending { change, reply: Some(reply), until: None, tries: 0, permit };
         // The controller outlives the requests; it ends with the process only.
         let _ = self.records.queue.send(pending);
         acknowledged
@@ -295,6 +294,8 @@
     }
 
     fn answer(&mut self, outcome: error::Result<Outcome>) {
+        // Whoever sees the answer must not find the record counted as unclosed any more.
+        self.permit = None;
         if let Some(reply) = self.reply.take() {
             // The request may have been given up.
             let _ = reply.send(outcome);
