Feed the queues of an entry with a digest of all entries' demand

The queue can divide a workspace's weight over entries, but nothing fed it, so a workspace got a full share at each entry. Renew now carries the entry's demand; the leader sums it twice a second over entries with a lease, and Grant returns the totals with the entry's own part of the same digest. A new leader has none for the first 500 ms; without one every weight counts whole as before.

Ruled out: comparing the demand just sent with the others' older demand, since parts then don't add up to one. Totals of workspaces that the entry did not publish are left out, since they change no part.

Not measured: fairness over several real entries under load.

--- a/crates/control/examples/measure/entry.rs
+++ b/crates/control/examples/measure/entry.rs
@@ -24,6 +24,7 @@
 use hickoryreel_testkit::http;
 use hickoryreel_testkit::http::Http;
 use hickoryreel_wire::admin::Write;
+use hickoryreel_wire::rpc;
 use hickoryreel_wire::rpc::Grant;
 use hickoryreel_wire::rpc::Renew;
 use hickoryreel_wire::rpc::Reply;
@@ -55,7 +56,7 @@
     /// Renews the lease and takes in a new revision.
     pub(crate) async fn renew(&mut self) -> eyre::Result<()> {
         let (holder, revision) = (self.holder.clone(), self.revision);
-        let renew = Renew { holder, revision, directory: self.directory };
+        let renew = Renew { holder, revision, directory: self.directory, usage: rpc::Usage::new() };
         let reply: Reply<Grant> =
             self.client.request(method::LEASE_RENEW, rpc_params![renew]).await?;
         let grant = reply.map_err(|refusal| refusal.error)?;
--- a/crates/control/src/leases.rs
+++ b/crates/control/src/leases.rs
@@ -15,8 +15,12 @@
 use hickoryreel_base::name::Entry;
 use hickoryreel_state::command::Holder;
 use hickoryreel_state::command::Revision;
+use hickoryreel_wire::rpc::Digest;
+use hickoryreel_wire::rpc::Usage;
 use parking_lot::Mutex;
 
+use crate::digest::Digests;
+
 /// The leader's table of leases.
 #[derive(Debug)]
 pub struct Leases {
@@ -33,6 +37,7 @@
     /// Holders for which a lapse is proposed. They must not be granted another lease, although the
     /// lapse may not be applied yet.
     lapsing: BTreeSet<Holder>,
+    digests: Digests,
 }
 
 #[derive(Debug)]
@@ -40,6 +45,8 @@
     until: Instant,
     /// Revision the entry confirmed with its newest renewal.
     revision: Revision,
+    /// Demand the entry published with its newest renewal.
+    usage: Usage,
 }
 
 /// Whether a revision is in force at every entry.
@@ -60,22 +67,26 @@
     }
 
     /// Grants a lease. To be called by a leader of `term` that has confirmed its quorum after the
-    /// renewal arrived.
+    /// renewal arrived. Takes in the entry's `usage` and returns the newest digest for it.
     pub fn grant(
         &self,
         term: u64,
         holder: &Holder,
         revision: Revision,
+        usage: Usage,
         now: Instant,
-    ) -> error::Result<()> {
+    ) -> error::Result<Option<Digest>> {
         let mut inner = self.inner.lock();
         inner.lead(term, now, self.counted);
         if inner.lapsing.contains(holder) {
             return Err(lapsed(holder));
         }
         let until = now + self.counted;
-        inner.held.insert(holder.clone(), Held { until, revision });
-        Ok(())
+        inner.held.insert(holder.clone(), Held { until, revision, usage });
+        let Inner { held, digests, .. } = &mut *inner;
+        let live = held.iter().filter(|(_, held)| held.until > now);
+        digests.refresh(now, live.map(|(holder, held)| (holder, &held.usage)));
+        Ok(digests.of(holder))
     }
 
     /// Whether every entry that may hold a lease has confirmed `revision`.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod client;
 pub mod controllers;
 pub mod core;
+pub mod digest;
 pub mod directory;
 pub mod first_start;
 pub mod guard;
--- a/crates/control/src/rpc.rs
+++ b/crates/control/src/rpc.rs
@@ -75,11 +75,12 @@
             let message = format!("revision {known} is newer than {}", config.revision);
             return Err(Error::new(Kind::MalformedRequest, message));
         }
-        granting.leases.grant(view.term(), holder, known, Instant::now())?;
-        Ok((config.revision, (config.revision != known).then(|| config.clone())))
+        let digest =
+            granting.leases.grant(view.term(), holder, known, renew.usage, Instant::now())?;
+        Ok((config.revision, (config.revision != known).then(|| config.clone()), digest))
     });
     let granted = read.await.map_err(refusal)?;
-    let (revision, config) = granted.map_err(|error| refusal(error.into()))?;
+    let (revision, config, digest) = granted.map_err(|error| refusal(error.into()))?;
     control.metrics.renewals.inc();
     let delta = control.directory.delta(directory, Instant::now());
     Ok(Grant {
@@ -90,6 +91,7 @@
         whole: delta.whole,
         changed: delta.changed,
         gone: delta.gone,
+        digest,
     })
 }
 
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -26,6 +26,7 @@
 use hickoryreel_wire::rpc::Grant;
 use hickoryreel_wire::rpc::Renew;
 use hickoryreel_wire::rpc::Reply;
+use hickoryreel_wire::rpc::Usage;
 use hickoryreel_wire::rpc::method;
 use jsonrpsee::core::client::ClientT;
 use jsonrpsee::rpc_params;
@@ -116,7 +117,8 @@
         replica: SocketAddr,
         revision: Revision,
     ) -> eyre::Result<Reply<Grant>> {
-        let renew = Renew { holder: self.holder.clone(), revision, directory: 0 };
+        let holder = self.holder.clone();
+        let renew = Renew { holder, revision, directory: 0, usage: Usage::default() };
         call(replica, method::LEASE_RENEW, &renew).await
     }
 
--- a/crates/entry/src/lease.rs
+++ b/crates/entry/src/lease.rs
@@ -32,6 +32,7 @@
             // Control ends a holder whose lease lapsed for good, so this entry needs a new one.
             app.blackboard.renew_holder(unix_millis());
             directory = 0;
+            app.schedule.on_digest(None);
             warn!(app.log, "the lease lapsed");
         }
         was_held = is_held;
@@ -39,6 +40,7 @@
             holder: app.blackboard.holder(),
             revision: app.blackboard.routing().config.revision,
             directory,
+            usage: app.schedule.usage(),
         };
         // The length counts from before the call, so that a slow answer can't stretch the lease.
         let asked = Instant::now();
@@ -93,6 +95,8 @@
             }
         }
     }
+    // After the configuration, which makes new queues.
+    app.schedule.on_digest(grant.digest.as_ref());
     if app.blackboard.routing().config.revision >= grant.revision {
         app.blackboard.extend_lease(asked + Duration::from_millis(grant.length_ms));
     }
--- a/crates/entry/src/schedule.rs
+++ b/crates/entry/src/schedule.rs
@@ -31,12 +31,15 @@
 use hickoryreel_policy::queue::Queue;
 use hickoryreel_policy::queue::Refusal;
 use hickoryreel_policy::retry::Budget;
+use hickoryreel_policy::share::Demand;
 use hickoryreel_policy::view;
 use hickoryreel_policy::view::View;
 use hickoryreel_policy::weights::Tuning;
 use hickoryreel_wire::endpoint::Announcement;
 use hickoryreel_wire::endpoint::Role;
 use hickoryreel_wire::endpoint::State;
+use hickoryreel_wire::rpc::Digest;
+use hickoryreel_wire::rpc::Usage;
 use parking_lot::Mutex;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -58,6 +61,9 @@
 /// Weight of a new observation in the learned cost factor.
 const SMOOTHING: f64 = 0.05;
 
+/// Units of [`Usage`] in one slot.
+const USAGE_UNITS: f64 = 1e6;
+
 /// What a request needs from an endpoint.
 #[derive(Clone, Debug)]
 pub struct Wish {
@@ -357,6 +363,42 @@
         self.inner.lock().budget.on_success(workspace);
     }
 
+    /// This entry's demand, to be published for the next digest.
+    pub fn usage(&self) -> Usage {
+        let now = self.now();
+        let mut usage = Usage::new();
+        for (name, pool) in &self.inner.lock().pools {
+            for ((rank, workspace), slots) in pool.queue.demand(now) {
+                let amount = (slots * USAGE_UNITS) as u64;
+                if amount > 0 {
+                    let ranks = usage.entry(name.clone()).or_default();
+                    ranks.entry(rank).or_default().insert(workspace, amount);
+                }
+            }
+        }
+        usage
+    }
+
+    /// Takes in the newest digest. Without one, every workspace has its whole weight here.
+    pub fn on_digest(&self, digest: Option<&Digest>) {
+        let mut inner = self.inner.lock();
+        for (name, pool) in &mut inner.pools {
+            let Some(digest) = digest else {
+                pool.queue.forget_digest();
+                continue;
+            };
+            let (mut own, mut total) = (Demand::new(), Demand::new());
+            for (rank, workspaces) in digest.get(name).into_iter().flatten() {
+                for (workspace, (part, sum)) in workspaces {
+                    let key = (*rank, workspace.clone());
+                    own.insert(key.clone(), *part as f64 / USAGE_UNITS);
+                    total.insert(key, *sum as f64 / USAGE_UNITS);
+                }
+            }
+            pool.queue.on_digest(&own, &total);
+        }
+    }
+
     fn now(&self) -> Duration {
         self.origin.elapsed()
     }
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -238,6 +238,13 @@
         }
     }
 
+    /// Forgets the digest: this entry counts as the only one, as before the first digest.
+    pub fn forget_digest(&mut self) {
+        for flow in self.lanes.iter_mut().flat_map(|lane| lane.flows.values_mut()) {
+            flow.part = 1.0;
+        }
+    }
+
     /// Queues the request or refuses it.
     pub fn offer(&mut self, mut item: Item<T>, now: Duration) -> Offer<T> {
         let rank = item.rank.index();
--- a/crates/wire/src/rpc.rs
+++ b/crates/wire/src/rpc.rs
@@ -1,9 +1,13 @@
 //! JSON-RPC between entries and control.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use hickoryreel_base::error::Error;
 use hickoryreel_base::name::Endpoint;
+use hickoryreel_base::name::Model;
+use hickoryreel_base::name::Workspace;
+use hickoryreel_base::rank::Rank;
 use hickoryreel_state::command::Holder;
 use hickoryreel_state::command::Revision;
 use hickoryreel_state::config::Config;
@@ -41,6 +45,17 @@
     pub leader: Option<SocketAddr>,
 }
 
+/// A value for each pool (model or service), rank and workspace with demand. Nested, because names
+/// of pools and ranks would otherwise be repeated for each workspace.
+pub type PerWorkspace<T> = BTreeMap<Model, BTreeMap<Rank, BTreeMap<Workspace, T>>>;
+
+/// Demand of one entry, in millionths of a slot.
+pub type Usage = PerWorkspace<u64>;
+
+/// One entry's own demand and the demand of all entries in the same digest, in millionths of a
+/// slot. It has only what the entry itself published, since other totals change no share of it.
+pub type Digest = PerWorkspace<(u64, u64)>;
+
 /// Asks for a new lease.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Renew {
@@ -50,6 +65,9 @@
     pub revision: Revision,
     /// Newest directory change the entry knows.
     pub directory: u64,
+    /// The entry's recent demand.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub usage: Usage,
 }
 
 /// A granted lease.
@@ -70,6 +88,9 @@
     pub changed: Vec<Announcement>,
     /// Endpoints that left the directory since.
     pub gone: Vec<Endpoint>,
+    /// The newest digest; absent if the leader is new or the entry has no part in it yet.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub digest: Option<Digest>,
 }
 
 /// Who a replica is.
