Reserve test ports only while no process is being started

Ruled out: another test's address (each has its own loopback address), outgoing connections (their source is 127.0.0.1). Cause: between fork and exec a process started by a parallel test holds copies of all sockets of the test process, so a reserved port stays taken for a moment.

Also moves the dispatch that runs beside the commit of its record out of entry::completion into a module of its own.

--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -6,7 +6,6 @@
 //! the answer on.
 
 use std::borrow::Cow;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -37,7 +36,6 @@
 use crate::answer::Answer;
 use crate::authority;
 use crate::authority::Caller;
-use crate::dial::Dial;
 use crate::fault::Fault;
 use crate::records::Record;
 use crate::respond;
@@ -50,6 +48,7 @@
 use crate::start;
 use crate::start::Dispatch;
 use crate::start::Started;
+use crate::starting::Starting;
 use crate::tally::Tally;
 
 /// Further dispatches of one request because control knows a newer pin of its session or a newer
@@ -225,9 +224,9 @@
             None => (self.app.records.reserve(open)?, None),
         };
         let is_move = moved_to.is_some();
-        let mut starting = Starting::Pending(Box::pin(start::start(app, dispatch)));
+        let mut starting = Starting::new(start::start(app, dispatch));
         record.dispatched();
-        let opened = starting.beside(record.commit(moved_to)).await;
+        let opened = starting.run_during(record.commit(moved_to)).await;
         let moved = match verdict(opened) {
             // Only control knows whether this is the session's one move.
             Verdict::Proceed { moved } => moved,
@@ -352,41 +351,3 @@
         }
     }
 }
-
-/// A dispatch that runs beside the commit of its record.
-enum Starting {
-    Pending(Pin<Box<dyn Future<Output = (Started, bool)> + Send>>),
-    Done(Started, bool),
-}
-
-impl Starting {
-    /// Waits for `other` and moves the dispatch on meanwhile.
-    async fn beside<T>(&mut self, other: impl Future<Output = T>) -> T {
-        tokio::pin!(other);
-        let Self::Pending(pending) = self else { return other.await };
-        let (started, joined) = tokio::select! {
-            biased;
-            result = &mut other => return result,
-            started = pending => started,
-        };
-        *self = Self::Done(started, joined);
-        other.await
-    }
-
-    async fn finish(self) -> (Started, bool) {
-        match self {
-            Self::Pending(pending) => pending.await,
-            Self::Done(started, joined) => (started, joined),
-        }
-    }
-
-    /// Cancels the run, unless it existed before: then it belongs to another dispatch.
-    async fn discard(self, dial: Arc<Dial>, run: answer::Run, grant: Grant) {
-        let (started, joined) = self.finish().await;
-        if !joined && !matches!(started, Started::NotRun(_)) {
-            drop(started);
-            run_guard::cancel(dial, run).await;
-        }
-        drop(grant);
-    }
-}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -28,4 +28,5 @@
 pub mod service;
 pub mod settings;
 pub mod start;
+pub mod starting;
 pub mod tally;
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::process::Command;
+use std::process::Stdio;
 
 use hickoryreel_testkit::Harness;
 use hickoryreel_testkit::Process;
@@ -90,10 +91,10 @@
 
     /// Runs the operator command.
     pub(crate) fn operate(&self, key: &str, arguments: &[&str]) -> eyre::Result<String> {
-        let output = Command::new(harness::binary("hickoryreel")?)
-            .args(["--control", &self.admin.to_string(), "--key", key, "--json"])
-            .args(arguments)
-            .output()?;
+        let mut command = Command::new(harness::binary("hickoryreel")?);
+        command.args(["--control", &self.admin.to_string(), "--key", key, "--json"]);
+        command.args(arguments).stdout(Stdio::piped()).stderr(Stdio::piped());
+        let output = harness::spawn(&mut command)?.wait_with_output()?;
         let text = String::from_utf8(output.stdout)?;
         let problem = String::from_utf8_lossy(&output.stderr).into_owned();
         if output.status.success() { Ok(text) } else { Err(eyre::eyre!("{problem}")) }
--- a/crates/testkit/src/harness.rs
+++ b/crates/testkit/src/harness.rs
@@ -1,11 +1,17 @@
 //! Folder, address and processes of one test.
 
+use std::io;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::Path;
 use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 
@@ -17,6 +23,9 @@
 /// Numbers the harnesses of this process.
 static COUNT: AtomicU8 = AtomicU8::new(0);
 
+/// Held while ports are being reserved and while a process is being started.
+static RESERVING: Mutex<()> = Mutex::new(());
+
 /// Folder and address of one test.
 #[derive(Debug)]
 pub struct Harness {
@@ -40,6 +49,7 @@
     /// Reserves `count` different ports that the kernel chose. No other harness uses the address,
     /// so nothing takes the ports before the processes listen on them.
     pub fn addresses(&self, count: usize) -> eyre::Result<Vec<SocketAddr>> {
+        let _reserving = lock();
         let listeners: Vec<TcpListener> =
             (0..count).map(|_| TcpListener::bind((self.address, 0))).collect::<Result<_, _>>()?;
         listeners.iter().map(|listener| Ok(listener.local_addr()?)).collect()
@@ -80,6 +90,18 @@
     }
 }
 
+fn lock() -> MutexGuard<'static, ()> {
+    // The lock guards no value that a panic could leave broken.
+    RESERVING.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Starts a process while no ports are being reserved. Between fork and exec a process holds copies
+/// of all sockets of the test, so that a port reserved at that time stays taken.
+pub fn spawn(command: &mut Command) -> io::Result<Child> {
+    let _reserving = lock();
+    command.spawn()
+}
+
 /// Path of a binary of this workspace: beside the folder of the test executable.
 pub fn binary(name: &str) -> eyre::Result<PathBuf> {
     let test = std::env::current_exe()?;
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -13,6 +13,7 @@
 use nix::sys::signal::kill;
 use nix::unistd::Pid;
 
+use crate::harness;
 use crate::wait;
 
 /// Limit for a graceful stop.
@@ -36,12 +37,10 @@
             let path = folder.join(format!("{name}.{ending}"));
             File::options().create(true).append(true).open(path)
         };
-        let child = Command::new(binary)
-            .args(arguments)
-            .stdin(Stdio::null())
-            .stdout(append("out")?)
-            .stderr(append("log")?)
-            .spawn()
+        let mut command = Command::new(binary);
+        command.args(arguments).stdin(Stdio::null());
+        command.stdout(append("out")?).stderr(append("log")?);
+        let child = harness::spawn(&mut command)
             .wrap_err_with(|| format!("cannot start {}", binary.display()))?;
         Ok(Self { name: name.to_owned(), child })
     }
