Name the entry's scheduling types by the usual terms

A newcomer could not tell a wish from a ticket in the schedule, nor what pump does. They are now Job, Waiter and dispatch_queued. No behaviour changes; the 40 tests of the entry pass.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -41,7 +41,7 @@
 use crate::records::Record;
 use crate::run::App;
 use crate::schedule::Grant;
-use crate::schedule::Wish;
+use crate::schedule::Job;
 use crate::service;
 use crate::service::Sent;
 use crate::tally::Tally;
@@ -144,7 +144,7 @@
         let mut dispatched = false;
         let mut record: Option<Record> = None;
         loop {
-            let grant = self.app.schedule.acquire(self.wish(&tried)).await;
+            let grant = self.app.schedule.acquire(self.job(&tried)).await;
             let grant = grant.map_err(|error| Fault { error, dispatched })?;
             attempts += 1;
             let open = self.open(&grant);
@@ -221,8 +221,8 @@
         stored
     }
 
-    fn wish(&self, tried: &[Endpoint]) -> Wish {
-        Wish {
+    fn job(&self, tried: &[Endpoint]) -> Job {
+        Job {
             rank: self.caller.rank,
             workspace: self.caller.workspace.clone(),
             version: Version::from(&*self.service),
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -44,7 +44,7 @@
 use crate::run_guard;
 use crate::run_guard::OpenRun;
 use crate::schedule::Grant;
-use crate::schedule::Wish;
+use crate::schedule::Job;
 use crate::start;
 use crate::start::Dispatch;
 use crate::start::Started;
@@ -149,8 +149,8 @@
             let serves = |version: &Version| self.app.schedule.serves(version, &tried);
             let chosen = routing.choose(&self.caller, model, pin.as_ref(), &serves);
             let chosen = chosen.map_err(|error| late(error, dispatched))?;
-            let wish = self.wish(&chosen.version, &tried);
-            let grant = self.app.schedule.acquire(wish).await;
+            let job = self.job(&chosen.version, &tried);
+            let grant = self.app.schedule.acquire(job).await;
             let grant = grant.map_err(|error| late(error, dispatched))?;
             attempts += 1;
             match self.dispatch(chosen, grant, record.take()).await? {
@@ -187,9 +187,9 @@
         }
     }
 
-    fn wish(&self, version: &Version, tried: &[Endpoint]) -> Wish {
+    fn job(&self, version: &Version, tried: &[Endpoint]) -> Job {
         let prompt = &self.completion.prompt;
-        Wish {
+        Job {
             rank: self.caller.rank,
             workspace: self.caller.workspace.clone(),
             version: version.clone(),
--- a/crates/entry/src/schedule.rs
+++ b/crates/entry/src/schedule.rs
@@ -1,6 +1,6 @@
 //! Admission, queueing and endpoint choice: the adapter between requests and `policy`.
 //!
-//! A request asks with a [`Wish`] and waits in the queue of its pool (one per model or service)
+//! A request asks with a [`Job`] and waits in the queue of its pool (one per model or service)
 //! until [`policy::pick`](hickoryreel_policy::pick) finds an endpoint with a free slot. The
 //! [`Grant`] it gets counts as an open request at the endpoint until it is dropped, and carries
 //! what the request showed about the endpoint back into the view.
@@ -68,7 +68,7 @@
 
 /// What a request needs from an endpoint.
 #[derive(Clone, Debug)]
-pub struct Wish {
+pub struct Job {
     /// Rank.
     pub rank: Rank,
     /// Workspace.
@@ -87,8 +87,8 @@
     pub tried: Vec<Endpoint>,
 }
 
-struct Ticket {
-    wish: Wish,
+struct Waiter {
+    job: Job,
     reply: oneshot::Sender<error::Result<Grant>>,
 }
 
@@ -112,7 +112,7 @@
 }
 
 struct Pool {
-    queue: Queue<Ticket>,
+    queue: Queue<Waiter>,
     /// Observed slot time divided by the time predicted from the token counts.
     factor: f64,
 }
@@ -177,7 +177,7 @@
         let refused = inner.rebuild(now);
         drop(inner);
         refuse(refused);
-        self.pump();
+        self.dispatch_queued();
     }
 
     /// Takes in an announcement.
@@ -250,28 +250,28 @@
     }
 
     /// Waits for a slot. Nothing ran when it is refused.
-    pub async fn acquire(self: &Arc<Self>, wish: Wish) -> error::Result<Grant> {
+    pub async fn acquire(self: &Arc<Self>, job: Job) -> error::Result<Grant> {
         let (reply, granted) = oneshot::channel();
-        self.offer(wish, reply)?;
-        self.pump();
+        self.offer(job, reply)?;
+        self.dispatch_queued();
         granted.await.map_err(|_| Error::new(Kind::Internal, "the queue lost the request"))?
     }
 
-    fn offer(&self, wish: Wish, reply: oneshot::Sender<error::Result<Grant>>) -> error::Result<()> {
+    fn offer(&self, job: Job, reply: oneshot::Sender<error::Result<Grant>>) -> error::Result<()> {
         let now = self.now();
         let mut inner = self.inner.lock();
-        if !inner.serves(&wish.version, &wish.tried) {
-            let message = format!("no endpoint serves {}", wish.version);
+        if !inner.serves(&job.version, &job.tried) {
+            let message = format!("no endpoint serves {}", job.version);
             return Err(Error::new(Kind::NoEndpoint, message));
         }
-        let rank = wish.rank;
-        let pool = inner.pool(&wish.version.model());
+        let rank = job.rank;
+        let pool = inner.pool(&job.version.model());
         let item = Item {
             rank,
-            workspace: wish.workspace.clone(),
-            cost: base_cost(&wish) * pool.factor,
+            workspace: job.workspace.clone(),
+            cost: base_cost(&job) * pool.factor,
             offered_at: now,
-            payload: Ticket { wish, reply },
+            payload: Waiter { job, reply },
         };
         let offer = pool.queue.offer(item, now);
         drop(inner);
@@ -290,7 +290,7 @@
     }
 
     /// Dispatches what fits now.
-    fn pump(self: &Arc<Self>) {
+    fn dispatch_queued(self: &Arc<Self>) {
         let now = self.now();
         let mut given_up = Vec::new();
         let mut inner = self.inner.lock();
@@ -299,14 +299,14 @@
             loop {
                 let mut chosen = None;
                 let next = pool.queue.next(&mut |item, floor| {
-                    let wish = &item.payload.wish;
-                    chosen = pick::pick(view, pick, &ask(wish, floor), now, random);
+                    let job = &item.payload.job;
+                    chosen = pick::pick(view, pick, &ask(job, floor), now, random);
                     chosen.is_some() || item.payload.reply.is_closed()
                 });
-                let Some(Ticket { wish, reply }) = next.map(|next| next.item.payload) else {
+                let Some(Waiter { job, reply }) = next.map(|next| next.item.payload) else {
                     break;
                 };
-                self.metrics.queued.get_or_create(&ranked(wish.rank)).dec();
+                self.metrics.queued.get_or_create(&ranked(job.rank)).dec();
                 let picked = chosen.filter(|_| !reply.is_closed());
                 let Some(picked) = picked else { continue };
                 let Some(endpoint) = announced.get(&picked.endpoint).cloned() else { continue };
@@ -316,7 +316,7 @@
                     endpoint,
                     first_token: picked.first_token,
                     pool: name.clone(),
-                    base: base_cost(&wish),
+                    base: base_cost(&job),
                     granted: Instant::now(),
                     outcome: Outcome::Neutral,
                 };
@@ -348,7 +348,7 @@
             let message = format!("no slot became free within the target of rank {}", item.rank);
             (item, Error::new(Kind::DeadlineUnmet, message))
         }));
-        self.pump();
+        self.dispatch_queued();
     }
 
     /// Takes one retry from the budget of `workspace`.
@@ -424,7 +424,7 @@
     }
 
     /// Moves what is queued to new queues with the present settings; returns what no longer fits.
-    fn rebuild(&mut self, now: Duration) -> Vec<(Item<Ticket>, Error)> {
+    fn rebuild(&mut self, now: Duration) -> Vec<(Item<Waiter>, Error)> {
         let mut refused = Vec::new();
         for (name, pool) in &mut self.pools {
             let waiting = pool.queue.expire(Duration::MAX);
@@ -459,23 +459,23 @@
     slots.sum()
 }
 
-fn ask(wish: &Wish, floor: bool) -> pick::Ask<'_> {
+fn ask(job: &Job, floor: bool) -> pick::Ask<'_> {
     pick::Ask {
-        version: &wish.version,
-        rank: wish.rank,
+        version: &job.version,
+        rank: job.rank,
         floor,
-        prompt_tokens: wish.prompt_tokens,
-        prefixes: &wish.prefixes,
-        bytes: wish.bytes,
-        tried: &wish.tried,
+        prompt_tokens: job.prompt_tokens,
+        prefixes: &job.prefixes,
+        bytes: job.bytes,
+        tried: &job.tried,
     }
 }
 
 /// Predicted slot-seconds of a request at an endpoint of standard speed.
-fn base_cost(wish: &Wish) -> f64 {
+fn base_cost(job: &Job) -> f64 {
     let rates = view::Rates::default();
-    f64::from(wish.prompt_tokens) / rates.prefill_per_s
-        + f64::from(wish.max_tokens) / rates.tokens_per_s
+    f64::from(job.prompt_tokens) / rates.prefill_per_s
+        + f64::from(job.max_tokens) / rates.tokens_per_s
 }
 
 fn refusal(rank: Rank, reason: Refusal) -> Error {
@@ -489,7 +489,7 @@
     }
 }
 
-fn refuse(items: impl IntoIterator<Item = (Item<Ticket>, Error)>) {
+fn refuse(items: impl IntoIterator<Item = (Item<Waiter>, Error)>) {
     for (item, error) in items {
         // The caller may be gone.
         let _ = item.payload.reply.send(Err(error));
@@ -546,6 +546,6 @@
         let now = self.schedule.now();
         let id = &self.endpoint.endpoint;
         self.schedule.inner.lock().view.on_done(id, self.outcome, now);
-        self.schedule.pump();
+        self.schedule.dispatch_queued();
     }
 }
--- a/crates/entry/tests/digest.rs
+++ b/crates/entry/tests/digest.rs
@@ -4,8 +4,8 @@
 
 use hickoryreel_base::rank::Rank;
 use hickoryreel_entry::metrics::Metrics;
+use hickoryreel_entry::schedule::Job;
 use hickoryreel_entry::schedule::Schedule;
-use hickoryreel_entry::schedule::Wish;
 use hickoryreel_wire::endpoint::Announcement;
 use hickoryreel_wire::endpoint::Load;
 use hickoryreel_wire::endpoint::Role;
@@ -33,8 +33,8 @@
     }
 }
 
-fn wish(workspace: &str) -> Wish {
-    Wish {
+fn job(workspace: &str) -> Job {
+    Job {
         rank: Rank::Bulk,
         workspace: workspace.into(),
         version: "small/1".into(),
@@ -60,7 +60,7 @@
                 (Arc::clone(&schedule), Arc::clone(&order), gate.clone());
             tokio::spawn(async move {
                 let workspace = ["everywhere", "here"][number % 2];
-                let grant = schedule.acquire(wish(workspace)).await.expect("a slot");
+                let grant = schedule.acquire(job(workspace)).await.expect("a slot");
                 order.lock().push(workspace);
                 gate.wait_for(|open| *open).await.expect("the gate");
                 drop(grant);
