--- a/crates/base/src/logging.rs
+++ b/crates/base/src/logging.rs
@@ -1,4 +1,9 @@
-//! Structured logs: one JSON object a line on standard error.
+//! Structured logs: one JSON object a line.
+//!
+//! A thread writes the lines. Those that do not fit into its queue are dropped and counted in a
+//! later line, so logging never blocks.
+
+use std::io;
 
 use slog::Drain;
 use slog::FnValue;
@@ -9,7 +14,17 @@
 
 /// A logger that writes JSON lines to standard error. `program` and `id` are in every line.
 pub fn json(program: &'static str, id: &str, level: slog::Level) -> Logger {
-    let drain = slog_json::Json::new(std::io::stderr())
+    json_to(io::stderr(), program, id, level)
+}
+
+/// Like [`json`], with another place for the lines.
+pub fn json_to(
+    output: impl io::Write + Send + 'static,
+    program: &'static str,
+    id: &str,
+    level: slog::Level,
+) -> Logger {
+    let drain = slog_json::Json::new(output)
         .set_newlines(true)
         .set_flush(true)
         .add_key_value(o!(
--- /dev/null
+++ b/crates/fleet-control/src/metrics.rs
@@ -0,0 +1,81 @@
+//! Metrics of a control replica.
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::registry::Registry;
+
+/// Metrics of a control replica.
+pub struct Metrics {
+    registry: Registry,
+    /// Announcements received from endpoints.
+    pub announcements: Counter,
+    /// Announcements that were older than what is known.
+    pub stale_announcements: Counter,
+    /// Orders of operators that were acknowledged.
+    pub orders: Counter,
+    /// Orders and reads that no quorum confirmed in time.
+    pub unconfirmed: Counter,
+    /// Long polls of entries.
+    pub polls: Counter,
+    /// Time until an order was applied, in seconds.
+    pub order_time: Histogram,
+    /// Endpoints that announce themselves.
+    pub endpoints: Gauge,
+    /// Number of the configuration in force.
+    pub configuration: Gauge,
+    /// 1 while this replica leads.
+    pub leading: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("hickoryreel_control");
+        let mut counter = |name: &str, help: &str| {
+            let counter = Counter::default();
+            registry.register(name, help, counter.clone());
+            counter
+        };
+        let announcements = counter("announcements", "Announcements received from endpoints");
+        let stale_announcements =
+            counter("stale_announcements", "Announcements older than what is known");
+        let orders = counter("orders", "Orders that were acknowledged");
+        let unconfirmed = counter("unconfirmed", "Orders and reads without a quorum in time");
+        let polls = counter("polls", "Long polls of entries");
+        let mut gauge = |name: &str, help: &str| {
+            let gauge = Gauge::default();
+            registry.register(name, help, gauge.clone());
+            gauge
+        };
+        let endpoints = gauge("endpoints", "Endpoints that announce themselves");
+        let configuration = gauge("configuration", "Number of the configuration in force");
+        let leading = gauge("leading", "1 while this replica leads");
+        // From 1 ms to 2 s.
+        let order_time = Histogram::new(exponential_buckets(0.001, 2.0, 12));
+        registry.register("order_seconds", "Time until an order was applied", order_time.clone());
+        Self {
+            registry,
+            announcements,
+            stale_announcements,
+            orders,
+            unconfirmed,
+            polls,
+            order_time,
+            endpoints,
+            configuration,
+            leading,
+        }
+    }
+}
+
+impl Metrics {
+    /// All metrics in the text format.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
--- /dev/null
+++ b/crates/fleet-control/src/roll_out.rs
@@ -0,0 +1,231 @@
+//! Roll-outs: the counts of the entries, the verdict on a version, and the steps.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hickoryreel_consensus::core::Role;
+use hickoryreel_fleet::Name;
+use hickoryreel_fleet::clock::boot_time;
+use hickoryreel_fleet::roll_out::Phase;
+use hickoryreel_fleet::roll_out::RollOut;
+use hickoryreel_fleet::roll_out::Tally;
+use slog::Logger;
+use slog::info;
+
+use crate::log::Log;
+use crate::machine::Command;
+
+/// Time between two looks at the counts.
+const PERIOD: Duration = Duration::from_millis(250);
+
+/// Time between two notes of the progress in the log: what a new leader may lose of it.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Part of a roll-out's time for the trial. A version may turn bad late or under load, so the
+/// share stays small for most of the time.
+const TRIAL_PART: f64 = 0.60;
+
+/// Part of a roll-out's time by which it is complete. The rest is for lost acknowledgements.
+const COMPLETE_PART: f64 = 0.90;
+
+/// Requests of a route at the new version below which there is no verdict on the route.
+const LEAST_SENT: u64 = 8;
+
+/// Bad answers of a route at the new version below which there is no verdict on the route.
+const LEAST_BAD: u64 = 5;
+
+/// Failure rate above the rate of the old version at which a version is bad. Single endpoints
+/// that fail part of their requests stay below it.
+const EXCESS_RATE: f64 = 0.12;
+
+/// Ratio of the mean times to the first part of an answer at which a version is bad. Bad versions
+/// are several times slower.
+const SLOW_RATIO: f64 = 3.0;
+
+/// Difference of the mean times below which a version is not slow, in milliseconds.
+const SLOW_MS: f64 = 150.0;
+
+/// Age at which the counts of an entry are dropped.
+const TALLY_AGE: Duration = Duration::from_secs(6);
+
+struct Reported {
+    at: Duration,
+    tallies: Vec<Tally>,
+}
+
+/// Counts by entry and incarnation. They are running totals, so a report replaces the one before.
+#[derive(Default)]
+pub struct Tallies {
+    reports: RefCell<HashMap<(Name, u64), Reported>>,
+}
+
+/// Totals of one route at the new version and at the others.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Comparison {
+    /// The new version.
+    pub new: Total,
+    /// All other versions.
+    pub old: Total,
+}
+
+/// Totals of a route.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Total {
+    /// Requests that ended.
+    pub ended: u64,
+    /// Requests that failed at the endpoint.
+    pub bad: u64,
+    /// Sum of the times to the first part of an answer, in milliseconds.
+    pub time_ms: u64,
+}
+
+impl Total {
+    fn bad_rate(self) -> f64 {
+        self.bad as f64 / self.ended.max(1) as f64
+    }
+
+    fn mean_ms(self) -> f64 {
+        let good = self.ended.saturating_sub(self.bad);
+        self.time_ms as f64 / good.max(1) as f64
+    }
+}
+
+impl Comparison {
+    /// Why the new version is bad on this route, if it is.
+    pub fn verdict(&self) -> Option<String> {
+        let Self { new, old } = *self;
+        if new.ended < LEAST_SENT {
+            return None;
+        }
+        if new.bad >= LEAST_BAD && new.bad_rate() > 2.0 * old.bad_rate() + EXCESS_RATE {
+            return Some(format!("{} of {} requests failed", new.bad, new.ended));
+        }
+        let slow = new.mean_ms() > SLOW_RATIO * old.mean_ms() + SLOW_MS;
+        (slow && old.ended >= LEAST_SENT).then(|| {
+            format!("{:.0} ms to the answer, {:.0} ms before", new.mean_ms(), old.mean_ms())
+        })
+    }
+}
+
+impl Tallies {
+    /// Takes in the counts of an entry.
+    pub fn report(&self, entry: &Name, incarnation: u64, tallies: Vec<Tally>) {
+        let key = (entry.clone(), incarnation);
+        self.reports.borrow_mut().insert(key, Reported { at: boot_time(), tallies });
+    }
+
+    fn each(&self, service: &str, mut visit: impl FnMut(&Tally)) {
+        for report in self.reports.borrow().values() {
+            report.tallies.iter().filter(|one| &*one.service == service).for_each(&mut visit);
+        }
+    }
+
+    /// Totals of each route of a service.
+    pub fn compare(&self, service: &str, target: &str) -> HashMap<Name, Comparison> {
+        let mut routes: HashMap<Name, Comparison> = HashMap::new();
+        self.each(service, |tally| {
+            let route = routes.entry(tally.route.clone()).or_default();
+            let total = if &*tally.version == target { &mut route.new } else { &mut route.old };
+            total.ended += tally.good + tally.bad;
+            total.bad += tally.bad;
+            total.time_ms += tally.time_ms;
+        });
+        routes
+    }
+
+    /// Requests under way at versions other than `target`.
+    pub fn open_elsewhere(&self, service: &str, target: &str) -> u64 {
+        let mut open = 0;
+        self.each(service, |tally| {
+            if &*tally.version != target {
+                open += tally.open;
+            }
+        });
+        open
+    }
+
+    fn forget_old(&self) {
+        let now = boot_time();
+        self.reports.borrow_mut().retain(|_, one| now < one.at + TALLY_AGE);
+    }
+}
+
+/// Progress of a roll-out as this leader counts it.
+struct Counted {
+    serial: u64,
+    /// Time since the order, as of `from`.
+    base_ms: u64,
+    from: Duration,
+    noted: Duration,
+}
+
+/// Steers the roll-outs while this replica leads.
+pub async fn control(log_handle: Log, tallies: Rc<Tallies>, log: Logger) {
+    let mut counted: Vec<Counted> = Vec::new();
+    loop {
+        tokio::time::sleep(PERIOD).await;
+        tallies.forget_old();
+        let agreed = log_handle.agreed.borrow().clone();
+        if agreed.role != Role::Leader {
+            counted.clear();
+            continue;
+        }
+        let roll_outs = agreed.machine.roll_outs.clone();
+        for one in roll_outs.newest.iter().filter(|one| one.phase.is_running()) {
+            let Some(phase) = next_phase(one, &mut counted, &tallies, &log) else { continue };
+            let elapsed_ms = elapsed(one, &counted);
+            let command = Command::Step { serial: one.serial, phase, elapsed_ms };
+            let reply = log_handle.propose(command.encode()).await;
+            if phase != one.phase {
+                info!(log, "roll-out step"; "service" => &*one.service, "target" => &*one.target,
+                    "phase" => ?phase, "elapsed_ms" => elapsed_ms, "outcome" => ?reply);
+            }
+        }
+    }
+}
+
+fn elapsed(one: &RollOut, counted: &[Counted]) -> u64 {
+    let Some(own) = counted.iter().find(|own| own.serial == one.serial) else {
+        return one.elapsed_ms;
+    };
+    let passed = boot_time().saturating_sub(own.from);
+    own.base_ms + u64::try_from(passed.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// The phase to propose: a new one, or the present one to note progress. `None` for neither.
+fn next_phase(
+    one: &RollOut,
+    counted: &mut Vec<Counted>,
+    tallies: &Tallies,
+    log: &Logger,
+) -> Option<Phase> {
+    let now = boot_time();
+    if !counted.iter().any(|own| own.serial == one.serial) {
+        let (serial, base_ms) = (one.serial, one.elapsed_ms);
+        counted.push(Counted { serial, base_ms, from: now, noted: now });
+    }
+    for (route, comparison) in tallies.compare(&one.service, &one.target) {
+        if let Some(reason) = comparison.verdict() {
+            info!(log, "version is bad"; "service" => &*one.service, "target" => &*one.target,
+                "route" => &*route, "reason" => reason, "counts" => ?comparison);
+            return Some(Phase::RolledBack);
+        }
+    }
+    let part = elapsed(one, counted) as f64 / one.length_ms.max(1) as f64;
+    let idle = tallies.open_elsewhere(&one.service, &one.target) == 0;
+    match one.phase {
+        Phase::Trial if part >= TRIAL_PART => return Some(Phase::Moving),
+        Phase::Moving if part >= COMPLETE_PART || (idle && part >= TRIAL_PART + 0.1) => {
+            return Some(Phase::Complete);
+        }
+        _ => {}
+    }
+    let own = counted.iter_mut().find(|own| own.serial == one.serial)?;
+    let due = now >= own.noted + PROGRESS_INTERVAL;
+    due.then(|| {
+        own.noted = now;
+        one.phase
+    })
+}
--- /dev/null
+++ b/crates/fleet-entry/src/directory.rs
@@ -0,0 +1,265 @@
+//! The endpoints as one entry knows them: announcements, load, health and open work.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hickoryreel_fleet::Name;
+use hickoryreel_fleet::clock::boot_time;
+use hickoryreel_fleet::endpoint::Announcement;
+use hickoryreel_fleet::endpoint::Sighting;
+use hickoryreel_fleet::endpoint::Status;
+
+use crate::dialect::Load;
+use crate::exchange::Pool;
+
+/// Failures in a row after which an endpoint gets no new work for a while.
+const EJECT_FAILURES: u32 = 3;
+
+/// First pause of an endpoint that failed; it doubles with each failure after that.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+
+/// Longest pause of an endpoint that failed: replaced and restarted endpoints are back sooner.
+const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+
+/// Age at which a reported load no longer counts.
+const LOAD_AGE: Duration = Duration::from_millis(1_500);
+
+/// Time since an answer for which an endpoint that is silent towards control stays in use.
+const PROVED_AGE: Duration = Duration::from_secs(6);
+
+/// Weight of a new observation in the smoothed failure share.
+const FAILURE_SMOOTHING: f64 = 0.15;
+
+/// An endpoint.
+pub struct Endpoint {
+    /// Newest announcement.
+    pub announcement: RefCell<Announcement>,
+    /// Whether it missed announcements.
+    pub silent: Cell<bool>,
+    /// Whether it left for good, or its address belongs to another endpoint.
+    pub gone: Cell<bool>,
+    /// Idle connections.
+    pub pool: Pool,
+    /// Requests of this entry under way there.
+    pub open: Cell<u32>,
+    /// Prompt tokens of this entry's requests that have not answered yet.
+    pub unread_tokens: Cell<u64>,
+    load: Cell<Option<(Load, Duration)>>,
+    sent_since_load: Cell<u32>,
+    failures: Cell<u32>,
+    failure_share: Cell<f64>,
+    paused_until: Cell<Duration>,
+    /// When the endpoint sent anything to this entry.
+    pub heard: Cell<Option<Duration>>,
+}
+
+impl Endpoint {
+    fn new(announcement: Announcement) -> Self {
+        Self {
+            pool: Pool::new(announcement.address),
+            announcement: RefCell::new(announcement),
+            silent: Cell::new(false),
+            gone: Cell::new(false),
+            open: Cell::new(0),
+            unread_tokens: Cell::new(0),
+            load: Cell::new(None),
+            sent_since_load: Cell::new(0),
+            failures: Cell::new(0),
+            failure_share: Cell::new(0.0),
+            paused_until: Cell::new(Duration::ZERO),
+            heard: Cell::new(None),
+        }
+    }
+
+    /// Identity.
+    pub fn id(&self) -> Name {
+        self.announcement.borrow().id.clone()
+    }
+
+    /// Version of its software.
+    pub fn version(&self) -> Name {
+        self.announcement.borrow().version.clone()
+    }
+
+    /// Whether it may get new work.
+    pub fn is_usable(&self) -> bool {
+        let now = boot_time();
+        let proved = self.heard.get().is_some_and(|at| now < at + PROVED_AGE);
+        !self.gone.get()
+            && !self.announcement.borrow().draining
+            && now >= self.paused_until.get()
+            && (!self.silent.get() || proved)
+    }
+
+    /// Whether it may get new work when no usable endpoint is left.
+    pub fn is_last_resort(&self) -> bool {
+        !self.gone.get() && !self.announcement.borrow().draining
+    }
+
+    /// Notes a send.
+    pub fn sent(&self) {
+        self.open.set(self.open.get() + 1);
+        self.sent_since_load.set(self.sent_since_load.get() + 1);
+    }
+
+    /// Notes a reported load.
+    pub fn report(&self, load: Load) {
+        self.load.set(Some((load, boot_time())));
+        self.sent_since_load.set(0);
+    }
+
+    /// Notes that the endpoint sent something.
+    pub fn hear(&self) {
+        self.heard.set(Some(boot_time()));
+    }
+
+    /// Notes a good answer.
+    pub fn succeeded(&self) {
+        self.failures.set(0);
+        self.failure_share.set(self.failure_share.get() * (1.0 - FAILURE_SMOOTHING));
+        self.paused_until.set(Duration::ZERO);
+    }
+
+    /// Notes a failure. Returns the pause if the endpoint gets one.
+    pub fn failed(&self) -> Option<Duration> {
+        let failures = self.failures.get() + 1;
+        self.failures.set(failures);
+        let share = self.failure_share.get();
+        self.failure_share.set(share + FAILURE_SMOOTHING * (1.0 - share));
+        (failures >= EJECT_FAILURES).then(|| self.pause(failures - EJECT_FAILURES))
+    }
+
+    /// Notes that no connection could be opened.
+    pub fn unreachable(&self) -> Duration {
+        let failures = self.failures.get() + 1;
+        self.failures.set(failures);
+        self.pause(failures - 1)
+    }
+
+    fn pause(&self, doublings: u32) -> Duration {
+        let pause = (FIRST_PAUSE * 2_u32.pow(doublings.min(4))).min(LONGEST_PAUSE);
+        self.paused_until.set(boot_time() + pause);
+        pause
+    }
+
+    /// Share of recent requests that failed there.
+    pub fn failure_share(&self) -> f64 {
+        self.failure_share.get()
+    }
+
+    /// Requests at the endpoint, over all entries, as far as known.
+    pub fn estimated_load(&self, entries: u32) -> f64 {
+        let now = boot_time();
+        let own = f64::from(self.open.get());
+        match self.load.get().filter(|(_, at)| now < *at + LOAD_AGE) {
+            Some((load, _)) => {
+                let reported = f64::from(load.running + load.waiting);
+                (reported + f64::from(self.sent_since_load.get())).max(own)
+            }
+            None => own * f64::from(entries.max(1)).sqrt(),
+        }
+    }
+
+    /// Requests that the endpoint runs at once.
+    pub fn slots(&self) -> u32 {
+        self.announcement.borrow().slots.max(1)
+    }
+}
+
+/// All endpoints.
+#[derive(Default)]
+pub struct Directory {
+    endpoints: HashMap<Name, Rc<Endpoint>>,
+    services: HashMap<Name, Vec<Rc<Endpoint>>>,
+    /// Incarnations that left for good.
+    left: HashMap<Name, u64>,
+}
+
+/// What a sighting changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing.
+    None,
+    /// The endpoint is new, or started again.
+    New,
+    /// It asks for no new work.
+    Draining,
+    /// It missed announcements.
+    Silent,
+    /// It left for good.
+    Gone,
+    /// Something else.
+    Other,
+}
+
+impl Directory {
+    /// Takes in what one replica knows.
+    pub fn take_in(&mut self, sighting: Sighting) -> Change {
+        let Sighting { announcement, status } = sighting;
+        let left = self.left.get(&announcement.id).copied();
+        if left.is_some_and(|incarnation| announcement.incarnation <= incarnation) {
+            return Change::None;
+        }
+        if status == Status::Gone {
+            self.left.insert(announcement.id.clone(), announcement.incarnation);
+            self.remove(&announcement.id);
+            return Change::Gone;
+        }
+        let Some(known) = self.endpoints.get(&announcement.id) else {
+            let silent = status == Status::Silent;
+            self.add(announcement).silent.set(silent);
+            return Change::New;
+        };
+        let (old, new) = (known.announcement.borrow().order(), announcement.order());
+        if new < old {
+            return Change::None;
+        }
+        if status == Status::Silent {
+            let changed = new == old && !known.silent.replace(true);
+            return if changed { Change::Silent } else { Change::None };
+        }
+        if new.0 > old.0 || known.announcement.borrow().address != announcement.address {
+            self.remove(&announcement.id);
+            self.add(announcement);
+            return Change::New;
+        }
+        let drains = announcement.draining && !known.announcement.borrow().draining;
+        let recovered = known.silent.replace(false);
+        *known.announcement.borrow_mut() = announcement;
+        match (drains, recovered) {
+            (true, _) => Change::Draining,
+            (false, true) => Change::Other,
+            (false, false) => Change::None,
+        }
+    }
+
+    fn add(&mut self, announcement: Announcement) -> Rc<Endpoint> {
+        let (id, service) = (announcement.id.clone(), announcement.service.clone());
+        let endpoint = Rc::new(Endpoint::new(announcement));
+        self.endpoints.insert(id, Rc::clone(&endpoint));
+        self.services.entry(service).or_default().push(Rc::clone(&endpoint));
+        endpoint
+    }
+
+    fn remove(&mut self, id: &str) {
+        let Some(endpoint) = self.endpoints.remove(id) else { return };
+        endpoint.gone.set(true);
+        endpoint.pool.clear();
+        if let Some(service) = self.services.get_mut(&endpoint.announcement.borrow().service) {
+            service.retain(|one| !Rc::ptr_eq(one, &endpoint));
+        }
+    }
+
+    /// All endpoints.
+    pub fn all(&self) -> impl Iterator<Item = &Rc<Endpoint>> {
+        self.endpoints.values()
+    }
+
+    /// Endpoints of a service.
+    pub fn of(&self, service: &str) -> &[Rc<Endpoint>] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+}
--- /dev/null
+++ b/crates/fleet-entry/src/forward.rs
@@ -0,0 +1,587 @@
+//! The way of one request.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hickoryreel_fleet::Name;
+use hickoryreel_fleet::clock::boot_time;
+use hickoryreel_fleet::configuration::Kind;
+use hickoryreel_fleet::configuration::Route;
+use hickoryreel_fleet::configuration::Workspace;
+use http::Request;
+use http::Response;
+use http::request::Parts;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use slog::info;
+use smallvec::SmallVec;
+
+use crate::answer::Refusal;
+use crate::body::Body;
+use crate::dialect::Ask;
+use crate::dialect::Reply;
+use crate::dialect::Terms;
+use crate::directory::Endpoint;
+use crate::entry::Entry;
+use crate::exchange;
+use crate::exchange::Exchange;
+use crate::exchange::Failure;
+use crate::outcome;
+use crate::outcome::Ended;
+use crate::outcome::Next;
+use crate::outcome::Otherwise;
+use crate::outcome::Passed;
+use crate::outcome::Runs;
+use crate::pick;
+use crate::relay;
+use crate::tally::End;
+use crate::view::Index;
+
+/// Time that must be left for a send to make sense, in milliseconds.
+const LEAST_LEFT_MS: u64 = 30;
+
+/// Sends of one request that endpoints may refuse without running it, beyond its attempts.
+const REFUSED_SENDS: u32 = 2;
+
+/// Silence of an endpoint after which a repeatable request leaves it. Endpoints that work send
+/// an event of some stream every 100 ms or so.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_100);
+
+/// Time without a head after which a repeatable plain request is sent again: over twice the
+/// longest work of a plain service.
+const PLAIN_PATIENCE: Duration = Duration::from_millis(700);
+
+/// Least time without a head after which a resumable stream is sent again.
+const STREAM_PATIENCE: Duration = Duration::from_millis(2_500);
+
+/// Time between two looks at an endpoint that has not answered.
+const PATIENCE_STEP: Duration = Duration::from_millis(250);
+
+/// Time of a client that names no deadline, in milliseconds.
+const DEFAULT_DEADLINE_MS: u64 = 60_000;
+
+/// Part of the memory of the process that request bodies may take.
+const BODY_MEMORY_PART: usize = 4;
+
+/// A request on its way.
+pub struct Course {
+    /// The entry.
+    pub entry: Rc<Entry>,
+    /// Head of the client's request.
+    pub head: Parts,
+    /// Terms.
+    pub ask: Ask,
+    /// Body.
+    pub body: Bytes,
+    /// Route.
+    pub route: Arc<Route>,
+    /// Service.
+    pub service: Name,
+    workspace: Option<Arc<Workspace>>,
+    /// When the request arrived.
+    pub arrived: Duration,
+    /// When the time of the request runs out.
+    pub ends: Duration,
+    tried: SmallVec<[Name; 4]>,
+    sends: u32,
+    runs: u32,
+    /// Whether a send may have run the request.
+    pub ran: bool,
+    /// Model of the newest send.
+    pub model: Option<Name>,
+    /// Endpoint and version of the newest send.
+    pub endpoint: Option<(Name, Name)>,
+}
+
+/// A send that was answered.
+pub struct Sent {
+    /// The answer.
+    pub exchange: Exchange,
+    /// What its head says.
+    pub reply: Reply,
+    /// Counts the send until it is over.
+    pub flight: Flight,
+}
+
+/// Counts a send at its endpoint until it is dropped.
+pub struct Flight {
+    entry: Rc<Entry>,
+    /// The endpoint.
+    pub endpoint: Rc<Endpoint>,
+    service: Name,
+    version: Name,
+    route: Name,
+    unread: u64,
+    /// When the send began.
+    pub began: Duration,
+}
+
+impl Flight {
+    fn new(course: &Course, endpoint: Rc<Endpoint>) -> Self {
+        let entry = Rc::clone(&course.entry);
+        let version = endpoint.version();
+        let (service, route) = (course.service.clone(), course.route.name.clone());
+        let unread = course.ask.prompt_tokens;
+        endpoint.sent();
+        endpoint.unread_tokens.set(endpoint.unread_tokens.get() + unread);
+        entry.tallies.borrow_mut().sent(&service, &version, &route);
+        entry.metrics.sends.inc();
+        Self { entry, endpoint, service, version, route, unread, began: boot_time() }
+    }
+
+    /// The endpoint has read the prompt.
+    pub fn answered(&mut self) {
+        let unread = std::mem::take(&mut self.unread);
+        let at_endpoint = &self.endpoint.unread_tokens;
+        at_endpoint.set(at_endpoint.get().saturating_sub(unread));
+    }
+
+    /// Notes what the send says of the version.
+    pub fn judge(&self, end: End) {
+        let mut tallies = self.entry.tallies.borrow_mut();
+        tallies.judged(&self.service, &self.version, &self.route, end);
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.answered();
+        self.endpoint.open.set(self.endpoint.open.get().saturating_sub(1));
+        let mut tallies = self.entry.tallies.borrow_mut();
+        tallies.closed(&self.service, &self.version, &self.route);
+    }
+}
+
+/// Answers one request.
+pub async fn handle(entry: Rc<Entry>, request: Request<Incoming>) -> Response<Body> {
+    let guard = entry.guard();
+    let arrived = boot_time();
+    let (head, body) = request.into_parts();
+    let mut response = match prepare(&entry, head, body, arrived).await {
+        Ok(course) => course.run().await,
+        Err((refusal, id)) => {
+            let view = entry.view.borrow();
+            info!(entry.log, "request refused"; "request" => id, "reason" => ?refusal,
+                "configuration" => view.number(),
+                "confirmed_ms" => view.age().map(|age| age.as_millis() as u64));
+            refusal.response()
+        }
+    };
+    if entry.stopping.get().is_some() {
+        let close = http::HeaderValue::from_static("close");
+        response.headers_mut().insert(http::header::CONNECTION, close);
+    }
+    let labels = vec![("status", response.status().as_u16().to_string())];
+    entry.metrics.requests.get_or_create(&labels).inc();
+    response.body_mut().set_guard(guard);
+    response
+}
+
+/// Reads the request and finds its route and workspace.
+async fn prepare(
+    entry: &Rc<Entry>,
+    head: Parts,
+    body: Incoming,
+    arrived: Duration,
+) -> Result<Course, (Refusal, String)> {
+    let ask = entry.dialect.ask(&head).map_err(|malformed| {
+        info!(entry.log, "request is malformed"; "reason" => malformed.0);
+        (Refusal::Malformed, String::new())
+    })?;
+    let id = ask.id.clone();
+    let refused = |refusal| (refusal, id.clone());
+    let (index, route, workspace) = admit(entry, &head, &ask).map_err(refused)?;
+    let limits = &index.configuration.limits;
+    let time_ms = ask.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS).min(route.timeout_ms);
+    let ends = arrived + Duration::from_millis(time_ms);
+    let service = pick::service(&route, &ask).cloned().ok_or(Refusal::NoEndpoint);
+    let service = service.map_err(refused)?;
+    let body = read_body(entry, body, limits.body_bytes, ends).await.map_err(refused)?;
+    Ok(Course {
+        entry: Rc::clone(entry),
+        head,
+        ask,
+        body,
+        route,
+        service,
+        workspace,
+        arrived,
+        ends,
+        tried: SmallVec::new(),
+        sends: 0,
+        runs: 0,
+        ran: false,
+        model: None,
+        endpoint: None,
+    })
+}
+
+type Admitted = (Arc<Index>, Arc<Route>, Option<Arc<Workspace>>);
+
+fn admit(entry: &Entry, head: &Parts, ask: &Ask) -> Result<Admitted, Refusal> {
+    let view = entry.view.borrow();
+    let index = view.index.as_ref().ok_or(Refusal::NoConfiguration)?;
+    let unless_stale = |refusal| if view.is_fresh() { refusal } else { Refusal::NoLease };
+    let route = index.route(&ask.host, head.uri.path());
+    let route = route.ok_or_else(|| unless_stale(Refusal::UnknownRoute))?;
+    let needs_key = index.needs_keys() && !route.public;
+    if !needs_key {
+        return Ok((Arc::clone(index), Arc::clone(route), None));
+    }
+    if !view.has_lease(entry.settings.lease) {
+        return Err(Refusal::NoLease);
+    }
+    let workspace = ask.key.as_deref().and_then(|key| index.workspace(key));
+    let workspace = workspace.ok_or_else(|| unless_stale(Refusal::UnknownKey))?;
+    Ok((Arc::clone(index), Arc::clone(route), Some(Arc::clone(workspace))))
+}
+
+/// Memory that a body takes, given back when it is dropped.
+struct Reserved<'a>(&'a Entry, usize);
+
+impl Drop for Reserved<'_> {
+    fn drop(&mut self) {
+        let taken = &self.0.body_bytes;
+        taken.set(taken.get().saturating_sub(self.1));
+    }
+}
+
+async fn read_body(
+    entry: &Entry,
+    body: Incoming,
+    limit: usize,
+    ends: Duration,
+) -> Result<Bytes, Refusal> {
+    use hyper::body::Body as _;
+
+    let expected = body.size_hint().lower() as usize;
+    if expected > limit {
+        return Err(Refusal::BodyTooLarge);
+    }
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    // A body of unknown length is counted as it is on average, not as large as it may be.
+    let reserved = Reserved(entry, expected);
+    let taken = entry.body_bytes.get() + reserved.1;
+    entry.body_bytes.set(taken);
+    if taken > entry.settings.memory / BODY_MEMORY_PART {
+        return Err(Refusal::NoMemory);
+    }
+    let left = ends.saturating_sub(boot_time());
+    match tokio::time::timeout(left, Limited::new(body, limit).collect()).await {
+        Ok(Ok(read)) => Ok(read.to_bytes()),
+        Ok(Err(cause)) if cause.is::<http_body_util::LengthLimitError>() => {
+            Err(Refusal::BodyTooLarge)
+        }
+        Ok(Err(_)) | Err(_) => Err(Refusal::BodyLate),
+    }
+}
+
+impl Course {
+    /// Sends the request until it is answered or given up.
+    async fn run(mut self) -> Response<Body> {
+        let mut failed: Option<Response<Body>> = None;
+        loop {
+            let ended = match self.send(None).await {
+                Ok(sent) => {
+                    let status = sent.exchange.response.status();
+                    if status.is_success() && self.route.kind == Kind::Stream {
+                        return relay::start(self, sent);
+                    }
+                    match self.whole(sent).await {
+                        Ok(response) if response.status().is_server_error() => {
+                            failed = Some(response);
+                            Ended::FailedThere
+                        }
+                        Ok(response) => {
+                            self.note(response.status().as_u16(), "answered");
+                            return response;
+                        }
+                        Err(ended) => ended,
+                    }
+                }
+                Err(ended) => ended,
+            };
+            if let Some(otherwise) = self.after(ended, Passed::Nothing) {
+                return self.conclude(otherwise, failed);
+            }
+        }
+    }
+
+    /// Decides after a failed send. `None` to send again, otherwise how the request ends.
+    pub fn after(&mut self, ended: Ended, passed: Passed) -> Option<Otherwise> {
+        if matches!(ended, Ended::Unknown | Ended::FailedThere | Ended::OutOfTime)
+            && self.sends > 0
+        {
+            self.ran = true;
+        }
+        let runs = if self.route.is_repeatable() { Runs::Repeatable } else { Runs::Once };
+        match outcome::next(ended, runs, passed, self.ran) {
+            Next::End(otherwise) => Some(otherwise),
+            Next::Again(otherwise) => {
+                let attempts = self.route.attempts.max(1);
+                let allowed = self.runs < attempts
+                    && self.sends < attempts + REFUSED_SENDS
+                    && self.left_ms() > LEAST_LEFT_MS
+                    && self.has_endpoint()
+                    && self.entry.take_second_send(&self.service);
+                (!allowed).then_some(otherwise)
+            }
+        }
+    }
+
+    fn conclude(&self, otherwise: Otherwise, failed: Option<Response<Body>>) -> Response<Body> {
+        let refusal = match otherwise {
+            Otherwise::Refuse(refusal) => refusal,
+            Otherwise::PassOn | Otherwise::BreakOff => {
+                if let Some(response) = failed {
+                    self.note(response.status().as_u16(), "failed at the endpoint");
+                    return response;
+                }
+                Refusal::Unknown
+            }
+        };
+        let refusal = match refusal {
+            Refusal::TimedOut if !self.ran => Refusal::TooLate,
+            other => other,
+        };
+        self.note(refusal.answer().0.as_u16(), &format!("{refusal:?}"));
+        refusal.response()
+    }
+
+    /// Milliseconds until the time of the request runs out.
+    pub fn left_ms(&self) -> u64 {
+        u64::try_from(self.ends.saturating_sub(boot_time()).as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn has_endpoint(&self) -> bool {
+        self.pick().is_some()
+    }
+
+    fn pick(&self) -> Option<Rc<Endpoint>> {
+        let view = self.entry.view.borrow();
+        let directory = self.entry.directory.borrow();
+        let is_near = |zone: &str| self.entry.is_near(zone);
+        let case = pick::Case {
+            route: &self.route,
+            ask: &self.ask,
+            service: &self.service,
+            roll_outs: &view.roll_outs,
+            tried: &self.tried,
+            entries: self.entry.entries.get(),
+            is_near: &is_near,
+        };
+        pick::endpoint(&case, directory.of(&self.service))
+    }
+
+    fn choose_model(&self) -> Option<Name> {
+        if !self.ask.any_model {
+            return None;
+        }
+        let directory = self.entry.directory.borrow();
+        let load = pick::service_load(directory.of(&self.service), self.entry.entries.get());
+        pick::model(&self.route, load).cloned()
+    }
+
+    /// Sends once. `after_event` continues a stream.
+    pub async fn send(&mut self, after_event: Option<u64>) -> Result<Sent, Ended> {
+        let left = self.left_ms();
+        if left <= LEAST_LEFT_MS {
+            return Err(Ended::OutOfTime);
+        }
+        let Some(endpoint) = self.pick() else { return Err(Ended::NotRun) };
+        // Continued streams keep their model, so that the answer stays one answer.
+        if after_event.is_none() || self.model.is_none() {
+            self.model = self.choose_model();
+        }
+        // The lease may have run out while the request waited.
+        let lease = self.entry.settings.lease;
+        if self.workspace.is_some() && !self.entry.view.borrow().has_lease(lease) {
+            return Err(Ended::NotRun);
+        }
+        let id = endpoint.id();
+        self.endpoint = Some((id.clone(), endpoint.version()));
+        let request = self.request(&id, left, after_event);
+        if self.sends == 0 {
+            self.entry.note_first_send(&self.service);
+        }
+        self.sends += 1;
+        self.tried.push(id);
+        let mut flight = Flight::new(self, Rc::clone(&endpoint));
+        let exchange = self.exchange(&endpoint, request, flight.began).await?;
+        let response = &exchange.response;
+        let (status, headers) = (response.status(), response.headers());
+        let reply = self.entry.dialect.reply(status, headers, &self.ask.id);
+        flight.answered();
+        if let Some(load) = reply.load {
+            endpoint.report(load);
+        }
+        if reply.wrong_endpoint {
+            // The address belongs to another endpoint now.
+            info!(self.entry.log, "address belongs to another endpoint"; "endpoint" => &*endpoint.id(),
+                "request" => &self.ask.id);
+            endpoint.unreachable();
+            return Err(Ended::NotRun);
+        }
+        if reply.not_run {
+            return Err(Ended::NotRun);
+        }
+        self.runs += 1;
+        if reply.matches == Some(false) || reply.encoded {
+            self.fault(&endpoint, "the answer belongs to another request");
+            return Err(Ended::Unknown);
+        }
+        endpoint.hear();
+        Ok(Sent { exchange, reply, flight })
+    }
+
+    fn request(&self, endpoint: &str, left: u64, after: Option<u64>) -> Request<Full<Bytes>> {
+        let terms = Terms {
+            endpoint,
+            deadline_ms: left,
+            workspace: self.workspace.as_ref().map(|one| &*one.name),
+            model: self.model.as_deref(),
+            rank: self.rank(),
+            after_event: after,
+        };
+        let headers = self.entry.dialect.request_headers(&self.head, &terms);
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.uri.clone();
+        *request.headers_mut() = headers;
+        request
+    }
+
+    fn rank(&self) -> u8 {
+        let workspace = self.workspace.as_ref().and_then(|one| one.rank);
+        workspace.unwrap_or(self.route.rank)
+    }
+
+    /// Waits for the head of the answer as long as the endpoint deserves it.
+    async fn exchange(
+        &mut self,
+        endpoint: &Rc<Endpoint>,
+        request: Request<Full<Bytes>>,
+        began: Duration,
+    ) -> Result<Exchange, Ended> {
+        let fresh = !self.route.is_repeatable();
+        let metrics = &self.entry.metrics;
+        let sending = endpoint.pool.send(request, fresh, || {
+            metrics.connections.inc();
+        });
+        let mut sending = std::pin::pin!(sending);
+        loop {
+            let left = self.ends.saturating_sub(boot_time());
+            let step = if self.can_leave() { left.min(PATIENCE_STEP) } else { left };
+            match tokio::time::timeout(step, sending.as_mut()).await {
+                Ok(Ok(exchange)) => return Ok(exchange),
+                Ok(Err(Failure::Unreachable(cause))) => {
+                    let pause = endpoint.unreachable();
+                    metrics.paused.inc();
+                    info!(self.entry.log, "endpoint can't be reached";
+                        "endpoint" => &*endpoint.id(), "request" => &self.ask.id,
+                        "cause" => cause, "pause_ms" => pause.as_millis() as u64);
+                    return Err(Ended::NotRun);
+                }
+                Ok(Err(Failure::Lost(cause))) => {
+                    self.runs += 1;
+                    self.fault(endpoint, &cause);
+                    return Err(Ended::Unknown);
+                }
+                Err(_) if boot_time() >= self.ends => {
+                    self.runs += 1;
+                    return Err(Ended::OutOfTime);
+                }
+                Err(_) => {
+                    if let Some(reason) = self.impatience(endpoint, began) {
+                        self.runs += 1;
+                        self.fault(endpoint, reason);
+                        return Err(Ended::Unknown);
+                    }
+                }
+            }
+        }
+    }
+
+    fn can_leave(&self) -> bool {
+        self.route.is_repeatable() && self.runs + 1 < self.route.attempts.max(1)
+    }
+
+    /// Why a repeatable request should leave an endpoint that has not answered, if it should.
+    fn impatience(&self, endpoint: &Endpoint, began: Duration) -> Option<&'static str> {
+        if !self.can_leave() {
+            return None;
+        }
+        let now = boot_time();
+        let waited = now.saturating_sub(began);
+        let silent = endpoint.heard.get().is_none_or(|at| now >= at + SILENCE_LIMIT);
+        if silent && waited >= SILENCE_LIMIT {
+            return Some("the endpoint is silent");
+        }
+        let patience = match self.route.kind {
+            Kind::Stream => STREAM_PATIENCE.max(Duration::from_millis(2 * self.route.target_ms)),
+            Kind::Safe | Kind::Unsafe => PLAIN_PATIENCE,
+        };
+        (waited >= patience).then_some("no answer in time")
+    }
+
+    /// Notes a failure of an endpoint.
+    pub fn fault(&self, endpoint: &Endpoint, cause: &str) {
+        let pause = endpoint.failed();
+        if pause.is_some() {
+            self.entry.metrics.paused.inc();
+        }
+        info!(self.entry.log, "send failed"; "request" => &self.ask.id,
+            "endpoint" => &*endpoint.id(), "cause" => cause,
+            "pause_ms" => pause.map(|pause| pause.as_millis() as u64));
+    }
+
+    /// Reads a whole answer.
+    async fn whole(&mut self, sent: Sent) -> Result<Response<Body>, Ended> {
+        let Sent { exchange: Exchange { mut connection, response }, reply, flight } = sent;
+        let (head, body) = response.into_parts();
+        let left = self.ends.saturating_sub(boot_time());
+        let read = match tokio::time::timeout(left, body.collect()).await {
+            Ok(Ok(read)) => read.to_bytes(),
+            Ok(Err(cause)) => {
+                self.fault(&flight.endpoint, &cause.to_string());
+                return Err(Ended::Unknown);
+            }
+            Err(_) => return Err(Ended::OutOfTime),
+        };
+        if exchange::settle(&mut connection).await {
+            flight.endpoint.pool.put(connection, reply.keep_alive);
+        }
+        if head.status.is_server_error() {
+            flight.judge(End::Bad);
+            self.fault(&flight.endpoint, "the endpoint failed");
+        } else {
+            flight.judge(End::Good(boot_time().saturating_sub(flight.began)));
+            flight.endpoint.succeeded();
+        }
+        let mut response = Response::new(Body::whole(read));
+        *response.status_mut() = head.status;
+        *response.headers_mut() = self.entry.dialect.response_headers(&head.headers);
+        Ok(response)
+    }
+
+    /// Notes the end of the request.
+    pub fn note(&self, status: u16, outcome: &str) {
+        let took = boot_time().saturating_sub(self.arrived);
+        self.entry.metrics.whole.observe(took.as_secs_f64());
+        let view = self.entry.view.borrow();
+        let (endpoint, version) = self.endpoint.clone().unzip();
+        info!(self.entry.log, "request ended"; "request" => &self.ask.id, "status" => status,
+            "outcome" => outcome, "route" => &*self.route.name, "service" => &*self.service,
+            "endpoint" => endpoint.as_deref(), "version" => version.as_deref(),
+            "model" => self.model.as_deref(), "sends" => self.sends, "runs" => self.runs,
+            "ms" => took.as_millis() as u64, "left_ms" => self.left_ms(),
+            "configuration" => view.number(),
+            "confirmed_ms" => view.age().map(|age| age.as_millis() as u64));
+    }
+}
--- /dev/null
+++ b/crates/fleet-entry/src/lib.rs
@@ -0,0 +1,24 @@
+//! An entry of a fleet: the path of a request from a client to an endpoint and back.
+//!
+//! [`server`] accepts connections. [`forward`] takes a request through its steps: the [`dialect`]
+//! reads its terms, [`view`] gives route and workspace, [`pick`] chooses model and endpoint,
+//! [`exchange`] sends it, [`outcome`] decides what its end means, and [`relay`] passes a stream on
+//! event by event. [`follow`] keeps the view and the [`directory`] current over links to control.
+
+pub mod answer;
+pub mod body;
+pub mod budget;
+pub mod dialect;
+pub mod directory;
+pub mod entry;
+pub mod exchange;
+pub mod follow;
+pub mod forward;
+pub mod metrics;
+pub mod outcome;
+pub mod pick;
+pub mod relay;
+pub mod server;
+pub mod settings;
+pub mod tally;
+pub mod view;
--- /dev/null
+++ b/crates/fleet-entry/src/metrics.rs
@@ -0,0 +1,98 @@
+//! Metrics of an entry.
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::metrics::histogram::exponential_buckets;
+use prometheus_client::registry::Registry;
+
+/// Labels of a request's end.
+pub type Labels = Vec<(&'static str, String)>;
+
+/// Metrics of an entry.
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by route kind and status.
+    pub requests: Family<Labels, Counter>,
+    /// Sends to endpoints.
+    pub sends: Counter,
+    /// Sends of a request after its first one.
+    pub second_sends: Counter,
+    /// Second sends that the budget did not allow.
+    pub budget_refusals: Counter,
+    /// Streams that were continued at another endpoint.
+    pub resumed: Counter,
+    /// New connections to endpoints.
+    pub connections: Counter,
+    /// Endpoints that got a pause after failures.
+    pub paused: Counter,
+    /// Requests under way.
+    pub open: Gauge,
+    /// Number of the configuration in force.
+    pub configuration: Gauge,
+    /// Time to the head of the answer, in seconds.
+    pub first_part: Histogram,
+    /// Time to the end of the answer, in seconds.
+    pub whole: Histogram,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("hickoryreel_entry");
+        let requests = Family::default();
+        registry.register("requests", "Requests by kind and status", requests.clone());
+        let mut counter = |name: &str, help: &str| {
+            let counter = Counter::default();
+            registry.register(name, help, counter.clone());
+            counter
+        };
+        let sends = counter("sends", "Sends to endpoints");
+        let second_sends = counter("second_sends", "Sends of a request after its first one");
+        let budget_refusals =
+            counter("budget_refusals", "Second sends that the budget did not allow");
+        let resumed = counter("resumed", "Streams continued at another endpoint");
+        let connections = counter("connections", "New connections to endpoints");
+        let paused = counter("paused", "Endpoints that got a pause after failures");
+        let mut gauge = |name: &str, help: &str| {
+            let gauge = Gauge::default();
+            registry.register(name, help, gauge.clone());
+            gauge
+        };
+        let open = gauge("open", "Requests under way");
+        let configuration = gauge("configuration", "Number of the configuration in force");
+        let mut histogram = |name: &str, help: &str| {
+            // From 5 ms to 20 s.
+            let histogram = Histogram::new(exponential_buckets(0.005, 2.0, 13));
+            registry.register(name, help, histogram.clone());
+            histogram
+        };
+        let first_part = histogram("first_part_seconds", "Time to the head of the answer");
+        let whole = histogram("whole_seconds", "Time to the end of the answer");
+        Self {
+            registry,
+            requests,
+            sends,
+            second_sends,
+            budget_refusals,
+            resumed,
+            connections,
+            paused,
+            open,
+            configuration,
+            first_part,
+            whole,
+        }
+    }
+}
+
+impl Metrics {
+    /// All metrics in the text format.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
--- /dev/null
+++ b/crates/fleet-entry/src/view.rs
@@ -0,0 +1,127 @@
+//! What an entry believes of the agreed state, and until when.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hickoryreel_fleet::Name;
+use hickoryreel_fleet::clock::boot_time;
+use hickoryreel_fleet::configuration::Configuration;
+use hickoryreel_fleet::configuration::Route;
+use hickoryreel_fleet::configuration::Service;
+use hickoryreel_fleet::configuration::Workspace;
+use hickoryreel_fleet::link::Confirmed;
+use hickoryreel_fleet::roll_out::RollOuts;
+
+/// Age of the confirmation up to which the entry refuses a key or a route for good. Later it may
+/// have missed the configuration that added them.
+const REFUSE_AGE: Duration = Duration::from_millis(2_000);
+
+/// The configuration with its indexes.
+#[derive(Debug, Default)]
+pub struct Index {
+    /// The configuration.
+    pub configuration: Configuration,
+    hosts: HashMap<Name, Vec<Arc<Route>>>,
+    workspaces: HashMap<Name, Arc<Workspace>>,
+    services: HashMap<Name, Arc<Service>>,
+}
+
+impl Index {
+    fn new(configuration: Configuration) -> Self {
+        let mut hosts: HashMap<Name, Vec<Arc<Route>>> = HashMap::new();
+        for route in &configuration.routes {
+            let host = route.host.to_ascii_lowercase().into();
+            hosts.entry(host).or_default().push(Arc::new(route.clone()));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let mut workspaces = HashMap::new();
+        for workspace in &configuration.workspaces {
+            let shared = Arc::new(workspace.clone());
+            workspaces.extend(workspace.keys.iter().map(|key| (key.clone(), Arc::clone(&shared))));
+        }
+        let services = configuration.services.iter();
+        let services = services.map(|one| (one.name.clone(), Arc::new(one.clone()))).collect();
+        Self { configuration, hosts, workspaces, services }
+    }
+
+    /// The route with the longest prefix of `path`.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        self.hosts.get(host)?.iter().find(|route| path.starts_with(&*route.prefix))
+    }
+
+    /// The workspace that holds a key.
+    pub fn workspace(&self, key: &str) -> Option<&Arc<Workspace>> {
+        self.workspaces.get(key)
+    }
+
+    /// The service with this name.
+    pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
+        self.services.get(name)
+    }
+
+    /// Whether requests need a key.
+    pub fn needs_keys(&self) -> bool {
+        !self.configuration.workspaces.is_empty()
+    }
+}
+
+/// The agreed state as this entry knows it.
+#[derive(Debug, Default)]
+pub struct View {
+    /// The configuration in force; `None` before the first one is known.
+    pub index: Option<Arc<Index>>,
+    /// Roll-outs.
+    pub roll_outs: RollOuts,
+    /// Revision of the roll-outs.
+    pub revision: u64,
+    confirmed_at: Option<Duration>,
+}
+
+impl View {
+    /// Takes in agreed state that was confirmed after `asked_at`. Returns whether it changed. The
+    /// configuration never goes back, whichever replica answers.
+    pub fn confirm(&mut self, asked_at: Duration, confirmed: Confirmed) -> bool {
+        let mut changed = false;
+        if let Some(configuration) = confirmed.configuration
+            && configuration.number > self.number()
+        {
+            self.index = Some(Arc::new(Index::new(*configuration)));
+            changed = true;
+        }
+        if let Some(roll_outs) = confirmed.roll_outs
+            && confirmed.revision > self.revision
+        {
+            self.roll_outs = roll_outs;
+            self.revision = confirmed.revision;
+            changed = true;
+        }
+        // Nothing newer than what this entry has was in force when it asked.
+        if confirmed.number <= self.number() {
+            self.confirmed_at = self.confirmed_at.max(Some(asked_at));
+        }
+        changed
+    }
+
+    /// Number of the configuration; 0 if there is none.
+    pub fn number(&self) -> u64 {
+        self.index.as_ref().map_or(0, |index| index.configuration.number)
+    }
+
+    /// Time since the state was confirmed.
+    pub fn age(&self) -> Option<Duration> {
+        self.confirmed_at.map(|at| boot_time().saturating_sub(at))
+    }
+
+    /// Whether keys may be honoured under a lease of `length`.
+    pub fn has_lease(&self, length: Duration) -> bool {
+        self.age().is_some_and(|age| age < length)
+    }
+
+    /// Whether a missing key or route may be refused for good.
+    pub fn is_fresh(&self) -> bool {
+        self.has_lease(REFUSE_AGE)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/link/mod.rs
@@ -0,0 +1,54 @@
+//! Links between processes: postcard messages in length-delimited frames over one kept TCP
+//! connection per pair.
+//!
+//! [`Client`] sends requests and matches answers by number; a request without an answer in time
+//! drops the connection, because a connection can go silent without a reset. [`serve`] answers the
+//! requests of all connections of a listener.
+
+mod client;
+mod message;
+mod server;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio_util::codec::Framed;
+use tokio_util::codec::LengthDelimitedCodec;
+
+pub use client::Client;
+pub use message::Answer;
+pub use message::Confirmed;
+pub use message::Cursor;
+pub use message::Follow;
+pub use message::Identity;
+pub use message::News;
+pub use message::Request;
+pub use server::Handler;
+pub use server::serve;
+
+/// Largest frame in bytes: a configuration of the largest accepted size, and its headers.
+const MAX_FRAME_BYTES: usize = 8 << 20;
+
+/// Time after which TCP gives up unacknowledged data: well below the lease of an entry.
+const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+type Socket = Framed<TcpStream, LengthDelimitedCodec>;
+
+fn framed(stream: TcpStream) -> Socket {
+    // Without these options the link works; it notices a silent peer later.
+    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT));
+    let _ = stream.set_nodelay(true);
+    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(stream)
+}
+
+fn encode<T: Serialize>(number: u64, value: &T) -> eyre::Result<Bytes> {
+    Ok(postcard::to_stdvec(&(number, value))?.into())
+}
+
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<(u64, T), postcard::Error> {
+    postcard::from_bytes(bytes)
+}
