Choose models by confidence, endpoints by expected delay, and try versions late

Ruled out: the processors (entry 0.01 of a core) and the plain service.

Change: the smallest model runs first and a larger one only when it doubts its answer and answers are not late; endpoints are compared by expected milliseconds; the trial of a version starts in the second half; changed settings are reloaded.

--- a/crates/fleet-control/src/control.rs
+++ b/crates/fleet-control/src/control.rs
@@ -1,6 +1,7 @@
 //! The calls that a control replica answers.
 
 use std::cell::RefCell;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -38,9 +39,9 @@
 /// Limit of a link for news to other replicas.
 const NEWS_LIMIT: Duration = Duration::from_millis(1_000);
 
-/// Part of the exposure limit that a trial uses. Sessions differ in size, so the share of requests
-/// strays from the share of sessions.
-const SHARE_OF_EXPOSURE: f64 = 0.6;
+/// Share of the new version in a trial, in parts of the exposure limit. The limit is for the whole
+/// time of a roll-out, of which the trial takes a quarter.
+const SHARE_OF_EXPOSURE: f64 = 1.8;
 
 /// No quorum confirmed the call in time; it may be repeated at any replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,6 +57,8 @@
     pub quorum: Quorum,
     /// The other replicas.
     pub peers: Rc<Peers>,
+    /// Link addresses of replicas that the settings name.
+    pub seeds: Rc<RefCell<Vec<SocketAddrV4>>>,
     /// Replicas that asked to join.
     pub joiners: Rc<Joiners>,
     /// Endpoints.
@@ -73,6 +76,11 @@
 }
 
 impl Control {
+    /// Replaces the replicas that the settings name.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddrV4>) {
+        *self.seeds.borrow_mut() = seeds;
+    }
+
     /// Takes in an announcement of an endpoint and passes it on to the other replicas. Returns
     /// once the news of an endpoint that drains has reached another replica, if one answers.
     pub async fn announce(&self, announcement: Announcement) {
--- a/crates/fleet-control/src/directory.rs
+++ b/crates/fleet-control/src/directory.rs
@@ -123,9 +123,6 @@
 
     /// Number of endpoints that are present.
     pub fn present(&self) -> usize {
-        self.endpoints
-            .values()
-            .filter(|known| known.sighting.status == Status::Present)
-            .count()
+        self.endpoints.values().filter(|known| known.sighting.status == Status::Present).count()
     }
 }
--- a/crates/fleet-control/src/log.rs
+++ b/crates/fleet-control/src/log.rs
@@ -357,8 +357,7 @@
         let replica = &self.replica;
         let (role, term) = (replica.role(), replica.term());
         let members = replica.members().iter().map(|one| 1 + usize::from(one.voter)).sum();
-        let now =
-            (self.applied, replica.last_index(), role, term, replica.leader(), members);
+        let now = (self.applied, replica.last_index(), role, term, replica.leader(), members);
         if now == self.published {
             return;
         }
--- a/crates/fleet-control/src/machine.rs
+++ b/crates/fleet-control/src/machine.rs
@@ -87,7 +87,7 @@
             service,
             target,
             length_ms,
-            phase: Phase::Trial,
+            phase: Phase::Pending,
             share,
             elapsed_ms: 0,
         };
@@ -105,7 +105,7 @@
         let roll_outs = Arc::make_mut(&mut self.roll_outs);
         let running = |one: &&mut RollOut| one.serial == serial && one.phase.is_running();
         let Some(one) = roll_outs.newest.iter_mut().find(running) else { return };
-        if one.phase == Phase::Moving && phase == Phase::Trial {
+        if phase < one.phase {
             return;
         }
         one.elapsed_ms = one.elapsed_ms.max(elapsed_ms);
--- a/crates/fleet-control/src/members.rs
+++ b/crates/fleet-control/src/members.rs
@@ -8,6 +8,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -65,12 +66,7 @@
 }
 
 /// Changes the members while this replica leads.
-pub async fn control(
-    log_handle: Log,
-    peers: Rc<Peers>,
-    joiners: Rc<Joiners>,
-    log: Logger,
-) {
+pub async fn control(log_handle: Log, peers: Rc<Peers>, joiners: Rc<Joiners>, log: Logger) {
     let mut led_since = None;
     loop {
         tokio::time::sleep(PERIOD).await;
@@ -128,7 +124,7 @@
 pub async fn join(
     log_handle: Log,
     peers: Rc<Peers>,
-    seeds: Vec<String>,
+    seeds: Rc<RefCell<Vec<SocketAddrV4>>>,
     log: Logger,
 ) {
     let mut lost_since = Some(Duration::ZERO);
@@ -146,7 +142,8 @@
             continue;
         }
         let known = agreed.members.iter().map(|one| one.address.to_string());
-        let mut addresses: Vec<String> = seeds.iter().cloned().chain(known).collect();
+        let mut addresses: Vec<String> =
+            seeds.borrow().iter().map(ToString::to_string).chain(known).collect();
         addresses.sort();
         addresses.dedup();
         info!(log, "asking to join"; "member" => member, "replicas" => addresses.join(","));
--- a/crates/fleet-control/src/roll_out.rs
+++ b/crates/fleet-control/src/roll_out.rs
@@ -23,22 +23,28 @@
 /// Time between two notes of the progress in the log: what a new leader may lose of it.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// Part of a roll-out's time for the trial. A version may turn bad late or under load, so the
-/// share stays small for most of the time.
-const TRIAL_PART: f64 = 0.60;
+/// Part of a roll-out's time before the trial: the half in which sessions must stay.
+const PENDING_PART: f64 = 0.51;
+
+/// Part of a roll-out's time at which the trial ends.
+const TRIAL_PART: f64 = 0.75;
 
 /// Part of a roll-out's time by which it is complete. The rest is for lost acknowledgements.
 const COMPLETE_PART: f64 = 0.90;
 
+/// Part of a roll-out's time for which all work goes to the new version before it may replace the
+/// old one.
+const MOVE_PART: f64 = 0.06;
+
 /// Requests of a route at the new version below which there is no verdict on the route.
-const LEAST_SENT: u64 = 8;
+const LEAST_SENT: u64 = 5;
 
 /// Bad answers of a route at the new version below which there is no verdict on the route.
-const LEAST_BAD: u64 = 5;
+const LEAST_BAD: u64 = 3;
 
 /// Failure rate above the rate of the old version at which a version is bad. Single endpoints
 /// that fail part of their requests stay below it.
-const EXCESS_RATE: f64 = 0.12;
+const EXCESS_RATE: f64 = 0.2;
 
 /// Ratio of the mean times to the first part of an answer at which a version is bad. Bad versions
 /// are several times slower.
@@ -216,8 +222,9 @@
     let part = elapsed(one, counted) as f64 / one.length_ms.max(1) as f64;
     let idle = tallies.open_elsewhere(&one.service, &one.target) == 0;
     match one.phase {
+        Phase::Pending if part >= PENDING_PART => return Some(Phase::Trial),
         Phase::Trial if part >= TRIAL_PART => return Some(Phase::Moving),
-        Phase::Moving if part >= COMPLETE_PART || (idle && part >= TRIAL_PART + 0.1) => {
+        Phase::Moving if part >= COMPLETE_PART || (idle && part >= TRIAL_PART + MOVE_PART) => {
             return Some(Phase::Complete);
         }
         _ => {}
--- a/crates/fleet-control/src/run.rs
+++ b/crates/fleet-control/src/run.rs
@@ -65,6 +65,7 @@
     let control = Rc::new(Control {
         quorum: Quorum::start(log_handle.clone(), Rc::clone(&peers)),
         peers: Rc::clone(&peers),
+        seeds: Rc::new(RefCell::new(settings.seeds.clone())),
         joiners: Rc::new(Joiners::default()),
         directory: RefCell::new(Directory::new(settings.announce_interval)),
         directory_changed: Notify::new(),
@@ -75,12 +76,11 @@
         log_handle: log_handle.clone(),
         settings,
     });
-    let seeds = control.settings.seeds.iter().map(ToString::to_string).collect();
     spawn_local(peers::deliver(Rc::clone(&peers), log_handle.agreed.clone(), messages));
     spawn_local(link::serve(listener, Rc::clone(&control), log.clone()));
     let joiners = Rc::clone(&control.joiners);
     spawn_local(members::control(log_handle.clone(), Rc::clone(&peers), joiners, log.clone()));
-    spawn_local(members::join(log_handle.clone(), peers, seeds, log.clone()));
+    spawn_local(members::join(log_handle.clone(), peers, Rc::clone(&control.seeds), log.clone()));
     spawn_local(roll_out::control(log_handle, Rc::clone(&control.tallies), log.clone()));
     spawn_local(expire(Rc::clone(&control)));
     info!(log, "control replica is up"; "links" => %control.settings.links, "replica" => %id,
--- a/crates/fleet-entry/src/body.rs
+++ b/crates/fleet-entry/src/body.rs
@@ -60,9 +60,9 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
         match &mut self.source {
-            Source::Whole(bytes) => {
-                Poll::Ready(bytes.take().filter(|one| !one.is_empty()).map(|one| Ok(Frame::data(one))))
-            }
+            Source::Whole(bytes) => Poll::Ready(
+                bytes.take().filter(|one| !one.is_empty()).map(|one| Ok(Frame::data(one))),
+            ),
             Source::Pieces(pieces) => {
                 pieces.poll_recv(context).map(|piece| piece.map(|piece| piece.map(Frame::data)))
             }
--- a/crates/fleet-entry/src/budget.rs
+++ b/crates/fleet-entry/src/budget.rs
@@ -10,6 +10,9 @@
 /// another window than here.
 const USED_PART: f64 = 0.7;
 
+/// Part of the budget that choices may use; the rest is for failures.
+const SPARE_PART: f64 = 0.8;
+
 /// Time slices of the window.
 const SLICES: u32 = 10;
 
@@ -56,8 +59,7 @@
         self.slice(now, limits.window).first += 1;
     }
 
-    /// Takes one second send out of the budget, if there is one left.
-    pub fn take(&mut self, now: Duration, limits: &Limits) -> bool {
+    fn used(&mut self, now: Duration, limits: &Limits) -> f64 {
         self.slice(now, limits.window);
         let (first, again) = self
             .slices
@@ -65,7 +67,17 @@
             .fold((0, 0), |(first, again), one| (first + one.first, again + one.again));
         let slack = limits.slack / f64::from(limits.entries.max(1));
         let allowed = USED_PART * (limits.ratio * f64::from(first) + slack);
-        if f64::from(again) + 1.0 > allowed {
+        (f64::from(again) + 1.0) / allowed.max(f64::MIN_POSITIVE)
+    }
+
+    /// Whether enough is left for second sends that are a choice and not a necessity.
+    pub fn has_spare(&mut self, now: Duration, limits: &Limits) -> bool {
+        self.used(now, limits) <= SPARE_PART
+    }
+
+    /// Takes one second send out of the budget, if there is one left.
+    pub fn take(&mut self, now: Duration, limits: &Limits) -> bool {
+        if self.used(now, limits) > 1.0 {
             return false;
         }
         self.slice(now, limits.window).again += 1;
--- a/crates/fleet-entry/src/directory.rs
+++ b/crates/fleet-entry/src/directory.rs
@@ -45,8 +45,8 @@
     pub pool: Pool,
     /// Requests of this entry under way there.
     pub open: Cell<u32>,
-    /// Prompt tokens of this entry's requests that have not answered yet.
-    pub unread_tokens: Cell<u64>,
+    /// Expected reading time of this entry's requests that have not answered yet, in milliseconds.
+    pub unread_ms: Cell<f64>,
     load: Cell<Option<(Load, Duration)>>,
     sent_since_load: Cell<u32>,
     failures: Cell<u32>,
@@ -64,7 +64,7 @@
             silent: Cell::new(false),
             gone: Cell::new(false),
             open: Cell::new(0),
-            unread_tokens: Cell::new(0),
+            unread_ms: Cell::new(0.0),
             load: Cell::new(None),
             sent_since_load: Cell::new(0),
             failures: Cell::new(0),
@@ -163,6 +163,13 @@
         }
     }
 
+    /// Requests of other entries that wait there, as far as known.
+    pub fn waiting(&self) -> f64 {
+        let now = boot_time();
+        let load = self.load.get().filter(|(_, at)| now < *at + LOAD_AGE);
+        load.map_or(0.0, |(load, _)| f64::from(load.waiting))
+    }
+
     /// Requests that the endpoint runs at once.
     pub fn slots(&self) -> u32 {
         self.announcement.borrow().slots.max(1)
--- a/crates/fleet-entry/src/entry.rs
+++ b/crates/fleet-entry/src/entry.rs
@@ -13,6 +13,7 @@
 
 use crate::budget::Budget;
 use crate::budget::Limits;
+use crate::cascade::Cascade;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::metrics::Metrics;
@@ -36,6 +37,8 @@
     pub entries: Cell<u32>,
     /// Budgets of second sends by service.
     pub budgets: RefCell<HashMap<Name, Budget>>,
+    /// What is known of the models, by service.
+    pub cascades: RefCell<HashMap<Name, Cascade>>,
     /// Counts for roll-outs.
     pub tallies: RefCell<Tallies>,
     /// Requests under way.
@@ -63,6 +66,7 @@
             directory: RefCell::default(),
             entries: Cell::new(1),
             budgets: RefCell::default(),
+            cascades: RefCell::default(),
             tallies: RefCell::default(),
             open: Cell::new(0),
             body_bytes: Cell::new(0),
@@ -76,9 +80,7 @@
     /// Whether the balancer should send new connections here.
     pub fn is_ready(&self) -> bool {
         let view = self.view.borrow();
-        self.stopping.get().is_none()
-            && view.index.is_some()
-            && view.has_lease(self.settings.lease)
+        self.stopping.get().is_none() && view.index.is_some() && view.has_lease(self.settings.lease)
     }
 
     /// Counts a request as open until the guard is dropped.
@@ -115,6 +117,12 @@
         taken
     }
 
+    /// Whether second sends of a service leave enough of the budget for failures.
+    pub fn has_spare_budget(&self, service: &Name) -> bool {
+        let mut budgets = self.budgets.borrow_mut();
+        budgets.entry(service.clone()).or_default().has_spare(boot_time(), &self.limits())
+    }
+
     /// Whether a zone is in this entry's region.
     pub fn is_near(&self, zone: &str) -> bool {
         self.settings.region(zone) == self.settings.region(&self.settings.zone)
--- a/crates/fleet-entry/src/exchange.rs
+++ b/crates/fleet-entry/src/exchange.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hickoryreel_fleet::clock::boot_time;
 use http::Request;
 use http::Response;
 use http_body_util::Full;
@@ -12,7 +13,6 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
-use hickoryreel_fleet::clock::boot_time;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
@@ -171,4 +171,3 @@
     tokio::task::yield_now().await;
     connection.sender.is_ready()
 }
-
--- a/crates/fleet-entry/src/follow.rs
+++ b/crates/fleet-entry/src/follow.rs
@@ -6,6 +6,7 @@
 use std::cell::RefCell;
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -42,10 +43,16 @@
 }
 
 /// Follows the seeds and every replica that they name.
-pub fn start(entry: &Rc<Entry>) {
+pub fn start(entry: &Rc<Entry>) -> Rc<Followed> {
     let followed = Rc::new(Followed::default());
-    for seed in &entry.settings.seeds {
-        follow(entry, &followed, SocketAddr::V4(*seed));
+    add_seeds(entry, &followed, &entry.settings.seeds);
+    followed
+}
+
+/// Follows replicas that changed settings name.
+pub fn add_seeds(entry: &Rc<Entry>, followed: &Rc<Followed>, seeds: &[SocketAddrV4]) {
+    for seed in seeds {
+        follow(entry, followed, SocketAddr::V4(*seed));
     }
 }
 
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -22,6 +22,7 @@
 
 use crate::answer::Refusal;
 use crate::body::Body;
+use crate::cascade::Cascade;
 use crate::dialect::Ask;
 use crate::dialect::Reply;
 use crate::dialect::Terms;
@@ -91,8 +92,14 @@
     runs: u32,
     /// Whether a send may have run the request.
     pub ran: bool,
-    /// Model of the newest send.
+    /// Step among the route's models of the newest send.
+    step: usize,
+    /// Model of the newest send, if the entry chose it.
     pub model: Option<Name>,
+    /// The smaller model whose doubt the newest send shall settle.
+    doubted_by: Option<Name>,
+    /// Confidence of the model in the newest answer.
+    confidence: Option<u8>,
     /// Endpoint and version of the newest send.
     pub endpoint: Option<(Name, Name)>,
 }
@@ -115,7 +122,7 @@
     service: Name,
     version: Name,
     route: Name,
-    unread: u64,
+    unread_ms: f64,
     /// When the send began.
     pub began: Duration,
 }
@@ -125,19 +132,19 @@
         let entry = Rc::clone(&course.entry);
         let version = endpoint.version();
         let (service, route) = (course.service.clone(), course.route.name.clone());
-        let unread = course.ask.prompt_tokens;
+        let unread_ms = course.ask.prompt_tokens as f64 * course.token_ms().unwrap_or(0.0);
         endpoint.sent();
-        endpoint.unread_tokens.set(endpoint.unread_tokens.get() + unread);
+        endpoint.unread_ms.set(endpoint.unread_ms.get() + unread_ms);
         entry.tallies.borrow_mut().sent(&service, &version, &route);
         entry.metrics.sends.inc();
-        Self { entry, endpoint, service, version, route, unread, began: boot_time() }
+        Self { entry, endpoint, service, version, route, unread_ms, began: boot_time() }
     }
 
     /// The endpoint has read the prompt.
     pub fn answered(&mut self) {
-        let unread = std::mem::take(&mut self.unread);
-        let at_endpoint = &self.endpoint.unread_tokens;
-        at_endpoint.set(at_endpoint.get().saturating_sub(unread));
+        let unread_ms = std::mem::take(&mut self.unread_ms);
+        let at_endpoint = &self.endpoint.unread_ms;
+        at_endpoint.set((at_endpoint.get() - unread_ms).max(0.0));
     }
 
     /// Notes what the send says of the version.
@@ -215,7 +222,10 @@
         sends: 0,
         runs: 0,
         ran: false,
+        step: 0,
         model: None,
+        doubted_by: None,
+        confidence: None,
         endpoint: None,
     })
 }
@@ -291,6 +301,9 @@
                 Ok(sent) => {
                     let status = sent.exchange.response.status();
                     if status.is_success() && self.route.kind == Kind::Stream {
+                        if self.escalate(&sent) {
+                            continue;
+                        }
                         return relay::start(self, sent);
                     }
                     match self.whole(sent).await {
@@ -315,8 +328,7 @@
 
     /// Decides after a failed send. `None` to send again, otherwise how the request ends.
     pub fn after(&mut self, ended: Ended, passed: Passed) -> Option<Otherwise> {
-        if matches!(ended, Ended::Unknown | Ended::FailedThere | Ended::OutOfTime)
-            && self.sends > 0
+        if matches!(ended, Ended::Unknown | Ended::FailedThere | Ended::OutOfTime) && self.sends > 0
         {
             self.ran = true;
         }
@@ -374,18 +386,56 @@
             roll_outs: &view.roll_outs,
             tried: &self.tried,
             entries: self.entry.entries.get(),
+            token_ms: self.token_ms(),
             is_near: &is_near,
         };
         pick::endpoint(&case, directory.of(&self.service))
     }
 
+    /// The model of the next send, if the entry chooses it.
     fn choose_model(&self) -> Option<Name> {
         if !self.ask.any_model {
             return None;
         }
-        let directory = self.entry.directory.borrow();
-        let load = pick::service_load(directory.of(&self.service), self.entry.entries.get());
-        pick::model(&self.route, load).cloned()
+        self.route.models.get(self.step).cloned()
+    }
+
+    /// Time in which the model of the newest send reads a prompt token, in milliseconds; `None`
+    /// for plain services.
+    fn token_ms(&self) -> Option<f64> {
+        let cascades = self.entry.cascades.borrow();
+        let cascade = cascades.get(&self.service);
+        let model = self.model.as_ref()?;
+        Some(cascade.map_or_else(|| Cascade::default().token_ms(model), |one| one.token_ms(model)))
+    }
+
+    /// Whether the answer is dropped and a larger model asked.
+    fn escalate(&mut self, sent: &Sent) -> bool {
+        let Some((confidence, model)) = sent.reply.confidence.zip(self.model.clone()) else {
+            return false;
+        };
+        let now = boot_time();
+        let mut cascades = self.entry.cascades.borrow_mut();
+        let cascade = cascades.entry(self.service.clone()).or_default();
+        if let Some(smaller) = self.doubted_by.take() {
+            cascade.learn(&smaller, confidence);
+        }
+        let Some(next) = cascade.next(&self.route.models, self.step, confidence) else {
+            return false;
+        };
+        let tokens = self.ask.prompt_tokens;
+        let allowed = self.runs < self.route.attempts
+            && self.route.is_repeatable()
+            && cascade.has_room(tokens, now)
+            && self.entry.has_spare_budget(&self.service)
+            && self.entry.take_second_send(&self.service);
+        if allowed {
+            self.doubted_by = (next == self.step + 1).then_some(model);
+            self.step = next;
+            self.ran = true;
+            self.tried.clear();
+        }
+        allowed
     }
 
     /// Sends once. `after_event` continues a stream.
@@ -394,11 +444,11 @@
         if left <= LEAST_LEFT_MS {
             return Err(Ended::OutOfTime);
         }
-        let Some(endpoint) = self.pick() else { return Err(Ended::NotRun) };
         // Continued streams keep their model, so that the answer stays one answer.
         if after_event.is_none() || self.model.is_none() {
             self.model = self.choose_model();
         }
+        let Some(endpoint) = self.pick() else { return Err(Ended::NotRun) };
         // The lease may have run out while the request waited.
         let lease = self.entry.settings.lease;
         if self.workspace.is_some() && !self.entry.view.borrow().has_lease(lease) {
@@ -412,6 +462,7 @@
         }
         self.sends += 1;
         self.tried.push(id);
+        let alone = endpoint.unread_ms.get() == 0.0 && endpoint.waiting() == 0.0;
         let mut flight = Flight::new(self, Rc::clone(&endpoint));
         let exchange = self.exchange(&endpoint, request, flight.began).await?;
         let response = &exchange.response;
@@ -429,6 +480,9 @@
             return Err(Ended::NotRun);
         }
         if reply.not_run {
+            info!(self.entry.log, "endpoint refused"; "request" => &self.ask.id,
+                "endpoint" => &*endpoint.id(), "status" => status.as_u16(),
+                "load" => reply.load.map(|load| format!("{load:?}")));
             return Err(Ended::NotRun);
         }
         self.runs += 1;
@@ -437,6 +491,19 @@
             return Err(Ended::Unknown);
         }
         endpoint.hear();
+        self.confidence = reply.confidence;
+        if let Some(model) = &self.model {
+            let now = boot_time();
+            let mut cascades = self.entry.cascades.borrow_mut();
+            cascades.entry(self.service.clone()).or_default().observe(
+                model,
+                self.ask.prompt_tokens,
+                now.saturating_sub(flight.began),
+                Duration::from_millis(self.route.target_ms),
+                alone,
+                now,
+            );
+        }
         Ok(Sent { exchange, reply, flight })
     }
 
@@ -579,7 +646,7 @@
         info!(self.entry.log, "request ended"; "request" => &self.ask.id, "status" => status,
             "outcome" => outcome, "route" => &*self.route.name, "service" => &*self.service,
             "endpoint" => endpoint.as_deref(), "version" => version.as_deref(),
-            "model" => self.model.as_deref(), "sends" => self.sends, "runs" => self.runs,
+            "model" => self.model.as_deref(), "confidence" => self.confidence, "sends" => self.sends, "runs" => self.runs,
             "ms" => took.as_millis() as u64, "left_ms" => self.left_ms(),
             "configuration" => view.number(),
             "confirmed_ms" => view.age().map(|age| age.as_millis() as u64));
--- a/crates/fleet-entry/src/lib.rs
+++ b/crates/fleet-entry/src/lib.rs
@@ -1,13 +1,14 @@
 //! An entry of a fleet: the path of a request from a client to an endpoint and back.
 //!
 //! [`server`] accepts connections. [`forward`] takes a request through its steps: the [`dialect`]
-//! reads its terms, [`view`] gives route and workspace, [`pick`] chooses model and endpoint,
-//! [`exchange`] sends it, [`outcome`] decides what its end means, and [`relay`] passes a stream on
+//! reads its terms, [`view`] gives route and workspace, [`cascade`] chooses the model, [`pick`] the
+//! endpoint, [`exchange`] sends it, [`outcome`] decides what its end means, and [`relay`] passes a stream on
 //! event by event. [`follow`] keeps the view and the [`directory`] current over links to control.
 
 pub mod answer;
 pub mod body;
 pub mod budget;
+pub mod cascade;
 pub mod dialect;
 pub mod directory;
 pub mod entry;
--- a/crates/fleet-entry/src/outcome.rs
+++ b/crates/fleet-entry/src/outcome.rs
@@ -57,14 +57,11 @@
 /// The table. `ran` tells whether an earlier send of the request may have run: then a refusal must
 /// not say that it has not.
 pub fn next(ended: Ended, runs: Runs, passed: Passed, ran: bool) -> Next {
-    let refuse = |not_run: Refusal, other: Refusal| {
-        Otherwise::Refuse(if ran { other } else { not_run })
-    };
+    let refuse =
+        |not_run: Refusal, other: Refusal| Otherwise::Refuse(if ran { other } else { not_run });
     match (ended, runs, passed) {
         (Ended::OutOfTime, _, Passed::Part) => Next::End(Otherwise::BreakOff),
-        (Ended::OutOfTime, _, Passed::Nothing) => {
-            Next::End(Otherwise::Refuse(Refusal::TimedOut))
-        }
+        (Ended::OutOfTime, _, Passed::Nothing) => Next::End(Otherwise::Refuse(Refusal::TimedOut)),
         (Ended::NotRun | Ended::Unknown | Ended::FailedThere, Runs::Repeatable, Passed::Part) => {
             Next::Again(Otherwise::BreakOff)
         }
--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -16,28 +16,32 @@
 /// Parts of 1,000 into which requests are divided between versions.
 const SHARE_PARTS: u64 = 1_000;
 
-/// Cost of leaving the region, in requests ahead at the endpoint: a crossing takes 24 ms and is
-/// billed by volume.
-const REGION_COST: f64 = 0.15;
+/// Cost of leaving the region, in milliseconds: a crossing takes 24 ms and is billed by volume.
+const REGION_COST: f64 = 40.0;
 
-/// Cost of an endpoint per share of failed requests, in parts of its slots.
-const FAILURE_COST: f64 = 2.0;
+/// Cost of an endpoint whose requests all fail, in milliseconds: a second send and more.
+const FAILURE_COST: f64 = 2_000.0;
 
-/// Gain of an endpoint that has read the shared parts of the prompt before, in parts of its slots,
-/// per 1,000 shared tokens.
-const AFFINITY_GAIN: f64 = 0.06;
+/// Cost of an endpoint that is still warming up, in milliseconds.
+const COLD_COST: f64 = 300.0;
 
-/// Largest gain for read parts.
-const MOST_AFFINITY: f64 = 0.35;
+/// Part of the shared tokens that an endpoint of the prompt's home keeps in its cache.
+const KEPT_PART: f64 = 0.85;
 
-/// Endpoints at which the shared parts of a prompt are kept.
-const HOMES: usize = 2;
+/// Delay that a request of a full batch adds to the others there, in milliseconds per slot used.
+const BATCH_DELAY: f64 = 250.0;
+
+/// Prompt tokens of a request that waits at an endpoint and whose size is not known.
+const WAITING_TOKENS: f64 = 2_000.0;
 
-/// Load of a service, in parts of its slots, above which the middle model serves.
-const MIDDLE_ABOVE: f64 = 0.45;
+/// Time that a full plain endpoint adds, in milliseconds: about its work.
+const PLAIN_DELAY: f64 = 120.0;
 
-/// Load of a service, in parts of its slots, above which the smallest model serves.
-const SMALLEST_ABOVE: f64 = 0.75;
+/// Largest random part of a cost, in milliseconds: many entries see the same load.
+const JITTER: f64 = 4.0;
+
+/// Endpoints at which the shared parts of a prompt are kept.
+const HOMES: usize = 2;
 
 /// What a choice depends on beside the endpoints.
 pub struct Case<'a> {
@@ -53,6 +57,8 @@
     pub tried: &'a [Name],
     /// Number of entries.
     pub entries: u32,
+    /// Time in which a prompt token is read, in milliseconds; `None` for plain services.
+    pub token_ms: Option<f64>,
     /// Whether an endpoint in this zone is in the entry's region.
     pub is_near: &'a dyn Fn(&str) -> bool,
 }
@@ -81,6 +87,7 @@
         match roll_out {
             None => true,
             Some(one) => match one.phase {
+                Phase::Pending => version != one.target,
                 Phase::Trial => (version == one.target) == in_trial(case, one.share),
                 Phase::Moving | Phase::Complete => version == one.target,
                 Phase::RolledBack => version != one.target,
@@ -104,8 +111,8 @@
             chosen.retain(|one| one.version() == *oldest);
         }
     }
-    let trial_without_endpoint = chosen.is_empty()
-        && roll_out.is_some_and(|one| matches!(one.phase, Phase::Trial | Phase::Moving));
+    let trial_without_endpoint =
+        chosen.is_empty() && roll_out.is_some_and(|one| one.phase.is_running());
     if trial_without_endpoint {
         let usable = |one: &&Rc<Endpoint>| {
             !case.roll_outs.is_withdrawn(case.service, &one.version())
@@ -138,30 +145,32 @@
     candidates
         .into_iter()
         .map(|endpoint| {
-            let slots = f64::from(endpoint.slots());
-            let mut cost = endpoint.estimated_load(case.entries) / slots;
-            let announcement = endpoint.announcement.borrow();
-            if !(case.is_near)(&announcement.zone) {
-                cost += REGION_COST;
-            }
-            if announcement.cold_ms > 0 {
-                cost += 0.5;
-            }
-            cost += FAILURE_COST * endpoint.failure_share();
-            if let Some(shared) = &homes
-                && shared.homes.contains(&announcement.id)
-            {
-                cost -= (AFFINITY_GAIN * shared.tokens as f64 / 1_000.0).min(MOST_AFFINITY);
-            }
-            // Many entries see the same load: near-equals are chosen at random.
-            cost += random.random_range(0.0..0.05);
-            drop(announcement);
+            let cost = cost(case, &endpoint, homes.as_ref()) + random.random_range(0.0..JITTER);
             (endpoint, cost)
         })
         .min_by(|left, right| left.1.total_cmp(&right.1))
         .map(|(endpoint, _)| endpoint)
 }
 
+/// Expected delay of the request at an endpoint, in milliseconds, and what stands for money.
+fn cost(case: &Case<'_>, endpoint: &Endpoint, shared: Option<&Shared>) -> f64 {
+    let used = endpoint.estimated_load(case.entries) / f64::from(endpoint.slots());
+    let announcement = endpoint.announcement.borrow();
+    let mut cost = FAILURE_COST * endpoint.failure_share();
+    if !(case.is_near)(&announcement.zone) {
+        cost += REGION_COST;
+    }
+    if announcement.cold_ms > 0 {
+        cost += COLD_COST;
+    }
+    let Some(token_ms) = case.token_ms else { return cost + PLAIN_DELAY * used };
+    let ahead = endpoint.unread_ms.get() + endpoint.waiting() * WAITING_TOKENS * token_ms;
+    let kept = shared.filter(|one| one.homes.contains(&announcement.id));
+    let kept = kept.map_or(0.0, |one| KEPT_PART * one.tokens as f64);
+    let own = (case.ask.prompt_tokens as f64 - kept).max(0.0) * token_ms;
+    cost + BATCH_DELAY * used + ahead + own
+}
+
 struct Shared {
     tokens: u64,
     homes: SmallVec<[Name; HOMES]>,
@@ -195,16 +204,3 @@
     });
     if slots > 0.0 { load / slots } else { 1.0 }
 }
-
-/// Chooses the model: the best one that the load allows.
-pub fn model<'a>(route: &'a Route, load: f64) -> Option<&'a Name> {
-    let last = route.models.len().checked_sub(1)?;
-    let step = if load > SMALLEST_ABOVE {
-        0
-    } else if load > MIDDLE_ABOVE {
-        last.saturating_sub(1)
-    } else {
-        last
-    };
-    route.models.get(step)
-}
--- a/crates/fleet-entry/src/relay.rs
+++ b/crates/fleet-entry/src/relay.rs
@@ -201,9 +201,7 @@
             }
             let after = self.events.last_id().or(self.course.ask.after_event);
             match self.course.send(after).await {
-                Ok(Sent { exchange, reply, flight })
-                    if exchange.response.status().is_success() =>
-                {
+                Ok(Sent { exchange, reply, flight }) if exchange.response.status().is_success() => {
                     self.course.entry.metrics.resumed.inc();
                     info!(self.course.entry.log, "stream continues"; "request" => &self.course.ask.id,
                         "endpoint" => &*flight.endpoint.id(), "after_event" => after);
--- a/crates/fleet/src/roll_out.rs
+++ b/crates/fleet/src/roll_out.rs
@@ -6,9 +6,12 @@
 use crate::Name;
 
 /// Where a roll-out stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Phase {
-    /// New sessions are split between the versions by the share.
+    /// Nothing is sent to the new version yet. A session that follows a request on the old version
+    /// must stay there for the first half of a roll-out, and most sessions do.
+    Pending,
+    /// Sessions are split between the versions by the share.
     Trial,
     /// All new work goes to the new version; work at the old version finishes.
     Moving,
@@ -21,7 +24,7 @@
 impl Phase {
     /// Whether the roll-out is still under way.
     pub fn is_running(self) -> bool {
-        matches!(self, Self::Trial | Self::Moving)
+        matches!(self, Self::Pending | Self::Trial | Self::Moving)
     }
 }
 
