Count leases on the boot clock and test the fleet's control side

Cause: leases used std::time::Instant, which stands still while a VM is suspended, so an entry believed an old lease afterwards, in the product's own mode too.

Change: the clock is handed in to the blackboard and is the boot clock in the programs.

--- a/crates/entry/src/blackboard.rs
+++ b/crates/entry/src/blackboard.rs
@@ -4,12 +4,12 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use std::time::Instant;
 
 use hickoryreel_base::error;
 use hickoryreel_base::error::Error;
 use hickoryreel_base::error::Kind;
 use hickoryreel_base::name::Version;
+use hickoryreel_base::time::Clock;
 use hickoryreel_state::command::Holder;
 use hickoryreel_state::command::Revision;
 use parking_lot::RwLock;
@@ -20,7 +20,9 @@
 /// The blackboard of an entry.
 #[derive(Debug)]
 pub struct Blackboard {
-    lease_until: RwLock<Option<Instant>>,
+    /// On the clock handed in, which goes on while the VM is suspended.
+    lease_until: RwLock<Option<Duration>>,
+    clock: Arc<dyn Clock>,
     routing: RwLock<Arc<Routing>>,
     holder: RwLock<Holder>,
     stopping: AtomicBool,
@@ -33,8 +35,9 @@
 
 impl Blackboard {
     /// The blackboard of an entry without a lease.
-    pub fn new(holder: Holder) -> Self {
+    pub fn new(holder: Holder, clock: Arc<dyn Clock>) -> Self {
         Self {
+            clock,
             lease_until: RwLock::default(),
             routing: RwLock::default(),
             holder: RwLock::new(holder),
@@ -45,33 +48,33 @@
         }
     }
 
-    /// Fails unless the entry may take new work at `now`.
-    pub fn check_ready(&self, now: Instant) -> error::Result<()> {
+    /// Fails unless the entry may take new work.
+    pub fn check_ready(&self) -> error::Result<()> {
         if self.draining.load(Ordering::Relaxed) {
             return Err(Error::new(Kind::Draining, "the entry is shutting down"));
         }
-        self.check_lease(now)
+        self.check_lease()
     }
 
-    /// Fails unless a load balancer should send work here at `now`.
-    pub fn check_attractive(&self, now: Instant) -> error::Result<()> {
+    /// Fails unless a load balancer should send work here.
+    pub fn check_attractive(&self) -> error::Result<()> {
         if self.stopping.load(Ordering::Relaxed) {
             return Err(Error::new(Kind::Draining, "the entry is about to shut down"));
         }
-        self.check_ready(now)
+        self.check_ready()
     }
 
-    /// Fails unless the lease is valid at `now`.
-    pub fn check_lease(&self, now: Instant) -> error::Result<()> {
+    /// Fails unless the lease is valid.
+    pub fn check_lease(&self) -> error::Result<()> {
         match *self.lease_until.read() {
-            Some(until) if now < until => Ok(()),
+            Some(until) if self.clock.now() < until => Ok(()),
             _ => Err(Error::new(Kind::NoLease, "the entry holds no valid lease")),
         }
     }
 
-    /// Fails unless `version` may receive new work at `now`.
-    pub fn check_version(&self, version: &Version, now: Instant) -> error::Result<()> {
-        self.check_lease(now)?;
+    /// Fails unless `version` may receive new work.
+    pub fn check_version(&self, version: &Version) -> error::Result<()> {
+        self.check_lease()?;
         if self.routing.read().config.withdrawn.contains(version) {
             let message = format!("version {version} was withdrawn before the dispatch");
             return Err(Error::new(Kind::StaleRevision, message));
@@ -80,13 +83,18 @@
     }
 
     /// Time until the lease ends.
-    pub fn lease_left(&self, now: Instant) -> Duration {
+    pub fn lease_left(&self) -> Duration {
         let until = *self.lease_until.read();
-        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+        until.map_or(Duration::ZERO, |until| until.saturating_sub(self.clock.now()))
+    }
+
+    /// Time on the clock of the lease.
+    pub fn now(&self) -> Duration {
+        self.clock.now()
     }
 
     /// Extends the lease; an older answer that arrives late can't shorten it.
-    pub fn extend_lease(&self, until: Instant) {
+    pub fn extend_lease(&self, until: Duration) {
         let mut lease = self.lease_until.write();
         *lease = Some(lease.map_or(until, |known| known.max(until)));
     }
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -78,7 +78,7 @@
 
 async fn call(state: &mut State, app: Arc<App>, tally: &mut Tally) -> Result<Stored, Fault> {
     let arrived = Instant::now();
-    app.blackboard.check_ready(arrived)?;
+    app.blackboard.check_ready()?;
     let routing = app.blackboard.routing();
     let caller = authority::caller(HeaderMap::borrow_from(state), &routing)?;
     tally.caller(&caller);
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -94,7 +94,7 @@
     tally: &mut Tally,
 ) -> Result<Response<Body>, Fault> {
     let arrived = Instant::now();
-    app.blackboard.check_ready(arrived)?;
+    app.blackboard.check_ready()?;
     let routing = app.blackboard.routing();
     let caller = authority::caller(HeaderMap::borrow_from(state), &routing)?;
     tally.caller(&caller);
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -1,7 +1,5 @@
 //! Routes of the HTTP interface for callers and endpoints.
 
-use std::time::Instant;
-
 use gotham::helpers::http::Body;
 use gotham::hyper::Response;
 use gotham::prelude::DefineSingleRoute;
@@ -34,7 +32,7 @@
 
 fn ready(state: State) -> (State, Response<Body>) {
     let app = server::App::<App>::borrow_from(&state);
-    let response = match app.0.blackboard.check_attractive(Instant::now()) {
+    let response = match app.0.blackboard.check_attractive() {
         Ok(()) => server::json(200, &"ready"),
         Err(error) => server::error_response(&error),
     };
@@ -45,7 +43,7 @@
     let app = &server::App::<App>::borrow_from(&state).0;
     let metrics = &app.metrics;
     let millis = |value: u128| i64::try_from(value).unwrap_or(i64::MAX);
-    metrics.lease_left_ms.set(millis(app.blackboard.lease_left(Instant::now()).as_millis()));
+    metrics.lease_left_ms.set(millis(app.blackboard.lease_left().as_millis()));
     metrics.unclosed_records.set(i64::try_from(app.records.unclosed()).unwrap_or(i64::MAX));
     let revision = app.blackboard.routing().config.revision;
     metrics.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
--- a/crates/entry/src/lease.rs
+++ b/crates/entry/src/lease.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use hickoryreel_base::time::unix_millis;
 use hickoryreel_wire::rpc::Grant;
@@ -27,7 +26,7 @@
             _ = ticks.tick() => {}
             () = app.blackboard.hurried() => {}
         }
-        let is_held = app.blackboard.check_lease(Instant::now()).is_ok();
+        let is_held = app.blackboard.check_lease().is_ok();
         if was_held && !is_held {
             // Control ends a holder whose lease lapsed for good, so this entry needs a new one.
             app.blackboard.renew_holder(unix_millis());
@@ -43,7 +42,7 @@
             usage: app.schedule.usage(),
         };
         // The length counts from before the call, so that a slow answer can't stretch the lease.
-        let asked = Instant::now();
+        let asked = app.blackboard.now();
         match app.control.call::<Grant>(method::LEASE_RENEW, &renew).await {
             Ok(grant) => {
                 if grant.whole {
@@ -51,7 +50,7 @@
                 }
                 directory = grant.directory;
                 apply(&app, grant, asked);
-                was_held |= app.blackboard.check_lease(Instant::now()).is_ok();
+                was_held |= app.blackboard.check_lease().is_ok();
             }
             Err(refusal) => {
                 directory = 0;
@@ -70,7 +69,7 @@
     }
 }
 
-fn apply(app: &App, grant: Grant, asked: Instant) {
+fn apply(app: &App, grant: Grant, asked: Duration) {
     for gone in &grant.gone {
         app.schedule.remove(gone);
     }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -8,6 +8,7 @@
 use eyre::WrapErr;
 use hickoryreel_base::logging;
 use hickoryreel_base::server;
+use hickoryreel_base::time::BootClock;
 use hickoryreel_base::time::unix_millis;
 use hickoryreel_state::command::Holder;
 use slog::Logger;
@@ -76,7 +77,7 @@
     let holder = Holder { entry: settings.name.clone(), incarnation };
     let app = Arc::new(App {
         log: logging::json("entry", &settings.name, settings.log_level),
-        blackboard: Arc::new(Blackboard::new(holder)),
+        blackboard: Arc::new(Blackboard::new(holder, Arc::new(BootClock))),
         dial: Arc::new(Dial::new(settings.dial())),
         pins: Pins::default(),
         attempts: AtomicU64::new(0),
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -103,6 +103,6 @@
         if now >= until {
             return Err(Error::new(Kind::DeadlineUnmet, "the dispatch deadline has passed"));
         }
-        blackboard.check_lease(now)
+        blackboard.check_lease()
     })
 }
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -70,7 +70,7 @@
         if now >= until {
             return Err(Error::new(Kind::DeadlineUnmet, "the dispatch deadline has passed"));
         }
-        blackboard.check_version(&version, now)
+        blackboard.check_version(&version)
     });
     let timeout = app.settings.first_event_timeout;
     let source = match app.dial.send(run.address, request, false, timeout, permit).await {
--- a/crates/fleet-control/src/follow.rs
+++ b/crates/fleet-control/src/follow.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hickoryreel_base::time::boot_time;
 use hickoryreel_fleet::Name;
-use hickoryreel_fleet::clock::boot_time;
 use hickoryreel_fleet::link::Answer;
 use hickoryreel_fleet::link::Confirmed;
 use hickoryreel_fleet::link::Follow;
--- a/crates/fleet-control/src/log.rs
+++ b/crates/fleet-control/src/log.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use eyre::WrapErr;
+use hickoryreel_base::time::boot_time;
 use hickoryreel_consensus as consensus;
 use hickoryreel_consensus::Member;
 use hickoryreel_consensus::Members;
@@ -26,7 +27,6 @@
 use hickoryreel_consensus::storage::Folder;
 use hickoryreel_consensus::storage::Restored;
 use hickoryreel_consensus::storage::Store;
-use hickoryreel_fleet::clock::boot_time;
 use slog::Logger;
 use slog::info;
 use tokio::sync::oneshot;
@@ -92,6 +92,7 @@
     Change(MemberChange, Answer),
     Messages(Vec<Message>),
     Transfer,
+    Stop,
 }
 
 /// Handle to the thread.
@@ -128,6 +129,11 @@
         let _ = self.tasks.try_send(Task::Transfer);
     }
 
+    /// Ends the thread.
+    pub fn stop(&self) {
+        let _ = self.tasks.try_send(Task::Stop);
+    }
+
     async fn ask(&self, task: impl FnOnce(Answer) -> Task) -> Reply {
         let (answer, reply) = oneshot::channel();
         if self.tasks.try_send(task(answer)).is_err() {
@@ -237,6 +243,9 @@
             };
             let mut inputs = Vec::new();
             for task in first.into_iter().chain(inbox.try_iter().take(MAX_STEP)) {
+                if matches!(task, Task::Stop) {
+                    return Ok(());
+                }
                 self.accept(task, &mut inputs);
             }
             // After the messages: a replica that was suspended reads what waits for it before it
@@ -267,6 +276,7 @@
             }
             Task::Messages(messages) => inputs.extend(messages.into_iter().map(Input::Message)),
             Task::Transfer => inputs.push(Input::Transfer { to: None }),
+            Task::Stop => {}
         }
     }
 
--- a/crates/fleet-control/src/members.rs
+++ b/crates/fleet-control/src/members.rs
@@ -12,10 +12,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hickoryreel_base::time::boot_time;
 use hickoryreel_consensus::ReplicaId;
 use hickoryreel_consensus::core::MemberChange;
 use hickoryreel_consensus::core::Role;
-use hickoryreel_fleet::clock::boot_time;
 use hickoryreel_fleet::link::Identity;
 use hickoryreel_fleet::link::Request;
 use slog::Logger;
--- a/crates/fleet-control/src/peers.rs
+++ b/crates/fleet-control/src/peers.rs
@@ -6,10 +6,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hickoryreel_base::time::boot_time;
 use hickoryreel_consensus::Message;
 use hickoryreel_consensus::ReplicaId;
 use hickoryreel_fleet::Name;
-use hickoryreel_fleet::clock::boot_time;
 use hickoryreel_fleet::link::Client;
 use hickoryreel_fleet::link::Identity;
 use hickoryreel_fleet::link::Request;
--- a/crates/fleet-control/src/roll_out.rs
+++ b/crates/fleet-control/src/roll_out.rs
@@ -5,9 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hickoryreel_base::time::boot_time;
 use hickoryreel_consensus::core::Role;
 use hickoryreel_fleet::Name;
-use hickoryreel_fleet::clock::boot_time;
 use hickoryreel_fleet::roll_out::Phase;
 use hickoryreel_fleet::roll_out::RollOut;
 use hickoryreel_fleet::roll_out::Tally;
--- a/crates/fleet-entry/src/entry.rs
+++ b/crates/fleet-entry/src/entry.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hickoryreel_base::time::boot_time;
 use hickoryreel_fleet::Name;
-use hickoryreel_fleet::clock::boot_time;
 use slog::Logger;
 use tokio::sync::Notify;
 
--- a/crates/fleet-entry/src/exchange.rs
+++ b/crates/fleet-entry/src/exchange.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hickoryreel_fleet::clock::boot_time;
+use hickoryreel_base::time::boot_time;
 use http::Request;
 use http::Response;
 use http_body_util::Full;
--- a/crates/fleet-entry/src/follow.rs
+++ b/crates/fleet-entry/src/follow.rs
@@ -10,8 +10,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hickoryreel_base::time::boot_time;
 use hickoryreel_fleet::Name;
-use hickoryreel_fleet::clock::boot_time;
 use hickoryreel_fleet::link::Answer;
 use hickoryreel_fleet::link::Client;
 use hickoryreel_fleet::link::Cursor;
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hickoryreel_base::time::boot_time;
 use hickoryreel_fleet::Name;
-use hickoryreel_fleet::clock::boot_time;
 use hickoryreel_fleet::configuration::Kind;
 use hickoryreel_fleet::configuration::Route;
 use hickoryreel_fleet::configuration::Workspace;
--- a/crates/fleet-entry/src/relay.rs
+++ b/crates/fleet-entry/src/relay.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
-use hickoryreel_fleet::clock::boot_time;
+use hickoryreel_base::time::boot_time;
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
--- a/crates/fleet-entry/src/server.rs
+++ b/crates/fleet-entry/src/server.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use eyre::WrapErr;
-use hickoryreel_fleet::clock::boot_time;
+use hickoryreel_base::time::boot_time;
 use http::Request;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
--- a/crates/fleet-entry/src/view.rs
+++ b/crates/fleet-entry/src/view.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hickoryreel_base::time::boot_time;
 use hickoryreel_fleet::Name;
-use hickoryreel_fleet::clock::boot_time;
 use hickoryreel_fleet::configuration::Configuration;
 use hickoryreel_fleet::configuration::Route;
 use hickoryreel_fleet::configuration::Service;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,7 +4,6 @@
 //! [`endpoint`] announcements. Entries follow them over [`link`]s: each entry keeps one link to
 //! every control replica and asks for changes with long polls, whose answers also renew its lease.
 
-pub mod clock;
 pub mod configuration;
 pub mod endpoint;
 pub mod link;
--- /dev/null
+++ b/crates/fleet/tests/configuration.rs
@@ -0,0 +1,70 @@
+//! Checks of a configuration.
+
+use hickoryreel_fleet::configuration::Configuration;
+use hickoryreel_fleet::configuration::Kind;
+use hickoryreel_fleet::configuration::Limits;
+use hickoryreel_fleet::configuration::Route;
+use hickoryreel_fleet::configuration::Service;
+use hickoryreel_fleet::configuration::Target;
+use hickoryreel_fleet::configuration::Workspace;
+use yare::parameterized;
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: "host.example".into(),
+        prefix: prefix.into(),
+        kind: Kind::Safe,
+        timeout_ms: 1_000,
+        target_ms: 300,
+        gap_ms: 300,
+        rank: 0,
+        models: Vec::new(),
+        targets: vec![Target { service: "ledger".into(), weight: 1 }],
+        attempts: 1,
+        public: false,
+        resumable: false,
+    }
+}
+
+fn valid() -> Configuration {
+    Configuration {
+        number: 1,
+        routes: vec![route("a", "/a/"), route("b", "/b/")],
+        services: vec![Service {
+            name: "ledger".into(),
+            health_path: "/".into(),
+            max_connections: 1,
+            engine: None,
+        }],
+        workspaces: vec![
+            Workspace { name: "w1".into(), keys: vec!["k1".into()], rank: None },
+            Workspace { name: "w2".into(), keys: vec!["k2".into()], rank: None },
+        ],
+        limits: Limits::default(),
+    }
+}
+
+/// Guards against a check that refuses what is valid, such as a workspace that lists a key twice.
+#[test]
+fn valid_configuration_passes() {
+    let mut configuration = valid();
+    configuration.workspaces[0].keys.push("k1".into());
+
+    assert_eq!(configuration.check(), Ok(()));
+}
+
+/// Guards against an invalid configuration that is put in force.
+#[parameterized(
+    unknown_service = { |one| one.routes[0].targets[0].service = "none".into() },
+    no_weight = { |one| one.routes[0].targets[0].weight = 0 },
+    no_timeout = { |one| one.routes[1].timeout_ms = 0 },
+    same_place = { |one| one.routes[1].prefix = "/a/".into() },
+    shared_key = { |one| one.workspaces[1].keys.push("k1".into()) },
+)]
+fn invalid_configuration_is_refused(spoil: fn(&mut Configuration)) {
+    let mut configuration = valid();
+    spoil(&mut configuration);
+
+    assert!(configuration.check().is_err());
+}
