Remove a silent voter from an even set

Cause (found by the new test of the core): a replacement that was promoted before the silence of the lost voter was noticed left six voters of which five live; they bear the loss of one replica only, the deployment asks for two. Ruled out: lost requests to join (the log shows them noted at the leader).

Change: a silent voter leaves an even set; odd sets still never shrink. Unit test first failing.

--- a/crates/base/src/logging.rs
+++ b/crates/base/src/logging.rs
@@ -14,7 +14,7 @@
 
 /// A logger that writes JSON lines to standard error. `program` and `id` are in every line.
 pub fn json(program: &'static str, id: &str, level: slog::Level) -> Logger {
-    json_to(io::stderr(), program, id, level)
+    json_to(io::LineWriter::new(io::stderr()), program, id, level)
 }
 
 /// Like [`json`], with another place for the lines.
--- a/crates/fleet-control/src/members.rs
+++ b/crates/fleet-control/src/members.rs
@@ -2,9 +2,9 @@
 //!
 //! A replica that is not a member asks to join. The leader removes a member whose address a new
 //! identity has taken over, because its disk is gone; adds joiners as learners; and makes learners
-//! voters once they are caught up, in exchange for a voter that is silent, if there is one. A
-//! voter is never removed because of silence alone: the set would shrink while replicas are only
-//! unreachable.
+//! voters once they are caught up, in exchange for a voter that is silent, if there is one. Beyond
+//! that a silent voter is removed only from an even set: there it raises the quorum and bears no
+//! loss. An odd set would shrink while replicas are only unreachable.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -109,12 +109,13 @@
         }
     }
     let learner = others().find(|one| !one.voter && silence(one.id) < ALIVE);
-    if let Some(learner) = learner {
-        let silent = others().filter(|one| one.voter && silence(one.id) >= EXCHANGE_AFTER);
-        return Some(match silent.max_by_key(|one| silence(one.id)) {
-            Some(voter) => MemberChange::Remove { id: voter.id },
-            None => MemberChange::Promote { id: learner.id },
-        });
+    let silent = others().filter(|one| one.voter && silence(one.id) >= EXCHANGE_AFTER);
+    let even = members.voters().count() % 2 == 0;
+    match (learner, silent.max_by_key(|one| silence(one.id))) {
+        (Some(_), Some(voter)) => return Some(MemberChange::Remove { id: voter.id }),
+        (None, Some(voter)) if even => return Some(MemberChange::Remove { id: voter.id }),
+        (Some(learner), None) => return Some(MemberChange::Promote { id: learner.id }),
+        (None, _) => {}
     }
     let forgotten = others().find(|one| !one.voter && silence(one.id) >= FORGET_LEARNER_AFTER);
     forgotten.map(|one| MemberChange::Remove { id: one.id })
--- a/crates/fleet-control/tests/core.rs
+++ b/crates/fleet-control/tests/core.rs
@@ -86,7 +86,7 @@
 async fn core_forms_grows_and_exchanges_a_lost_replica() {
     LocalSet::new()
         .run_until(async {
-            let folders: Vec<TempDir> = (0..5).map(|_| TempDir::new().unwrap()).collect();
+            let folders: Vec<TempDir> = (0..6).map(|_| TempDir::new().unwrap()).collect();
             let seeds = [free_address().await, free_address().await, free_address().await];
             let mut replicas = Vec::new();
             for (seed, folder) in seeds.iter().zip(&folders) {
@@ -103,13 +103,14 @@
             accept(&replicas[0], 5).await;
             assert_eq!(newest(&replicas[2]).await, "9");
 
-            // The fourth replica is lost; one with an empty disk appears at another address.
+            // The fourth replica is lost; two with empty disks appear at other addresses.
             let old = fourth.quorum.agreed().id;
             fourth.log_handle.stop();
             let fifth = start(free_address().await, &seeds, folders[4].path(), false).await;
+            let sixth = start(free_address().await, &seeds, folders[5].path(), false).await;
             let exchanged = || {
-                let members = &fifth.quorum.agreed().members;
-                members.is_voter(fifth.quorum.agreed().id) && members.get(old).is_none()
+                let members = &sixth.quorum.agreed().members;
+                members.voters().count() == 5 && members.get(old).is_none()
             };
             until("the lost replica is exchanged", exchanged).await;
             assert_eq!(newest(&fifth).await, "9");
--- a/crates/fleet-control/tests/members.rs
+++ b/crates/fleet-control/tests/members.rs
@@ -81,6 +81,19 @@
     assert_eq!(change(&members, &[], &[]), Some(MemberChange::Promote { id: ReplicaId(9) }));
 }
 
+/// Guards against a lost voter whose replacement became a voter before the silence was noticed:
+/// six voters of which five live bear one loss, five bear two.
+#[test]
+fn silent_voter_leaves_an_even_set() {
+    let members = [(1, "a", true), (2, "b", true), (3, "c", true), (4, "d", true)];
+
+    assert_eq!(
+        change(&members, &[], &[(4, 5_000)]),
+        Some(MemberChange::Remove { id: ReplicaId(4) })
+    );
+    assert_eq!(change(&members, &[], &[(4, 100)]), None);
+}
+
 /// Guards against a learner that is gone and stays in the set for good.
 #[test]
 fn lost_learner_is_removed() {
