--- a/crates/fleet-entry/src/cascade.rs
+++ b/crates/fleet-entry/src/cascade.rs
@@ -10,7 +10,11 @@
 use hickoryreel_fleet::Name;
 
 /// Confidence from which an answer is taken to be good: the models' own middle.
-const SURE: u8 = 50;
+const SURE: u8 = 51;
+
+/// Confidence from which an answer of the most urgent rank is taken to be good. Opinions stray by
+/// some ten points, and a second run of these requests costs little beside what they are worth.
+const SURE_OF_URGENT: u8 = 60;
 
 /// First guess at how far below [`SURE`] the next larger model suffices.
 const FIRST_MARGIN: f64 = 12.0;
@@ -43,7 +47,7 @@
 const NO_ESCALATION: f64 = 0.9;
 
 /// Pressure that a prompt token adds to the decision: larger requests give way first.
-const PRESSURE_PER_TOKEN: f64 = 0.000_03;
+const PRESSURE_PER_TOKEN: f64 = 0.000_005;
 
 /// What the entry has learned about the models of one service.
 #[derive(Debug, Default)]
@@ -93,13 +97,20 @@
     }
 
     /// The model to ask after the answer of `step` with this confidence. `None` to keep it.
-    pub fn next(&self, models: &[Name], step: usize, confidence: u8) -> Option<usize> {
+    pub fn next(
+        &self,
+        models: &[Name],
+        step: usize,
+        confidence: u8,
+        rank: u8,
+    ) -> Option<usize> {
         let last = models.len().checked_sub(1)?;
-        if step >= last || confidence >= SURE {
+        let sure = if rank == 0 { SURE_OF_URGENT } else { SURE };
+        if step >= last || confidence >= sure {
             return None;
         }
         let margin = self.margins.get(&models[step]).copied().unwrap_or(FIRST_MARGIN);
-        let doubt = f64::from(SURE - confidence);
+        let doubt = f64::from(SURE.saturating_sub(confidence));
         Some(if doubt <= margin && step + 1 < last { step + 1 } else { last })
     }
 
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -420,7 +420,7 @@
         if let Some(smaller) = self.doubted_by.take() {
             cascade.learn(&smaller, confidence);
         }
-        let Some(next) = cascade.next(&self.route.models, self.step, confidence) else {
+        let Some(next) = cascade.next(&self.route.models, self.step, confidence, self.rank()) else {
             return false;
         };
         let tokens = self.ask.prompt_tokens;
