--- a/crates/fleet-entry/src/budget.rs
+++ b/crates/fleet-entry/src/budget.rs
@@ -8,10 +8,10 @@
 
 /// Part of the allowed ratio and slack that is used; the rest covers sends that are counted in
 /// another window than here.
-const USED_PART: f64 = 0.7;
+const USED_PART: f64 = 0.9;
 
 /// Part of the budget that choices may use; the rest is for failures.
-const SPARE_PART: f64 = 0.8;
+const SPARE_PART: f64 = 0.85;
 
 /// Time slices of the window.
 const SLICES: u32 = 10;
--- a/crates/fleet-entry/src/cascade.rs
+++ b/crates/fleet-entry/src/cascade.rs
@@ -44,7 +44,7 @@
 const PRESSURE_HALF_LIFE: Duration = Duration::from_millis(1_500);
 
 /// Pressure above which no larger model is asked.
-const NO_ESCALATION: f64 = 0.9;
+const NO_ESCALATION: f64 = 0.5;
 
 /// Pressure that a prompt token adds to the decision: larger requests give way first.
 const PRESSURE_PER_TOKEN: f64 = 0.000_005;
@@ -85,7 +85,7 @@
         }
     }
 
-    /// How late answers begin, in parts of their targets.
+    /// How late answers begin, in parts of the tightest target of the service.
     pub fn pressure(&self, now: Duration) -> f64 {
         let idle = now.saturating_sub(self.observed_at).as_secs_f64();
         self.pressure * 0.5_f64.powf(idle / PRESSURE_HALF_LIFE.as_secs_f64())
@@ -97,13 +97,7 @@
     }
 
     /// The model to ask after the answer of `step` with this confidence. `None` to keep it.
-    pub fn next(
-        &self,
-        models: &[Name],
-        step: usize,
-        confidence: u8,
-        rank: u8,
-    ) -> Option<usize> {
+    pub fn next(&self, models: &[Name], step: usize, confidence: u8, rank: u8) -> Option<usize> {
         let last = models.len().checked_sub(1)?;
         let sure = if rank == 0 { SURE_OF_URGENT } else { SURE };
         if step >= last || confidence >= sure {
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -420,7 +420,8 @@
         if let Some(smaller) = self.doubted_by.take() {
             cascade.learn(&smaller, confidence);
         }
-        let Some(next) = cascade.next(&self.route.models, self.step, confidence, self.rank()) else {
+        let Some(next) = cascade.next(&self.route.models, self.step, confidence, self.rank())
+        else {
             return false;
         };
         let tokens = self.ask.prompt_tokens;
@@ -494,12 +495,15 @@
         self.confidence = reply.confidence;
         if let Some(model) = &self.model {
             let now = boot_time();
+            let index = self.entry.view.borrow().index.clone();
+            let tightest = index.and_then(|index| index.tightest_target_ms(&self.service));
+            let target = tightest.unwrap_or(self.route.target_ms);
             let mut cascades = self.entry.cascades.borrow_mut();
             cascades.entry(self.service.clone()).or_default().observe(
                 model,
                 self.ask.prompt_tokens,
                 now.saturating_sub(flight.began),
-                Duration::from_millis(self.route.target_ms),
+                Duration::from_millis(target),
                 alone,
                 now,
             );
