--- a/crates/fleet-entry/src/entry.rs
+++ b/crates/fleet-entry/src/entry.rs
@@ -41,6 +41,8 @@
     pub cascades: RefCell<HashMap<Name, Cascade>>,
     /// Counts for roll-outs.
     pub tallies: RefCell<Tallies>,
+    /// Wakes requests that wait for agreed state or for an endpoint.
+    pub news: Notify,
     /// Requests under way.
     pub open: Cell<u32>,
     /// Bytes of request bodies in memory.
@@ -68,6 +70,7 @@
             budgets: RefCell::default(),
             cascades: RefCell::default(),
             tallies: RefCell::default(),
+            news: Notify::new(),
             open: Cell::new(0),
             body_bytes: Cell::new(0),
             stopping: Cell::new(None),
--- a/crates/fleet-entry/src/follow.rs
+++ b/crates/fleet-entry/src/follow.rs
@@ -139,6 +139,7 @@
                 "age_ms" => age.map(|age| age.as_millis() as u64));
         }
     }
+    entry.news.notify_waiters();
     if !news.replicas.is_empty() {
         for address in news.replicas.iter().filter_map(|one| one.parse().ok()) {
             follow(entry, followed, address);
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -62,6 +62,10 @@
 /// Time between two looks at an endpoint that has not answered.
 const PATIENCE_STEP: Duration = Duration::from_millis(250);
 
+/// Longest wait for agreed state or an endpoint: an election, or an announcement of every
+/// endpoint after a restart of all replicas.
+const NEWS_PATIENCE: Duration = Duration::from_millis(1_800);
+
 /// Time of a client that names no deadline, in milliseconds.
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
@@ -201,7 +205,8 @@
     })?;
     let id = ask.id.clone();
     let refused = |refusal| (refusal, id.clone());
-    let (index, route, workspace) = admit(entry, &head, &ask).map_err(refused)?;
+    let (index, route, workspace) =
+        admit_in_time(entry, &head, &ask, arrived).await.map_err(refused)?;
     let limits = &index.configuration.limits;
     let time_ms = ask.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS).min(route.timeout_ms);
     let ends = arrived + Duration::from_millis(time_ms);
@@ -230,6 +235,30 @@
     })
 }
 
+/// Admits the request, and waits a while for the agreed state if it is not known now. After a
+/// restart or an election it is known within that time, and a client may come back only once.
+async fn admit_in_time(
+    entry: &Entry,
+    head: &Parts,
+    ask: &Ask,
+    arrived: Duration,
+) -> Result<Admitted, Refusal> {
+    let patience = Duration::from_millis(ask.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS)) / 3;
+    let until = arrived + patience.min(NEWS_PATIENCE);
+    loop {
+        let news = entry.news.notified();
+        match admit(entry, head, ask) {
+            Err(refusal @ (Refusal::NoConfiguration | Refusal::NoLease)) => {
+                let left = until.saturating_sub(boot_time());
+                if tokio::time::timeout(left, news).await.is_err() {
+                    return Err(refusal);
+                }
+            }
+            other => return other,
+        }
+    }
+}
+
 type Admitted = (Arc<Index>, Arc<Route>, Option<Arc<Workspace>>);
 
 fn admit(entry: &Entry, head: &Parts, ask: &Ask) -> Result<Admitted, Refusal> {
@@ -375,6 +404,22 @@
         self.pick().is_some()
     }
 
+    /// Picks an endpoint, and waits a while for the first one to announce itself.
+    async fn pick_in_time(&self) -> Option<Rc<Endpoint>> {
+        let until = boot_time() + Duration::from_millis(self.left_ms() / 3).min(NEWS_PATIENCE);
+        loop {
+            let news = self.entry.news.notified();
+            let picked = self.pick();
+            if picked.is_some() || self.sends > 0 {
+                return picked;
+            }
+            let left = until.saturating_sub(boot_time());
+            if tokio::time::timeout(left, news).await.is_err() {
+                return None;
+            }
+        }
+    }
+
     fn pick(&self) -> Option<Rc<Endpoint>> {
         let view = self.entry.view.borrow();
         let directory = self.entry.directory.borrow();
@@ -449,7 +494,8 @@
         if after_event.is_none() || self.model.is_none() {
             self.model = self.choose_model();
         }
-        let Some(endpoint) = self.pick() else { return Err(Ended::NotRun) };
+        let Some(endpoint) = self.pick_in_time().await else { return Err(Ended::NotRun) };
+        let left = self.left_ms();
         // The lease may have run out while the request waited.
         let lease = self.entry.settings.lease;
         if self.workspace.is_some() && !self.entry.view.borrow().has_lease(lease) {
