Test the sends of an entry, its beliefs and the adapter

Cause found by the new tests: news that an old incarnation left removed the present one from the directory of an entry; the test failed first (Gone instead of None) and passes with the check of the incarnation.

--- a/crates/fleet-entry/src/directory.rs
+++ b/crates/fleet-entry/src/directory.rs
@@ -210,6 +210,13 @@
         if left.is_some_and(|incarnation| announcement.incarnation <= incarnation) {
             return Change::None;
         }
+        let known = self.endpoints.get(&announcement.id);
+        let newer =
+            known.is_some_and(|one| one.announcement.borrow().order().0 > announcement.incarnation);
+        if status == Status::Gone && newer {
+            // An earlier incarnation left; the present one is another.
+            return Change::None;
+        }
         if status == Status::Gone {
             self.left.insert(announcement.id.clone(), announcement.incarnation);
             self.remove(&announcement.id);
--- /dev/null
+++ b/crates/fleet-entry/tests/common/harness.rs
@@ -0,0 +1,242 @@
+//! An entry on loopback, endpoints that answer with scripted bytes, and raw clients.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hickoryreel_base::logging;
+use hickoryreel_base::time::boot_time;
+use hickoryreel_fleet::endpoint::Sighting;
+use hickoryreel_fleet::endpoint::Status;
+use hickoryreel_fleet_entry::dialect::Ask;
+use hickoryreel_fleet_entry::dialect::Dialect;
+use hickoryreel_fleet_entry::dialect::Malformed;
+use hickoryreel_fleet_entry::dialect::Reply;
+use hickoryreel_fleet_entry::dialect::Terms;
+use hickoryreel_fleet_entry::entry::Entry;
+use hickoryreel_fleet_entry::server;
+use hickoryreel_fleet_entry::settings::Settings;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::StatusCode;
+use http::request::Parts;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::common::announcement;
+use crate::common::configuration;
+use crate::common::confirmed;
+
+/// Longest wait for something that happens at once. Not a bound that is tested.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A protocol with as few headers as the tests need.
+struct Plain;
+
+fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+impl Dialect for Plain {
+    fn ask(&self, head: &Parts) -> Result<Ask, Malformed> {
+        let id = head.headers.get("id").ok_or(Malformed("no id"))?;
+        Ok(Ask {
+            id: id.to_str().unwrap_or_default().to_owned(),
+            host: "host".to_owned(),
+            deadline_ms: number(&head.headers, "deadline"),
+            key: head.headers.get("key").map(|key| key.to_str().unwrap_or_default().to_owned()),
+            ..Ask::default()
+        })
+    }
+
+    fn request_headers(&self, head: &Parts, terms: &Terms<'_>) -> HeaderMap {
+        let mut headers = HeaderMap::new();
+        headers.insert("id", head.headers["id"].clone());
+        if let Some(event) = terms.after_event {
+            headers.insert("after", HeaderValue::from(event));
+        }
+        headers
+    }
+
+    fn reply(&self, _status: StatusCode, headers: &HeaderMap, id: &str) -> Reply {
+        let echoed = headers.get("id").and_then(|value| value.to_str().ok());
+        Reply {
+            not_run: headers.contains_key("not-run"),
+            matches: echoed.map(|echoed| echoed == id),
+            ..Reply::default()
+        }
+    }
+
+    fn response_headers(&self, headers: &HeaderMap) -> HeaderMap {
+        let seal = headers.get("seal").map(|value| ("seal", value.clone()));
+        seal.into_iter().map(|(name, value)| (http::HeaderName::from_static(name), value)).collect()
+    }
+}
+
+/// What an endpoint does after it has read a request.
+#[derive(Clone)]
+pub(crate) enum Act {
+    /// Writes bytes. `{id}` stands for the id of the request.
+    Write(&'static str),
+    /// Closes the connection.
+    Close,
+    /// Keeps the connection open and says nothing.
+    Hang,
+}
+
+/// An endpoint that answers each request, in order, with the next script; the last one repeats.
+pub(crate) struct Endpoint {
+    pub(crate) address: SocketAddrV4,
+    /// Heads of the requests that arrived.
+    pub(crate) arrived: Rc<RefCell<Vec<String>>>,
+    /// Connections that the entry closed.
+    pub(crate) closed: Rc<RefCell<u32>>,
+}
+
+impl Endpoint {
+    pub(crate) async fn start(scripts: Vec<Vec<Act>>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let SocketAddr::V4(address) = listener.local_addr().unwrap() else { unreachable!() };
+        let arrived = Rc::new(RefCell::new(Vec::new()));
+        let closed = Rc::new(RefCell::new(0));
+        let endpoint = Self { address, arrived: arrived.clone(), closed: closed.clone() };
+        tokio::task::spawn_local(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                let task = connection(stream, scripts.clone(), arrived.clone(), closed.clone());
+                tokio::task::spawn_local(task);
+            }
+        });
+        endpoint
+    }
+
+    pub(crate) fn count(&self) -> usize {
+        self.arrived.borrow().len()
+    }
+}
+
+async fn connection(
+    mut stream: TcpStream,
+    scripts: Vec<Vec<Act>>,
+    arrived: Rc<RefCell<Vec<String>>>,
+    closed: Rc<RefCell<u32>>,
+) {
+    while let Some(head) = read_message(&mut stream).await {
+        let id = header(&head, "id").unwrap_or_default();
+        let turn = arrived.borrow().len().min(scripts.len() - 1);
+        arrived.borrow_mut().push(head);
+        for act in &scripts[turn] {
+            match act {
+                Act::Write(bytes) => {
+                    let bytes = bytes.replace("{id}", &id);
+                    if stream.write_all(bytes.as_bytes()).await.is_err() {
+                        break;
+                    }
+                }
+                Act::Close => return,
+                Act::Hang => {
+                    let mut byte = [0];
+                    let _ = stream.read(&mut byte).await;
+                    *closed.borrow_mut() += 1;
+                    return;
+                }
+            }
+        }
+    }
+    *closed.borrow_mut() += 1;
+}
+
+/// Reads a head and its body of known length. `None` at the end of the connection.
+async fn read_message(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    while !bytes.ends_with(b"\r\n\r\n") {
+        bytes.push(stream.read_u8().await.ok()?);
+    }
+    let head = String::from_utf8(bytes).unwrap();
+    let length = header(&head, "content-length").and_then(|value| value.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await.ok()?;
+    Some(head + std::str::from_utf8(&body).unwrap())
+}
+
+/// Value of a header of a head.
+pub(crate) fn header(head: &str, name: &str) -> Option<String> {
+    head.lines().find_map(|line| {
+        let (one, value) = line.split_once(':')?;
+        one.eq_ignore_ascii_case(name).then(|| value.trim().to_owned())
+    })
+}
+
+/// An entry that serves clients.
+pub(crate) struct Served {
+    pub(crate) entry: Rc<Entry>,
+    pub(crate) address: SocketAddr,
+}
+
+/// Starts an entry that prefers the first endpoint: the others are in another region.
+pub(crate) async fn serve(endpoints: &[&Endpoint]) -> Served {
+    let settings = Settings {
+        zone: "a".to_owned(),
+        regions: vec![("a".to_owned(), "near".to_owned()), ("b".to_owned(), "far".to_owned())],
+        retry_ratio: 1.0,
+        retry_slack: 100.0,
+        ..Settings::default()
+    };
+    let entry = Entry::new(settings, Box::new(Plain), logging::discard());
+    for (number, endpoint) in endpoints.iter().enumerate() {
+        let mut announcement = announcement(number, endpoint.address);
+        announcement.zone = if number == 0 { "a".into() } else { "b".into() };
+        let sighting = Sighting { announcement, status: Status::Present };
+        entry.directory.borrow_mut().take_in(sighting);
+    }
+    entry.view.borrow_mut().confirm(boot_time(), confirmed(configuration(1)));
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let serving = server::serve(Rc::clone(&entry), listener, std::future::pending());
+    tokio::task::spawn_local(serving);
+    Served { entry, address }
+}
+
+/// Sends bytes on a new connection.
+pub(crate) async fn send(served: &Served, request: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(served.address).await.unwrap();
+    stream.write_all(request.as_bytes()).await.unwrap();
+    stream
+}
+
+/// Sends a request on a new connection that closes after the answer, and reads all bytes.
+pub(crate) async fn call(served: &Served, prefix: &str, id: &str) -> String {
+    let request = format!(
+        "POST {prefix}x HTTP/1.1\r\nhost: host\r\nid: {id}\r\nkey: key\r\ndeadline: 9000\r\n\
+         connection: close\r\ncontent-length: 4\r\n\r\nbody"
+    );
+    read_all(send(served, &request).await).await
+}
+
+/// Reads until the connection ends.
+pub(crate) async fn read_all(mut stream: TcpStream) -> String {
+    let mut bytes = Vec::new();
+    // A connection that is reset ends the answer as well.
+    let read = stream.read_to_end(&mut bytes);
+    let _ = tokio::time::timeout(PATIENCE, read).await.expect("the answer ends");
+    String::from_utf8(bytes).unwrap()
+}
+
+/// Status of an answer.
+pub(crate) fn status(answer: &str) -> u16 {
+    answer.split(' ').nth(1).and_then(|code| code.parse().ok()).unwrap_or(0)
+}
+
+/// Waits until something holds.
+pub(crate) async fn until(what: &str, check: impl Fn() -> bool) {
+    let reached = async {
+        while !check() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, reached).await.expect(what);
+}
