Gather the events of one request from several logs with hickoryreel explain

Cause: a request's lines are spread over entries and control replicas, and the lines of its endpoints before it tell why it was sent there.

--- a/crates/fleet-control/src/members.rs
+++ b/crates/fleet-control/src/members.rs
@@ -110,7 +110,7 @@
     }
     let learner = others().find(|one| !one.voter && silence(one.id) < ALIVE);
     let silent = others().filter(|one| one.voter && silence(one.id) >= EXCHANGE_AFTER);
-    let even = members.voters().count() % 2 == 0;
+    let even = members.voters().count().is_multiple_of(2);
     match (learner, silent.max_by_key(|one| silence(one.id))) {
         (Some(_), Some(voter)) => return Some(MemberChange::Remove { id: voter.id }),
         (None, Some(voter)) if even => return Some(MemberChange::Remove { id: voter.id }),
--- a/crates/fleet-control/tests/core.rs
+++ b/crates/fleet-control/tests/core.rs
@@ -18,8 +18,8 @@
 const PATIENCE: Duration = Duration::from_secs(60);
 
 async fn free_address() -> SocketAddrV4 {
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    match listener.local_addr().unwrap() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("loopback works");
+    match listener.local_addr().expect("a bound listener has an address") {
         std::net::SocketAddr::V4(address) => address,
         std::net::SocketAddr::V6(_) => unreachable!("bound to IPv4"),
     }
@@ -39,7 +39,8 @@
         data: data.to_owned(),
         ..Settings::default()
     };
-    run::start(settings, logging::discard()).await.unwrap().0
+    let started = run::start(settings, logging::discard()).await;
+    started.expect("the replica starts").0
 }
 
 async fn until(what: &str, check: impl Fn() -> bool) {
--- a/crates/fleet-control/tests/directory.rs
+++ b/crates/fleet-control/tests/directory.rs
@@ -1,5 +1,7 @@
 //! The directory under late, reordered and repeated announcements.
 
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use hickoryreel_fleet::endpoint::Announcement;
@@ -11,7 +13,7 @@
     Announcement {
         id: "e1".into(),
         service: "ledger".into(),
-        address: "10.0.0.1:8080".parse().unwrap(),
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 8080),
         zone: "a".into(),
         version: "v1".into(),
         slots: 6,
--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -191,7 +191,7 @@
             (xxh3_64(&bytes), id)
         })
         .collect();
-    ranked.sort_unstable_by(|left, right| right.0.cmp(&left.0));
+    ranked.sort_unstable_by_key(|(rank, _)| std::cmp::Reverse(*rank));
     let homes = ranked.into_iter().take(HOMES).map(|(_, id)| id).collect();
     Some(Shared { tokens, homes })
 }
--- a/crates/fleet-entry/src/relay.rs
+++ b/crates/fleet-entry/src/relay.rs
@@ -53,11 +53,12 @@
         self.partial.extend_from_slice(bytes);
         let end = memmem::rfind(&self.partial, EVENT_END)? + EVENT_END.len();
         let whole = self.partial.split_to(end).freeze();
-        let ids = whole.split(|byte| *byte == b'\n').filter_map(|line| {
+        let lines = whole.split(|byte| *byte == b'\n').rev();
+        let mut id = lines.filter_map(|line| {
             let value = line.strip_prefix(ID_FIELD)?;
             std::str::from_utf8(value).ok()?.trim().parse().ok()
         });
-        self.last_id = ids.last().or(self.last_id);
+        self.last_id = id.next().or(self.last_id);
         Some(whole)
     }
 
--- a/crates/fleet-entry/tests/beliefs.rs
+++ b/crates/fleet-entry/tests/beliefs.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::net::Ipv4Addr;
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use common::announcement;
@@ -48,7 +50,7 @@
 }
 
 fn sighting(incarnation: u64, sequence: u64, draining: bool, status: Status) -> Sighting {
-    let mut announcement = announcement(1, "127.0.0.1:9".parse().unwrap());
+    let mut announcement = announcement(1, SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9));
     (announcement.incarnation, announcement.sequence) = (incarnation, sequence);
     announcement.draining = draining;
     Sighting { announcement, status }
--- a/crates/fleet-entry/tests/common/harness.rs
+++ b/crates/fleet-entry/tests/common/harness.rs
@@ -99,14 +99,16 @@
 
 impl Endpoint {
     pub(crate) async fn start(scripts: Vec<Vec<Act>>) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let SocketAddr::V4(address) = listener.local_addr().unwrap() else { unreachable!() };
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback works");
+        let SocketAddr::V4(address) = listener.local_addr().expect("loopback works") else {
+            unreachable!()
+        };
         let arrived = Rc::new(RefCell::new(Vec::new()));
         let closed = Rc::new(RefCell::new(0));
         let endpoint = Self { address, arrived: arrived.clone(), closed: closed.clone() };
         tokio::task::spawn_local(async move {
             loop {
-                let (stream, _) = listener.accept().await.unwrap();
+                let (stream, _) = listener.accept().await.expect("loopback works");
                 let task = connection(stream, scripts.clone(), arrived.clone(), closed.clone());
                 tokio::task::spawn_local(task);
             }
@@ -156,11 +158,11 @@
     while !bytes.ends_with(b"\r\n\r\n") {
         bytes.push(stream.read_u8().await.ok()?);
     }
-    let head = String::from_utf8(bytes).unwrap();
+    let head = String::from_utf8(bytes).expect("answers are text");
     let length = header(&head, "content-length").and_then(|value| value.parse().ok()).unwrap_or(0);
     let mut body = vec![0; length];
     stream.read_exact(&mut body).await.ok()?;
-    Some(head + std::str::from_utf8(&body).unwrap())
+    Some(head + std::str::from_utf8(&body).expect("bodies are text"))
 }
 
 /// Value of a header of a head.
@@ -173,7 +175,6 @@
 
 /// An entry that serves clients.
 pub(crate) struct Served {
-    pub(crate) entry: Rc<Entry>,
     pub(crate) address: SocketAddr,
 }
 
@@ -194,17 +195,17 @@
         entry.directory.borrow_mut().take_in(sighting);
     }
     entry.view.borrow_mut().confirm(boot_time(), confirmed(configuration(1)));
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let serving = server::serve(Rc::clone(&entry), listener, std::future::pending());
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback works");
+    let address = listener.local_addr().expect("loopback works");
+    let serving = server::serve(entry, listener, std::future::pending());
     tokio::task::spawn_local(serving);
-    Served { entry, address }
+    Served { address }
 }
 
 /// Sends bytes on a new connection.
 pub(crate) async fn send(served: &Served, request: &str) -> TcpStream {
-    let mut stream = TcpStream::connect(served.address).await.unwrap();
-    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut stream = TcpStream::connect(served.address).await.expect("loopback works");
+    stream.write_all(request.as_bytes()).await.expect("loopback works");
     stream
 }
 
@@ -223,7 +224,7 @@
     // A connection that is reset ends the answer as well.
     let read = stream.read_to_end(&mut bytes);
     let _ = tokio::time::timeout(PATIENCE, read).await.expect("the answer ends");
-    String::from_utf8(bytes).unwrap()
+    String::from_utf8(bytes).expect("answers are text")
 }
 
 /// Status of an answer.
--- a/crates/operator/src/cli/mod.rs
+++ b/crates/operator/src/cli/mod.rs
@@ -14,6 +14,7 @@
 mod check;
 mod diff;
 mod endpoints;
+mod explain;
 mod in_force;
 mod pause;
 mod replica;
@@ -101,6 +102,9 @@
     /// Tell whether a revision is in force at every entry
     #[bpaf(command("in-force"))]
     InForce(#[bpaf(external(in_force::cli))] in_force::InForce),
+    /// Show the events of one request in the logs of several processes
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain::cli))] explain::Explain),
     /// Add or remove control replicas
     #[bpaf(command)]
     Replica(#[bpaf(external(replica::cli))] replica::Replica),
@@ -161,6 +165,7 @@
         Command::Billing => billing::exec(context).await,
         Command::Burn(arguments) => burn::exec(context, &arguments).await,
         Command::InForce(arguments) => in_force::exec(context, &arguments).await,
+        Command::Explain(arguments) => explain::exec(context, &arguments),
         Command::Replica(arguments) => replica::exec(context, &arguments).await,
     }
 }
--- a/crates/operator/src/ops/mod.rs
+++ b/crates/operator/src/ops/mod.rs
@@ -1,6 +1,7 @@
 //! Operations behind the subcommands.
 
 pub mod admin;
+pub mod events;
 pub mod failure;
 pub mod file;
 pub mod print;
