--- a/crates/fleet-entry/src/directory.rs
+++ b/crates/fleet-entry/src/directory.rs
@@ -163,6 +163,11 @@
         }
     }
 
+    /// Time since the endpoint reported its load.
+    pub fn load_age(&self) -> Option<Duration> {
+        self.load.get().map(|(_, at)| boot_time().saturating_sub(at))
+    }
+
     /// Requests of other entries that wait there, as far as known.
     pub fn waiting(&self) -> f64 {
         let now = boot_time();
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -475,6 +475,9 @@
             && cascade.has_room(tokens, now)
             && self.entry.has_spare_budget(&self.service)
             && self.entry.take_second_send(&self.service);
+        info!(self.entry.log, "model doubts its answer"; "request" => &self.ask.id,
+            "model" => &*model, "confidence" => confidence, "pressure" => cascade.pressure(now),
+            "next" => &*self.route.models[next], "escalates" => allowed);
         if allowed {
             self.doubted_by = (next == self.step + 1).then_some(model);
             self.step = next;
@@ -507,6 +510,12 @@
         if self.sends == 0 {
             self.entry.note_first_send(&self.service);
         }
+        info!(self.entry.log, "request sent"; "request" => &self.ask.id, "endpoint" => &*id,
+            "send" => self.sends + 1, "model" => self.model.as_deref(),
+            "load" => endpoint.estimated_load(self.entry.entries.get()),
+            "load_age_ms" => endpoint.load_age().map(|age| age.as_millis() as u64),
+            "unread_ms" => endpoint.unread_ms.get(), "after_event" => after_event,
+            "left_ms" => left);
         self.sends += 1;
         self.tried.push(id);
         let alone = endpoint.unread_ms.get() == 0.0 && endpoint.waiting() == 0.0;
