--- a/crates/fleet-entry/src/entry.rs
+++ b/crates/fleet-entry/src/entry.rs
@@ -13,6 +13,7 @@
 
 use crate::budget::Budget;
 use crate::budget::Limits;
+use crate::bulk::Places;
 use crate::cascade::Cascade;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
@@ -39,6 +40,8 @@
     pub budgets: RefCell<HashMap<Name, Budget>>,
     /// What is known of the models, by service.
     pub cascades: RefCell<HashMap<Name, Cascade>>,
+    /// Places for long prompts, by service.
+    pub places: RefCell<HashMap<Name, Rc<Places>>>,
     /// Counts for roll-outs.
     pub tallies: RefCell<Tallies>,
     /// Wakes requests that wait for agreed state or for an endpoint.
@@ -69,6 +72,7 @@
             entries: Cell::new(1),
             budgets: RefCell::default(),
             cascades: RefCell::default(),
+            places: RefCell::default(),
             tallies: RefCell::default(),
             news: Notify::new(),
             open: Cell::new(0),
@@ -126,6 +130,17 @@
         budgets.entry(service.clone()).or_default().has_spare(boot_time(), &self.limits())
     }
 
+    /// Places for long prompts of a service, and how many there are: this entry's part of one for
+    /// each usable endpoint.
+    pub fn places(&self, service: &Name) -> (Rc<Places>, u32) {
+        let directory = self.directory.borrow();
+        let usable = directory.of(service).iter().filter(|one| one.is_usable()).count();
+        let places = usable.div_ceil(self.entries.get().max(1) as usize).max(1);
+        let mut all = self.places.borrow_mut();
+        let shared = Rc::clone(all.entry(service.clone()).or_default());
+        (shared, u32::try_from(places).unwrap_or(u32::MAX))
+    }
+
     /// Whether a zone is in this entry's region.
     pub fn is_near(&self, zone: &str) -> bool {
         self.settings.region(zone) == self.settings.region(&self.settings.zone)
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -22,6 +22,8 @@
 
 use crate::answer::Refusal;
 use crate::body::Body;
+use crate::bulk;
+use crate::bulk::Place;
 use crate::cascade::Cascade;
 use crate::dialect::Ask;
 use crate::dialect::Reply;
@@ -127,25 +129,27 @@
     version: Name,
     route: Name,
     unread_ms: f64,
+    place: Option<Place>,
     /// When the send began.
     pub began: Duration,
 }
 
 impl Flight {
-    fn new(course: &Course, endpoint: Rc<Endpoint>) -> Self {
+    fn new(course: &Course, endpoint: Rc<Endpoint>, place: Option<Place>) -> Self {
         let entry = Rc::clone(&course.entry);
         let version = endpoint.version();
         let (service, route) = (course.service.clone(), course.route.name.clone());
-        let unread_ms = course.ask.prompt_tokens as f64 * course.token_ms().unwrap_or(0.0);
+        let unread_ms = course.reading_ms();
         endpoint.sent();
         endpoint.unread_ms.set(endpoint.unread_ms.get() + unread_ms);
         entry.tallies.borrow_mut().sent(&service, &version, &route);
         entry.metrics.sends.inc();
-        Self { entry, endpoint, service, version, route, unread_ms, began: boot_time() }
+        Self { entry, endpoint, service, version, route, unread_ms, place, began: boot_time() }
     }
 
     /// The endpoint has read the prompt.
     pub fn answered(&mut self) {
+        self.place = None;
         let unread_ms = std::mem::take(&mut self.unread_ms);
         let at_endpoint = &self.endpoint.unread_ms;
         at_endpoint.set((at_endpoint.get() - unread_ms).max(0.0));
@@ -445,6 +449,21 @@
         self.route.models.get(self.step).cloned()
     }
 
+    /// Expected reading time of the prompt, in milliseconds.
+    fn reading_ms(&self) -> f64 {
+        self.ask.prompt_tokens as f64 * self.token_ms().unwrap_or(0.0)
+    }
+
+    /// A place for a long prompt that has time to wait for one.
+    async fn place(&self) -> Option<Place> {
+        if self.rank() == 0 || self.reading_ms() < bulk::LONG_MS {
+            return None;
+        }
+        let target = self.arrived + Duration::from_millis(self.route.target_ms) / 2;
+        let (places, count) = self.entry.places(&self.service);
+        Some(places.take(count, target.saturating_sub(boot_time())).await)
+    }
+
     /// Time in which the model of the newest send reads a prompt token, in milliseconds; `None`
     /// for plain services.
     fn token_ms(&self) -> Option<f64> {
@@ -470,7 +489,11 @@
             return false;
         };
         let tokens = self.ask.prompt_tokens;
+        let (places, count) = self.entry.places(&self.service);
+        let long = tokens as f64 * cascade.token_ms(&self.route.models[next]) >= bulk::LONG_MS;
+        let crowded = long && self.rank() > 0 && places.is_crowded(count);
         let allowed = self.runs < self.route.attempts
+            && !crowded
             && self.route.is_repeatable()
             && cascade.has_room(tokens, now)
             && self.entry.has_spare_budget(&self.service)
@@ -497,6 +520,7 @@
         if after_event.is_none() || self.model.is_none() {
             self.model = self.choose_model();
         }
+        let place = self.place().await;
         let Some(endpoint) = self.pick_in_time().await else { return Err(Ended::NotRun) };
         let left = self.left_ms();
         // The lease may have run out while the request waited.
@@ -519,7 +543,7 @@
         self.sends += 1;
         self.tried.push(id);
         let alone = endpoint.unread_ms.get() == 0.0 && endpoint.waiting() == 0.0;
-        let mut flight = Flight::new(self, Rc::clone(&endpoint));
+        let mut flight = Flight::new(self, Rc::clone(&endpoint), place);
         let exchange = self.exchange(&endpoint, request, flight.began).await?;
         let response = &exchange.response;
         let (status, headers) = (response.status(), response.headers());
--- a/crates/fleet-entry/src/lib.rs
+++ b/crates/fleet-entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod answer;
 pub mod body;
 pub mod budget;
+pub mod bulk;
 pub mod cascade;
 pub mod dialect;
 pub mod directory;
