--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -16,8 +16,9 @@
 /// Parts of 1,000 into which requests are divided between versions.
 const SHARE_PARTS: u64 = 1_000;
 
-/// Cost of leaving the region, in milliseconds: a crossing takes 24 ms and is billed by volume.
-const REGION_COST: f64 = 40.0;
+/// Cost of leaving the region, in milliseconds: a crossing takes 24 ms, and the bytes of a long
+/// prompt and its stream are billed.
+const REGION_COST: f64 = 100.0;
 
 /// Cost of an endpoint whose requests all fail, in milliseconds: a second send and more.
 const FAILURE_COST: f64 = 2_000.0;
