--- /dev/null
+++ b/crates/fleet-entry/src/flight.rs
@@ -0,0 +1,67 @@
+//! A send under way, as it counts at its endpoint and for its version.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hickoryreel_base::time::boot_time;
+use hickoryreel_fleet::Name;
+
+use crate::bulk::Place;
+use crate::directory::Endpoint;
+use crate::entry::Entry;
+use crate::tally::End;
+
+/// Counts a send at its endpoint until it is dropped.
+pub struct Flight {
+    entry: Rc<Entry>,
+    /// The endpoint.
+    pub endpoint: Rc<Endpoint>,
+    service: Name,
+    version: Name,
+    route: Name,
+    unread_ms: f64,
+    place: Option<Place>,
+    /// When the send began.
+    pub began: Duration,
+}
+
+impl Flight {
+    /// Counts a send whose prompt takes `unread_ms` to read.
+    pub fn new(
+        entry: Rc<Entry>,
+        endpoint: Rc<Endpoint>,
+        (service, route): (Name, Name),
+        unread_ms: f64,
+        place: Option<Place>,
+    ) -> Self {
+        let version = endpoint.version();
+        endpoint.sent();
+        endpoint.unread_ms.set(endpoint.unread_ms.get() + unread_ms);
+        entry.tallies.borrow_mut().sent(&service, &version, &route);
+        entry.metrics.sends.inc();
+        Self { entry, endpoint, service, version, route, unread_ms, place, began: boot_time() }
+    }
+
+    /// The endpoint has read the prompt.
+    pub fn answered(&mut self) {
+        self.place = None;
+        let unread_ms = std::mem::take(&mut self.unread_ms);
+        let at_endpoint = &self.endpoint.unread_ms;
+        at_endpoint.set((at_endpoint.get() - unread_ms).max(0.0));
+    }
+
+    /// Notes what the send says of the version.
+    pub fn judge(&self, end: End) {
+        let mut tallies = self.entry.tallies.borrow_mut();
+        tallies.judged(&self.service, &self.version, &self.route, end);
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.answered();
+        self.endpoint.open.set(self.endpoint.open.get().saturating_sub(1));
+        let mut tallies = self.entry.tallies.borrow_mut();
+        tallies.closed(&self.service, &self.version, &self.route);
+    }
+}
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -15,7 +15,6 @@
 use http::request::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use slog::info;
 use smallvec::SmallVec;
@@ -33,6 +32,7 @@
 use crate::exchange;
 use crate::exchange::Exchange;
 use crate::exchange::Failure;
+use crate::flight::Flight;
 use crate::outcome;
 use crate::outcome::Ended;
 use crate::outcome::Next;
@@ -40,9 +40,11 @@
 use crate::outcome::Passed;
 use crate::outcome::Runs;
 use crate::pick;
+use crate::prepare::NEWS_PATIENCE;
+use crate::prepare::Prepared;
+use crate::prepare::prepare;
 use crate::relay;
 use crate::tally::End;
-use crate::view::Index;
 
 /// Time that must be left for a send to make sense, in milliseconds.
 const LEAST_LEFT_MS: u64 = 30;
@@ -64,16 +66,6 @@
 /// Time between two looks at an endpoint that has not answered.
 const PATIENCE_STEP: Duration = Duration::from_millis(250);
 
-/// Longest wait for agreed state or an endpoint: an election, or an announcement of every
-/// endpoint after a restart of all replicas.
-const NEWS_PATIENCE: Duration = Duration::from_millis(1_800);
-
-/// Time of a client that names no deadline, in milliseconds.
-const DEFAULT_DEADLINE_MS: u64 = 60_000;
-
-/// Part of the memory of the process that request bodies may take.
-const BODY_MEMORY_PART: usize = 4;
-
 /// A request on its way.
 pub struct Course {
     /// The entry.
@@ -120,57 +112,6 @@
     pub flight: Flight,
 }
 
-/// Counts a send at its endpoint until it is dropped.
-pub struct Flight {
-    entry: Rc<Entry>,
-    /// The endpoint.
-    pub endpoint: Rc<Endpoint>,
-    service: Name,
-    version: Name,
-    route: Name,
-    unread_ms: f64,
-    place: Option<Place>,
-    /// When the send began.
-    pub began: Duration,
-}
-
-impl Flight {
-    fn new(course: &Course, endpoint: Rc<Endpoint>, place: Option<Place>) -> Self {
-        let entry = Rc::clone(&course.entry);
-        let version = endpoint.version();
-        let (service, route) = (course.service.clone(), course.route.name.clone());
-        let unread_ms = course.reading_ms();
-        endpoint.sent();
-        endpoint.unread_ms.set(endpoint.unread_ms.get() + unread_ms);
-        entry.tallies.borrow_mut().sent(&service, &version, &route);
-        entry.metrics.sends.inc();
-        Self { entry, endpoint, service, version, route, unread_ms, place, began: boot_time() }
-    }
-
-    /// The endpoint has read the prompt.
-    pub fn answered(&mut self) {
-        self.place = None;
-        let unread_ms = std::mem::take(&mut self.unread_ms);
-        let at_endpoint = &self.endpoint.unread_ms;
-        at_endpoint.set((at_endpoint.get() - unread_ms).max(0.0));
-    }
-
-    /// Notes what the send says of the version.
-    pub fn judge(&self, end: End) {
-        let mut tallies = self.entry.tallies.borrow_mut();
-        tallies.judged(&self.service, &self.version, &self.route, end);
-    }
-}
-
-impl Drop for Flight {
-    fn drop(&mut self) {
-        self.answered();
-        self.endpoint.open.set(self.endpoint.open.get().saturating_sub(1));
-        let mut tallies = self.entry.tallies.borrow_mut();
-        tallies.closed(&self.service, &self.version, &self.route);
-    }
-}
-
 /// Answers one request.
 pub async fn handle(entry: Rc<Entry>, request: Request<Incoming>) -> Response<Body> {
     let guard = entry.guard();
@@ -196,136 +137,32 @@
     response
 }
 
-/// Reads the request and finds its route and workspace.
-async fn prepare(
-    entry: &Rc<Entry>,
-    head: Parts,
-    body: Incoming,
-    arrived: Duration,
-) -> Result<Course, (Refusal, String)> {
-    let ask = entry.dialect.ask(&head).map_err(|malformed| {
-        info!(entry.log, "request is malformed"; "reason" => malformed.0);
-        (Refusal::Malformed, String::new())
-    })?;
-    let id = ask.id.clone();
-    let refused = |refusal| (refusal, id.clone());
-    let (index, route, workspace) =
-        admit_in_time(entry, &head, &ask, arrived).await.map_err(refused)?;
-    let limits = &index.configuration.limits;
-    let time_ms = ask.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS).min(route.timeout_ms);
-    let ends = arrived + Duration::from_millis(time_ms);
-    let service = pick::service(&route, &ask).cloned().ok_or(Refusal::NoEndpoint);
-    let service = service.map_err(refused)?;
-    let body = read_body(entry, body, limits.body_bytes, ends).await.map_err(refused)?;
-    Ok(Course {
-        entry: Rc::clone(entry),
-        head,
-        ask,
-        body,
-        route,
-        service,
-        workspace,
-        arrived,
-        ends,
-        tried: SmallVec::new(),
-        sends: 0,
-        runs: 0,
-        ran: false,
-        step: 0,
-        model: None,
-        doubted_by: None,
-        confidence: None,
-        endpoint: None,
-    })
-}
-
-/// Admits the request, and waits a while for the agreed state if it is not known now. After a
-/// restart or an election it is known within that time, and a client may come back only once.
-async fn admit_in_time(
-    entry: &Entry,
-    head: &Parts,
-    ask: &Ask,
-    arrived: Duration,
-) -> Result<Admitted, Refusal> {
-    let patience = Duration::from_millis(ask.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS)) / 3;
-    let until = arrived + patience.min(NEWS_PATIENCE);
-    loop {
-        let news = entry.news.notified();
-        match admit(entry, head, ask) {
-            Err(refusal @ (Refusal::NoConfiguration | Refusal::NoLease)) => {
-                let left = until.saturating_sub(boot_time());
-                if tokio::time::timeout(left, news).await.is_err() {
-                    return Err(refusal);
-                }
-            }
-            other => return other,
-        }
-    }
-}
-
-type Admitted = (Arc<Index>, Arc<Route>, Option<Arc<Workspace>>);
-
-fn admit(entry: &Entry, head: &Parts, ask: &Ask) -> Result<Admitted, Refusal> {
-    let view = entry.view.borrow();
-    let index = view.index.as_ref().ok_or(Refusal::NoConfiguration)?;
-    let unless_stale = |refusal| if view.is_fresh() { refusal } else { Refusal::NoLease };
-    let route = index.route(&ask.host, head.uri.path());
-    let route = route.ok_or_else(|| unless_stale(Refusal::UnknownRoute))?;
-    let needs_key = index.needs_keys() && !route.public;
-    if !needs_key {
-        return Ok((Arc::clone(index), Arc::clone(route), None));
-    }
-    if !view.has_lease(entry.settings.lease) {
-        return Err(Refusal::NoLease);
-    }
-    let workspace = ask.key.as_deref().and_then(|key| index.workspace(key));
-    let workspace = workspace.ok_or_else(|| unless_stale(Refusal::UnknownKey))?;
-    Ok((Arc::clone(index), Arc::clone(route), Some(Arc::clone(workspace))))
-}
-
-/// Memory that a body takes, given back when it is dropped.
-struct Reserved<'a>(&'a Entry, usize);
-
-impl Drop for Reserved<'_> {
-    fn drop(&mut self) {
-        let taken = &self.0.body_bytes;
-        taken.set(taken.get().saturating_sub(self.1));
-    }
-}
-
-async fn read_body(
-    entry: &Entry,
-    body: Incoming,
-    limit: usize,
-    ends: Duration,
-) -> Result<Bytes, Refusal> {
-    use hyper::body::Body as _;
-
-    let expected = body.size_hint().lower() as usize;
-    if expected > limit {
-        return Err(Refusal::BodyTooLarge);
-    }
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    // A body of unknown length is counted as it is on average, not as large as it may be.
-    let reserved = Reserved(entry, expected);
-    let taken = entry.body_bytes.get() + reserved.1;
-    entry.body_bytes.set(taken);
-    if taken > entry.settings.memory / BODY_MEMORY_PART {
-        return Err(Refusal::NoMemory);
-    }
-    let left = ends.saturating_sub(boot_time());
-    match tokio::time::timeout(left, Limited::new(body, limit).collect()).await {
-        Ok(Ok(read)) => Ok(read.to_bytes()),
-        Ok(Err(cause)) if cause.is::<http_body_util::LengthLimitError>() => {
-            Err(Refusal::BodyTooLarge)
+impl Course {
+    /// A request that arrived at `arrived` and has until `ends`.
+    pub fn new(entry: Rc<Entry>, prepared: Prepared, arrived: Duration, ends: Duration) -> Self {
+        let Prepared { head, ask, body, route, service, workspace } = prepared;
+        Self {
+            entry,
+            head,
+            ask,
+            body,
+            route,
+            service,
+            workspace,
+            arrived,
+            ends,
+            tried: SmallVec::new(),
+            sends: 0,
+            runs: 0,
+            ran: false,
+            step: 0,
+            model: None,
+            doubted_by: None,
+            confidence: None,
+            endpoint: None,
         }
-        Ok(Err(_)) | Err(_) => Err(Refusal::BodyLate),
     }
-}
 
-impl Course {
     /// Sends the request until it is answered or given up.
     async fn run(mut self) -> Response<Body> {
         let mut failed: Option<Response<Body>> = None;
@@ -543,7 +380,13 @@
         self.sends += 1;
         self.tried.push(id);
         let alone = endpoint.unread_ms.get() == 0.0 && endpoint.waiting() == 0.0;
-        let mut flight = Flight::new(self, Rc::clone(&endpoint), place);
+        let mut flight = Flight::new(
+            Rc::clone(&self.entry),
+            Rc::clone(&endpoint),
+            (self.service.clone(), self.route.name.clone()),
+            self.reading_ms(),
+            place,
+        );
         let exchange = self.exchange(&endpoint, request, flight.began).await?;
         let response = &exchange.response;
         let (status, headers) = (response.status(), response.headers());
--- a/crates/fleet-entry/src/lib.rs
+++ b/crates/fleet-entry/src/lib.rs
@@ -1,7 +1,7 @@
 //! An entry of a fleet: the path of a request from a client to an endpoint and back.
 //!
-//! [`server`] accepts connections. [`forward`] takes a request through its steps: the [`dialect`]
-//! reads its terms, [`view`] gives route and workspace, [`cascade`] chooses the model, [`pick`] the
+//! [`server`] accepts connections. [`forward`] takes a request through its steps: [`prepare`] reads its
+//! terms in its [`dialect`] and finds route and workspace in the [`view`], [`cascade`] chooses the model, [`pick`] the
 //! endpoint, [`exchange`] sends it, [`outcome`] decides what its end means, and [`relay`] passes a stream on
 //! event by event. [`follow`] keeps the view and the [`directory`] current over links to control.
 
@@ -14,11 +14,13 @@
 pub mod directory;
 pub mod entry;
 pub mod exchange;
+pub mod flight;
 pub mod follow;
 pub mod forward;
 pub mod metrics;
 pub mod outcome;
 pub mod pick;
+pub mod prepare;
 pub mod relay;
 pub mod server;
 pub mod settings;
--- a/crates/fleet-entry/src/relay.rs
+++ b/crates/fleet-entry/src/relay.rs
@@ -3,6 +3,8 @@
 //! Only whole events are passed on, so a stream can be continued after the last one. The head and
 //! the receipt stay those of the first endpoint.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use bytes::BytesMut;
 use hickoryreel_base::time::boot_time;
@@ -11,7 +13,6 @@
 use hyper::body::Incoming;
 use memchr::memmem;
 use slog::info;
-use std::time::Duration;
 use tokio::sync::mpsc;
 
 use crate::body::Body;
@@ -19,6 +20,7 @@
 use crate::body::Piece;
 use crate::exchange;
 use crate::exchange::Exchange;
+use crate::flight::Flight;
 use crate::forward::Course;
 use crate::forward::Sent;
 use crate::outcome::Ended;
@@ -100,7 +102,7 @@
     connection: exchange::Connection,
     incoming: Incoming,
     keep_alive: Option<Duration>,
-    flight: crate::forward::Flight,
+    flight: Flight,
 }
 
 struct Relay {
