--- a/crates/fleet-control/src/settings.rs
+++ b/crates/fleet-control/src/settings.rs
@@ -20,8 +20,6 @@
     pub bootstrap: bool,
     /// Folder for the state that survives a restart.
     pub data: PathBuf,
-    /// Address of the metrics.
-    pub metrics: Option<SocketAddrV4>,
     /// Time between two announcements of an endpoint.
     pub announce_interval: Duration,
     /// Largest share of a service's requests that may reach an unproved version.
@@ -41,7 +39,6 @@
             seeds: Vec::new(),
             bootstrap: false,
             data: PathBuf::new(),
-            metrics: None,
             announce_interval: Duration::from_millis(1_200),
             exposure: 0.15,
             answer_limit: Duration::from_millis(900),
--- a/crates/fleet-entry/src/dialect.rs
+++ b/crates/fleet-entry/src/dialect.rs
@@ -34,8 +34,6 @@
     pub any_model: bool,
     /// Tokens of the prompt.
     pub prompt_tokens: u64,
-    /// Estimate of the tokens to be generated.
-    pub output_tokens: u64,
     /// Parts of the prompt in order; the last one belongs to this request or its session.
     pub parts: SmallVec<[Part; 4]>,
     /// Session, if the request belongs to one.
--- a/crates/fleet-entry/src/entry.rs
+++ b/crates/fleet-entry/src/entry.rs
@@ -141,6 +141,16 @@
         (shared, u32::try_from(places).unwrap_or(u32::MAX))
     }
 
+    /// Idle connections that this entry keeps to one endpoint of a service: its part of half of
+    /// what the endpoint accepts, so that open requests find room.
+    pub fn most_idle(&self, service: &Name) -> usize {
+        let view = self.view.borrow();
+        let service = view.index.as_ref().and_then(|index| index.service(service));
+        let accepted = service.map_or(0, |service| service.max_connections);
+        let part = accepted / (2 * self.entries.get().max(1));
+        usize::try_from(part.max(1)).unwrap_or(1)
+    }
+
     /// Whether a zone is in this entry's region.
     pub fn is_near(&self, zone: &str) -> bool {
         self.settings.region(zone) == self.settings.region(&self.settings.zone)
--- a/crates/fleet-entry/src/exchange.rs
+++ b/crates/fleet-entry/src/exchange.rs
@@ -30,9 +30,6 @@
 /// have been closed by the endpoint, which leaves the outcome of the request unknown.
 const FRESH_LIMIT: Duration = Duration::from_millis(900);
 
-/// Idle connections kept for one endpoint.
-const MAX_IDLE: usize = 24;
-
 /// An open connection. Dropping it closes it at once, which tells the endpoint to stop.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
@@ -106,13 +103,13 @@
         Some(newest.connection)
     }
 
-    /// Takes back a connection after a complete exchange.
-    pub fn put(&self, mut connection: Connection, keep_alive: Option<Duration>) {
+    /// Takes back a connection after a complete exchange, unless `most` are kept already.
+    pub fn put(&self, mut connection: Connection, keep_alive: Option<Duration>, most: usize) {
         if let Some(named) = keep_alive {
             connection.idle_limit = named.saturating_sub(IDLE_MARGIN).min(IDLE_LIMIT);
         }
         let mut idle = self.idle.borrow_mut();
-        if idle.len() < MAX_IDLE {
+        if idle.len() < most {
             idle.push(Idle { connection, since: boot_time() });
         }
     }
--- a/crates/fleet-entry/src/flight.rs
+++ b/crates/fleet-entry/src/flight.rs
@@ -9,6 +9,7 @@
 use crate::bulk::Place;
 use crate::directory::Endpoint;
 use crate::entry::Entry;
+use crate::exchange::Connection;
 use crate::tally::End;
 
 /// Counts a send at its endpoint until it is dropped.
@@ -50,6 +51,12 @@
         at_endpoint.set((at_endpoint.get() - unread_ms).max(0.0));
     }
 
+    /// Gives the connection back for other requests after a complete exchange.
+    pub fn give_back(&self, connection: Connection, keep_alive: Option<Duration>) {
+        let most = self.entry.most_idle(&self.service);
+        self.endpoint.pool.put(connection, keep_alive, most);
+    }
+
     /// Notes what the send says of the version.
     pub fn judge(&self, end: End) {
         let mut tallies = self.entry.tallies.borrow_mut();
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -548,7 +548,7 @@
             Err(_) => return Err(Ended::OutOfTime),
         };
         if exchange::settle(&mut connection).await {
-            flight.endpoint.pool.put(connection, reply.keep_alive);
+            flight.give_back(connection, reply.keep_alive);
         }
         if head.status.is_server_error() {
             flight.judge(End::Bad);
--- a/crates/fleet-entry/src/lib.rs
+++ b/crates/fleet-entry/src/lib.rs
@@ -1,8 +1,9 @@
 //! An entry of a fleet: the path of a request from a client to an endpoint and back.
 //!
-//! [`server`] accepts connections. [`forward`] takes a request through its steps: [`prepare`] reads its
-//! terms in its [`dialect`] and finds route and workspace in the [`view`], [`cascade`] chooses the model, [`pick`] the
-//! endpoint, [`exchange`] sends it, [`outcome`] decides what its end means, and [`relay`] passes a stream on
+//! [`server`] accepts connections. [`forward`] takes a request through its steps: [`prepare`]
+//! reads its terms in its [`dialect`] and finds route and workspace in the [`view`], [`cascade`]
+//! chooses the model, [`bulk`] lets long prompts wait, [`pick`] chooses the endpoint, [`exchange`]
+//! sends the request, [`outcome`] decides what its end means, and [`relay`] passes a stream on
 //! event by event. [`follow`] keeps the view and the [`directory`] current over links to control.
 
 pub mod answer;
--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -196,12 +196,3 @@
     let homes = ranked.into_iter().take(HOMES).map(|(_, id)| id).collect();
     Some(Shared { tokens, homes })
 }
-
-/// Load of a service in parts of its slots, over the endpoints in use.
-pub fn service_load(endpoints: &[Rc<Endpoint>], entries: u32) -> f64 {
-    let usable = endpoints.iter().filter(|one| one.is_usable());
-    let (load, slots) = usable.fold((0.0, 0.0), |(load, slots), one| {
-        (load + one.estimated_load(entries), slots + f64::from(one.slots()))
-    });
-    if slots > 0.0 { load / slots } else { 1.0 }
-}
--- a/crates/fleet-entry/src/relay.rs
+++ b/crates/fleet-entry/src/relay.rs
@@ -190,7 +190,7 @@
         flight.judge(End::Good(boot_time().saturating_sub(flight.began)));
         flight.endpoint.succeeded();
         if exchange::settle(&mut connection).await {
-            flight.endpoint.pool.put(connection, keep_alive);
+            flight.give_back(connection, keep_alive);
         }
         self.course.note(200, "answered");
     }
--- a/crates/fleet-entry/tests/common/harness.rs
+++ b/crates/fleet-entry/tests/common/harness.rs
@@ -180,6 +180,19 @@
 
 /// Starts an entry that prefers the first endpoint: the others are in another region.
 pub(crate) async fn serve(endpoints: &[&Endpoint]) -> Served {
+    let (served, entry) = serve_without_configuration(endpoints).await;
+    learn_configuration(&entry);
+    served
+}
+
+/// Tells an entry its first configuration, as an answer of control does.
+pub(crate) fn learn_configuration(entry: &Entry) {
+    entry.view.borrow_mut().confirm(boot_time(), confirmed(configuration(1)));
+    entry.news.notify_waiters();
+}
+
+/// Starts an entry that knows its endpoints and no configuration yet.
+pub(crate) async fn serve_without_configuration(endpoints: &[&Endpoint]) -> (Served, Rc<Entry>) {
     let settings = Settings {
         zone: "a".to_owned(),
         regions: vec![("a".to_owned(), "near".to_owned()), ("b".to_owned(), "far".to_owned())],
@@ -194,12 +207,11 @@
         let sighting = Sighting { announcement, status: Status::Present };
         entry.directory.borrow_mut().take_in(sighting);
     }
-    entry.view.borrow_mut().confirm(boot_time(), confirmed(configuration(1)));
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback works");
     let address = listener.local_addr().expect("loopback works");
-    let serving = server::serve(entry, listener, std::future::pending());
+    let serving = server::serve(Rc::clone(&entry), listener, std::future::pending());
     tokio::task::spawn_local(serving);
-    Served { address }
+    (Served { address }, entry)
 }
 
 /// Sends bytes on a new connection.
--- a/crates/fleet-entry/tests/sends.rs
+++ b/crates/fleet-entry/tests/sends.rs
@@ -11,9 +11,11 @@
 use harness::Endpoint;
 use harness::call;
 use harness::header;
+use harness::learn_configuration;
 use harness::read_all;
 use harness::send;
 use harness::serve;
+use harness::serve_without_configuration;
 use harness::status;
 use harness::until;
 use tokio::task::LocalSet;
@@ -198,6 +200,29 @@
         .await;
 }
 
+/// Guards against a refusal of requests that arrive while an entry that has just started is about
+/// to learn the configuration, and against a wait that outlasts the request.
+#[tokio::test]
+async fn request_waits_for_the_first_configuration() {
+    LocalSet::new()
+        .run_until(async {
+            let endpoint = good().await;
+            let (served, entry) = serve_without_configuration(&[&endpoint]).await;
+            let learn = async {
+                tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+                learn_configuration(&entry);
+            };
+            let (answer, ()) = tokio::join!(call(&served, ONCE, "r1"), learn);
+            assert_eq!(status(&answer), 200, "{answer}");
+
+            let (served, _entry) = serve_without_configuration(&[&endpoint]).await;
+            let answer = call(&served, ONCE, "r2").await;
+            assert_eq!(status(&answer), 503, "{answer}");
+            assert!(header(&answer, "retry-after").is_some());
+        })
+        .await;
+}
+
 /// Guards against work for callers without a key, and against bad input that disturbs an entry.
 #[tokio::test]
 async fn key_is_needed_and_bad_requests_are_refused_from_the_table() {
