Stop using endpoints whose address has a new holder or that no replica hears

Cause: an endpoint that crashed and came back under a new id stayed in use under the old one. Control does not send unchanged announcements, so its word of silence had a later sequence than the entry knew and was dropped; and a new holder of an address did not displace the one before.

Change: an endpoint is silent when no replica hears it, whatever sequence the entry has; a later incarnation at an address displaces earlier ones, at replicas and entries; a refusal by another endpoint at the address does so too.

--- a/crates/fleet-control/src/directory.rs
+++ b/crates/fleet-control/src/directory.rs
@@ -53,23 +53,52 @@
                 return None;
             }
         }
+        if self.is_displaced(&announcement) {
+            return None;
+        }
         let differs = known.is_none_or(|known| {
             known.sighting.status != Status::Present
                 || announcement.differs(&known.sighting.announcement)
         });
-        let change = match known {
-            Some(known) if !differs => known.change,
-            _ => {
-                self.change += 1;
-                self.change
-            }
-        };
+        let unchanged = known.filter(|_| !differs).map(|known| known.change);
+        let change = unchanged.unwrap_or_else(|| {
+            self.displace_earlier(&announcement);
+            self.change += 1;
+            self.change
+        });
         let id = announcement.id.clone();
         let sighting = Sighting { announcement, status: Status::Present };
         self.endpoints.insert(id, Known { sighting, heard: now, change });
         Some(differs)
     }
 
+    /// Whether a later endpoint holds the address: then the announcement is a delayed one of an
+    /// endpoint that has ended.
+    fn is_displaced(&self, announcement: &Announcement) -> bool {
+        self.endpoints.values().any(|known| {
+            let other = &known.sighting.announcement;
+            known.sighting.status == Status::Present
+                && other.address == announcement.address
+                && other.id != announcement.id
+                && other.incarnation > announcement.incarnation
+        })
+    }
+
+    /// Marks endpoints whose address a later one has.
+    fn displace_earlier(&mut self, later: &Announcement) {
+        for known in self.endpoints.values_mut() {
+            let other = &known.sighting.announcement;
+            let earlier = other.address == later.address
+                && other.id != later.id
+                && other.incarnation < later.incarnation;
+            if earlier && known.sighting.status == Status::Present {
+                self.change += 1;
+                known.change = self.change;
+                known.sighting.status = Status::Silent;
+            }
+        }
+    }
+
     /// Notes that an endpoint leaves for good. Returns its incarnation if it is known.
     pub fn leave(&mut self, id: &str, at_most: u64) -> Option<u64> {
         let known = self.endpoints.get_mut(id)?;
--- a/crates/fleet-control/tests/directory.rs
+++ b/crates/fleet-control/tests/directory.rs
@@ -67,6 +67,24 @@
     assert_eq!(status(&directory), Some(Status::Present));
 }
 
+/// Guards against an endpoint that crashed and stays in use although a new one has its address, and
+/// against its delayed announcement that brings it back.
+#[test]
+fn new_holder_of_an_address_displaces_the_one_before() {
+    let mut directory = directory();
+    directory.announce(announcement(10, 5, false));
+    let mut successor = announcement(20, 1, false);
+    successor.id = "e2".into();
+
+    assert_eq!(directory.announce(successor.clone()), Some(true));
+    assert_eq!(directory.announce(announcement(10, 6, false)), None);
+
+    let mut statuses: Vec<_> = directory.since(Cursor::default());
+    statuses.sort_by_key(|one| one.announcement.id.clone());
+    let statuses: Vec<_> = statuses.into_iter().map(|one| one.status).collect();
+    assert_eq!(statuses, [Status::Silent, Status::Present]);
+}
+
 /// Guards against polls that are woken by every announcement, and against changes that a poll
 /// misses.
 #[test]
--- a/crates/fleet-entry/src/directory.rs
+++ b/crates/fleet-entry/src/directory.rs
@@ -3,6 +3,8 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,6 +13,7 @@
 use hickoryreel_fleet::endpoint::Announcement;
 use hickoryreel_fleet::endpoint::Sighting;
 use hickoryreel_fleet::endpoint::Status;
+use smallvec::SmallVec;
 
 use crate::dialect::Load;
 use crate::exchange::Pool;
@@ -37,8 +40,9 @@
 pub struct Endpoint {
     /// Newest announcement.
     pub announcement: RefCell<Announcement>,
-    /// Whether it missed announcements.
-    pub silent: Cell<bool>,
+    /// Replicas that hear its announcements. It is silent when there is none: a replica that is cut
+    /// off from the others does not hear every endpoint.
+    heard_by: RefCell<SmallVec<[SocketAddr; 5]>>,
     /// Whether it left for good, or its address belongs to another endpoint.
     pub gone: Cell<bool>,
     /// Idle connections.
@@ -61,7 +65,7 @@
         Self {
             pool: Pool::new(announcement.address),
             announcement: RefCell::new(announcement),
-            silent: Cell::new(false),
+            heard_by: RefCell::default(),
             gone: Cell::new(false),
             open: Cell::new(0),
             unread_ms: Cell::new(0.0),
@@ -91,7 +95,31 @@
         !self.gone.get()
             && !self.announcement.borrow().draining
             && now >= self.paused_until.get()
-            && (!self.silent.get() || proved)
+            && (!self.is_silent() || proved)
+    }
+
+    /// Whether no replica hears its announcements.
+    pub fn is_silent(&self) -> bool {
+        self.heard_by.borrow().is_empty()
+    }
+
+    /// Notes whether a replica hears its announcements. Returns whether that made it silent, or
+    /// ended its silence.
+    fn note_hearing(&self, replica: SocketAddr, hears: bool) -> bool {
+        let was_silent = self.is_silent();
+        let mut heard_by = self.heard_by.borrow_mut();
+        heard_by.retain(|one| *one != replica);
+        if hears {
+            heard_by.push(replica);
+        }
+        heard_by.is_empty() != was_silent
+    }
+
+    /// Notes that another endpoint answers at its address. It stays unused until a replica hears
+    /// of it again.
+    pub fn displace(&self) {
+        self.heard_by.borrow_mut().clear();
+        self.heard.set(None);
     }
 
     /// Whether it may get new work when no usable endpoint is left.
@@ -209,7 +237,7 @@
 
 impl Directory {
     /// Takes in what one replica knows.
-    pub fn take_in(&mut self, sighting: Sighting) -> Change {
+    pub fn take_in(&mut self, sighting: Sighting, replica: SocketAddr) -> Change {
         let Sighting { announcement, status } = sighting;
         let left = self.left.get(&announcement.id).copied();
         if left.is_some_and(|incarnation| announcement.incarnation <= incarnation) {
@@ -218,8 +246,8 @@
         let known = self.endpoints.get(&announcement.id);
         let newer =
             known.is_some_and(|one| one.announcement.borrow().order().0 > announcement.incarnation);
-        if status == Status::Gone && newer {
-            // An earlier incarnation left; the present one is another.
+        if newer {
+            // News of an earlier incarnation says nothing of the present one.
             return Change::None;
         }
         if status == Status::Gone {
@@ -227,42 +255,50 @@
             self.remove(&announcement.id);
             return Change::Gone;
         }
+        let hears = status == Status::Present;
         let Some(known) = self.endpoints.get(&announcement.id) else {
-            let silent = status == Status::Silent;
-            self.add(announcement).silent.set(silent);
+            self.add(announcement).note_hearing(replica, hears);
             return Change::New;
         };
         let (old, new) = (known.announcement.borrow().order(), announcement.order());
-        if new < old {
-            return Change::None;
-        }
-        if status == Status::Silent {
-            let changed = new == old && !known.silent.replace(true);
-            return if changed { Change::Silent } else { Change::None };
-        }
-        if new.0 > old.0 || known.announcement.borrow().address != announcement.address {
+        let moved = new > old && known.announcement.borrow().address != announcement.address;
+        if new.0 > old.0 || moved {
             self.remove(&announcement.id);
-            self.add(announcement);
+            self.add(announcement).note_hearing(replica, hears);
             return Change::New;
         }
-        let drains = announcement.draining && !known.announcement.borrow().draining;
-        let recovered = known.silent.replace(false);
-        *known.announcement.borrow_mut() = announcement;
-        match (drains, recovered) {
-            (true, _) => Change::Draining,
-            (false, true) => Change::Other,
-            (false, false) => Change::None,
+        let turned = known.note_hearing(replica, hears);
+        let drains = new > old && announcement.draining && !known.announcement.borrow().draining;
+        if new > old {
+            *known.announcement.borrow_mut() = announcement;
+        }
+        match (drains, turned, hears) {
+            (true, ..) => Change::Draining,
+            (false, true, true) => Change::Other,
+            (false, true, false) => Change::Silent,
+            (false, false, _) => Change::None,
         }
     }
 
     fn add(&mut self, announcement: Announcement) -> Rc<Endpoint> {
         let (id, service) = (announcement.id.clone(), announcement.service.clone());
+        // An address passes to another endpoint only after its holder has ended.
+        for other in self.at(announcement.address) {
+            if other.announcement.borrow().incarnation < announcement.incarnation {
+                other.displace();
+            }
+        }
         let endpoint = Rc::new(Endpoint::new(announcement));
         self.endpoints.insert(id, Rc::clone(&endpoint));
         self.services.entry(service).or_default().push(Rc::clone(&endpoint));
         endpoint
     }
 
+    /// Endpoints that announced this address.
+    pub fn at(&self, address: SocketAddrV4) -> impl Iterator<Item = &Rc<Endpoint>> {
+        self.all().filter(move |one| one.announcement.borrow().address == address)
+    }
+
     fn remove(&mut self, id: &str) {
         let Some(endpoint) = self.endpoints.remove(id) else { return };
         endpoint.gone.set(true);
--- a/crates/fleet-entry/src/follow.rs
+++ b/crates/fleet-entry/src/follow.rs
@@ -114,7 +114,7 @@
         let (id, order) = (sighting.announcement.id.clone(), sighting.announcement.order());
         let address = sighting.announcement.address;
         let version = sighting.announcement.version.clone();
-        let change = entry.directory.borrow_mut().take_in(sighting);
+        let change = entry.directory.borrow_mut().take_in(sighting, from);
         if change != Change::None {
             info!(entry.log, "endpoint changed"; "endpoint" => &*id, "change" => ?change,
                 "incarnation" => order.0, "sequence" => order.1, "address" => %address,
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -400,6 +400,10 @@
             info!(self.entry.log, "address belongs to another endpoint"; "endpoint" => &*endpoint.id(),
                 "request" => &self.ask.id);
             endpoint.unreachable();
+            let address = endpoint.announcement.borrow().address;
+            if self.entry.directory.borrow().at(address).count() > 1 {
+                endpoint.displace();
+            }
             return Err(Ended::NotRun);
         }
         if reply.not_run {
--- a/crates/fleet-entry/tests/beliefs.rs
+++ b/crates/fleet-entry/tests/beliefs.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::net::Ipv4Addr;
+use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -49,6 +50,10 @@
     assert!(view.has_lease(lease));
 }
 
+fn replica(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7_000))
+}
+
 fn sighting(incarnation: u64, sequence: u64, draining: bool, status: Status) -> Sighting {
     let mut announcement = announcement(1, SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9));
     (announcement.incarnation, announcement.sequence) = (incarnation, sequence);
@@ -61,7 +66,7 @@
 fn older_news_of_an_endpoint_changes_nothing() {
     let mut directory = Directory::default();
     let mut take_in = |incarnation, sequence, draining, status| {
-        directory.take_in(sighting(incarnation, sequence, draining, status))
+        directory.take_in(sighting(incarnation, sequence, draining, status), replica(1))
     };
 
     assert_eq!(take_in(2, 1, false, Status::Present), Change::New);
@@ -77,15 +82,68 @@
 #[test]
 fn silent_endpoint_stays_known() {
     let mut directory = Directory::default();
-    directory.take_in(sighting(1, 1, false, Status::Present));
+    directory.take_in(sighting(1, 1, false, Status::Present), replica(1));
 
-    assert_eq!(directory.take_in(sighting(1, 1, false, Status::Silent)), Change::Silent);
+    assert_eq!(
+        directory.take_in(sighting(1, 1, false, Status::Silent), replica(1)),
+        Change::Silent
+    );
     assert_eq!(directory.of("service").len(), 1);
     assert!(!directory.of("service")[0].is_usable());
     directory.of("service")[0].hear();
     assert!(directory.of("service")[0].is_usable());
 }
 
+/// Guards against an endpoint that stays in use although no replica hears it any more: control does
+/// not send its unchanged announcements, so the silence has a later sequence number than the entry.
+#[test]
+fn silence_after_unchanged_announcements_counts() {
+    let mut directory = Directory::default();
+    directory.take_in(sighting(1, 1, false, Status::Present), replica(1));
+
+    let change = directory.take_in(sighting(1, 9, false, Status::Silent), replica(1));
+
+    assert_eq!(change, Change::Silent);
+    assert!(!directory.of("service")[0].is_usable());
+}
+
+/// Guards against an endpoint that is dropped because the one replica that is cut off from the
+/// others does not hear it.
+#[test]
+fn endpoint_is_silent_only_if_no_replica_hears_it() {
+    let mut directory = Directory::default();
+    directory.take_in(sighting(1, 1, false, Status::Present), replica(1));
+    directory.take_in(sighting(1, 1, false, Status::Present), replica(2));
+
+    let change = directory.take_in(sighting(1, 3, false, Status::Silent), replica(1));
+    assert_eq!(change, Change::None);
+    assert!(directory.of("service")[0].is_usable());
+
+    let change = directory.take_in(sighting(1, 5, false, Status::Silent), replica(2));
+    assert_eq!(change, Change::Silent);
+    assert!(!directory.of("service")[0].is_usable());
+
+    let change = directory.take_in(sighting(1, 6, false, Status::Present), replica(2));
+    assert_eq!(change, Change::Other);
+    assert!(directory.of("service")[0].is_usable());
+}
+
+/// Guards against requests to an endpoint that crashed and whose address a new one has: each entry
+/// would find that out by requests that are refused and count against the budget.
+#[test]
+fn endpoint_whose_address_has_a_new_holder_is_not_used() {
+    let mut directory = Directory::default();
+    directory.take_in(sighting(1, 4, false, Status::Present), replica(1));
+    directory.of("service")[0].hear();
+    let mut successor = sighting(2, 1, false, Status::Present);
+    successor.announcement.id = "successor".into();
+
+    directory.take_in(successor, replica(1));
+
+    let usable = directory.of("service").iter().filter(|one| one.is_usable());
+    assert_eq!(usable.map(|one| one.id()).collect::<Vec<_>>(), ["successor".into()]);
+}
+
 /// Guards against entries that together send more second requests than the budget of the service.
 #[test]
 fn budgets_of_all_entries_stay_within_the_limit() {
--- a/crates/fleet-entry/tests/common/harness.rs
+++ b/crates/fleet-entry/tests/common/harness.rs
@@ -205,7 +205,7 @@
         let mut announcement = announcement(number, endpoint.address);
         announcement.zone = if number == 0 { "a".into() } else { "b".into() };
         let sighting = Sighting { announcement, status: Status::Present };
-        entry.directory.borrow_mut().take_in(sighting);
+        entry.directory.borrow_mut().take_in(sighting, SocketAddr::from(([127, 0, 0, 1], 7_000)));
     }
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback works");
     let address = listener.local_addr().expect("loopback works");
