Leave a silent endpoint only if it accepts no new connection

Cause: an entry judged an endpoint by the time since it had sent this entry anything.

Change: a new connection tells a loaded endpoint from a dark one; it is kept for the next request. The new test fails on the code before.

--- a/crates/fleet-entry/src/exchange.rs
+++ b/crates/fleet-entry/src/exchange.rs
@@ -114,6 +114,14 @@
         }
     }
 
+    /// Opens a connection and keeps it for the next request. Returns whether the endpoint accepts
+    /// connections.
+    pub async fn warm(&self) -> bool {
+        let Ok(connection) = self.connect().await else { return false };
+        self.idle.borrow_mut().push(Idle { connection, since: boot_time() });
+        true
+    }
+
     async fn connect(&self) -> Result<Connection, String> {
         let opening = TcpStream::connect(self.address);
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, opening)
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -52,8 +52,9 @@
 /// Sends of one request that endpoints may refuse without running it, beyond its attempts.
 const REFUSED_SENDS: u32 = 2;
 
-/// Silence of an endpoint after which a repeatable request leaves it. Endpoints that work send
-/// an event of some stream every 100 ms or so.
+/// Silence of an endpoint after which a repeatable request leaves it unless a new connection can be
+/// opened. A loaded endpoint may take longer to answer, and this entry may have no other request
+/// there; an endpoint without power or path accepts no connection.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_100);
 
 /// Time without a head after which a repeatable plain request is sent again: over twice the
@@ -66,6 +67,14 @@
 /// Time between two looks at an endpoint that has not answered.
 const PATIENCE_STEP: Duration = Duration::from_millis(250);
 
+/// Why a repeatable request should leave an endpoint that has not answered.
+enum Impatience {
+    /// The endpoint has sent this entry nothing for a while.
+    Silent,
+    /// The answer takes longer than any that is useful.
+    NoAnswer,
+}
+
 /// A request on its way.
 pub struct Course {
     /// The entry.
@@ -467,7 +476,8 @@
         began: Duration,
     ) -> Result<Exchange, Ended> {
         let fresh = !self.route.is_repeatable();
-        let metrics = &self.entry.metrics;
+        let entry = Rc::clone(&self.entry);
+        let metrics = &entry.metrics;
         let sending = endpoint.pool.send(request, fresh, || {
             metrics.connections.inc();
         });
@@ -476,31 +486,55 @@
             let left = self.ends.saturating_sub(boot_time());
             let step = if self.can_leave() { left.min(PATIENCE_STEP) } else { left };
             match tokio::time::timeout(step, sending.as_mut()).await {
-                Ok(Ok(exchange)) => return Ok(exchange),
-                Ok(Err(Failure::Unreachable(cause))) => {
-                    let pause = endpoint.unreachable();
-                    metrics.paused.inc();
-                    info!(self.entry.log, "endpoint can't be reached";
-                        "endpoint" => &*endpoint.id(), "request" => &self.ask.id,
-                        "cause" => cause, "pause_ms" => pause.as_millis() as u64);
-                    return Err(Ended::NotRun);
-                }
-                Ok(Err(Failure::Lost(cause))) => {
-                    self.runs += 1;
-                    self.fault(endpoint, &cause);
-                    return Err(Ended::Unknown);
-                }
+                Ok(sent) => return self.judge_send(endpoint, sent),
                 Err(_) if boot_time() >= self.ends => {
                     self.runs += 1;
                     return Err(Ended::OutOfTime);
                 }
-                Err(_) => {
-                    if let Some(reason) = self.impatience(endpoint, began) {
-                        self.runs += 1;
-                        self.fault(endpoint, reason);
-                        return Err(Ended::Unknown);
+                Err(_) => {}
+            }
+            let reason = match self.impatience(endpoint, began) {
+                None => continue,
+                Some(Impatience::NoAnswer) => "no answer in time",
+                Some(Impatience::Silent) => {
+                    let reachable = tokio::select! {
+                        sent = sending.as_mut() => return self.judge_send(endpoint, sent),
+                        reachable = endpoint.pool.warm() => reachable,
+                    };
+                    if reachable {
+                        self.entry.metrics.connections.inc();
+                        endpoint.hear();
+                        continue;
                     }
+                    "the endpoint is silent"
                 }
+            };
+            self.runs += 1;
+            self.fault(endpoint, reason);
+            return Err(Ended::Unknown);
+        }
+    }
+
+    /// Notes why a send brought no answer.
+    fn judge_send(
+        &mut self,
+        endpoint: &Endpoint,
+        sent: Result<Exchange, Failure>,
+    ) -> Result<Exchange, Ended> {
+        match sent {
+            Ok(exchange) => Ok(exchange),
+            Err(Failure::Unreachable(cause)) => {
+                let pause = endpoint.unreachable();
+                self.entry.metrics.paused.inc();
+                info!(self.entry.log, "endpoint can't be reached";
+                    "endpoint" => &*endpoint.id(), "request" => &self.ask.id,
+                    "cause" => cause, "pause_ms" => pause.as_millis() as u64);
+                Err(Ended::NotRun)
+            }
+            Err(Failure::Lost(cause)) => {
+                self.runs += 1;
+                self.fault(endpoint, &cause);
+                Err(Ended::Unknown)
             }
         }
     }
@@ -510,7 +544,7 @@
     }
 
     /// Why a repeatable request should leave an endpoint that has not answered, if it should.
-    fn impatience(&self, endpoint: &Endpoint, began: Duration) -> Option<&'static str> {
+    fn impatience(&self, endpoint: &Endpoint, began: Duration) -> Option<Impatience> {
         if !self.can_leave() {
             return None;
         }
@@ -518,13 +552,13 @@
         let waited = now.saturating_sub(began);
         let silent = endpoint.heard.get().is_none_or(|at| now >= at + SILENCE_LIMIT);
         if silent && waited >= SILENCE_LIMIT {
-            return Some("the endpoint is silent");
+            return Some(Impatience::Silent);
         }
         let patience = match self.route.kind {
             Kind::Stream => STREAM_PATIENCE.max(Duration::from_millis(2 * self.route.target_ms)),
             Kind::Safe | Kind::Unsafe => PLAIN_PATIENCE,
         };
-        (waited >= patience).then_some("no answer in time")
+        (waited >= patience).then_some(Impatience::NoAnswer)
     }
 
     /// Notes a failure of an endpoint.
--- a/crates/fleet-entry/tests/common/harness.rs
+++ b/crates/fleet-entry/tests/common/harness.rs
@@ -86,6 +86,8 @@
     Close,
     /// Keeps the connection open and says nothing.
     Hang,
+    /// Works for a while.
+    Pause(Duration),
 }
 
 /// An endpoint that answers each request, in order, with the next script; the last one repeats.
@@ -140,6 +142,7 @@
                     }
                 }
                 Act::Close => return,
+                Act::Pause(time) => tokio::time::sleep(*time).await,
                 Act::Hang => {
                     let mut byte = [0];
                     let _ = stream.read(&mut byte).await;
--- a/crates/fleet-entry/tests/sends.rs
+++ b/crates/fleet-entry/tests/sends.rs
@@ -4,6 +4,8 @@
 #[path = "common/harness.rs"]
 mod harness;
 
+use std::time::Duration;
+
 use common::ONCE;
 use common::SAFE;
 use common::STREAM;
@@ -90,6 +92,18 @@
     }
 }
 
+/// Guards against a run that is thrown away because a loaded endpoint takes long to begin its answer
+/// and this entry has no other request there.
+#[tokio::test]
+async fn slow_endpoint_that_accepts_connections_is_not_left() {
+    let event = Act::Write("f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n");
+    let acts = vec![Act::Pause(Duration::from_millis(1_600)), Act::Write(STREAM_HEAD), event];
+
+    let (answer, first, second) = run(acts, STREAM).await;
+
+    assert_eq!((status(&answer), first, second), (200, 1, 0), "{answer}");
+}
+
 /// Guards against a failure of an endpoint that is hidden from the caller, or run again.
 #[tokio::test]
 async fn failure_of_a_request_that_runs_once_is_passed_on() {
