Order requests by the rank of the workspace and then of the route

Cause: the rank of a workspace replaced the rank of the route.

Ruled out: slow decoding by larger models.

Change: the two ranks are combined into one of 0 to 8, the workspace first. The decisions of the entry use the rank of the route.

--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -107,6 +107,10 @@
     doubted_by: Option<Name>,
     /// Confidence of the model in the newest answer.
     confidence: Option<u8>,
+    /// When the first event was passed on.
+    pub first_at: Option<Duration>,
+    /// Id of the last event that was passed on.
+    pub last_event: Option<u64>,
     /// Endpoint and version of the newest send.
     pub endpoint: Option<(Name, Name)>,
 }
@@ -121,6 +125,22 @@
     pub flight: Flight,
 }
 
+/// Ranks of routes within one rank of workspaces.
+const ROUTE_RANKS: u8 = 3;
+
+/// Ranks of workspaces that are told apart.
+const WORKSPACE_RANKS: u8 = 3;
+
+/// Rank of a workspace that names none.
+const USUAL_WORKSPACE_RANK: u8 = 1;
+
+/// Rank of a request at endpoints, 0 to 8: the rank of the workspace goes first, and the rank of the
+/// route orders requests of equal workspaces.
+pub fn rank(workspace: Option<u8>, route: u8) -> u8 {
+    let workspace = workspace.unwrap_or(USUAL_WORKSPACE_RANK).min(WORKSPACE_RANKS - 1);
+    workspace * ROUTE_RANKS + route.min(ROUTE_RANKS - 1)
+}
+
 /// Answers one request.
 pub async fn handle(entry: Rc<Entry>, request: Request<Incoming>) -> Response<Body> {
     let guard = entry.guard();
@@ -168,6 +188,8 @@
             model: None,
             doubted_by: None,
             confidence: None,
+            first_at: None,
+            last_event: None,
             endpoint: None,
         }
     }
@@ -302,7 +324,7 @@
 
     /// A place for a long prompt that has time to wait for one.
     async fn place(&self) -> Option<Place> {
-        if self.rank() == 0 || self.reading_ms() < bulk::LONG_MS {
+        if self.route.rank == 0 || self.reading_ms() < bulk::LONG_MS {
             return None;
         }
         let target = self.arrived + Duration::from_millis(self.route.target_ms) / 2;
@@ -330,14 +352,14 @@
         if let Some(smaller) = self.doubted_by.take() {
             cascade.learn(&smaller, confidence);
         }
-        let Some(next) = cascade.next(&self.route.models, self.step, confidence, self.rank())
+        let Some(next) = cascade.next(&self.route.models, self.step, confidence, self.route.rank)
         else {
             return false;
         };
         let tokens = self.ask.prompt_tokens;
         let (places, count) = self.entry.places(&self.service);
         let long = tokens as f64 * cascade.token_ms(&self.route.models[next]) >= bulk::LONG_MS;
-        let crowded = long && self.rank() > 0 && places.is_crowded(count);
+        let crowded = long && self.route.rank > 0 && places.is_crowded(count);
         let allowed = self.runs < self.route.attempts
             && !crowded
             && self.route.is_repeatable()
@@ -381,7 +403,7 @@
             self.entry.note_first_send(&self.service);
         }
         info!(self.entry.log, "request sent"; "request" => &self.ask.id, "endpoint" => &*id,
-            "send" => self.sends + 1, "model" => self.model.as_deref(),
+            "send" => self.sends + 1, "model" => self.model.as_deref(), "rank" => self.route.rank,
             "load" => endpoint.estimated_load(self.entry.entries.get()),
             "load_age_ms" => endpoint.load_age().map(|age| age.as_millis() as u64),
             "unread_ms" => endpoint.unread_ms.get(), "after_event" => after_event,
@@ -452,7 +474,7 @@
             deadline_ms: left,
             workspace: self.workspace.as_ref().map(|one| &*one.name),
             model: self.model.as_deref(),
-            rank: self.rank(),
+            rank: rank(self.workspace.as_ref().and_then(|one| one.rank), self.route.rank),
             after_event: after,
         };
         let headers = self.entry.dialect.request_headers(&self.head, &terms);
@@ -463,11 +485,6 @@
         request
     }
 
-    fn rank(&self) -> u8 {
-        let workspace = self.workspace.as_ref().and_then(|one| one.rank);
-        workspace.unwrap_or(self.route.rank)
-    }
-
     /// Waits for the head of the answer as long as the endpoint deserves it.
     async fn exchange(
         &mut self,
@@ -610,8 +627,11 @@
         info!(self.entry.log, "request ended"; "request" => &self.ask.id, "status" => status,
             "outcome" => outcome, "route" => &*self.route.name, "service" => &*self.service,
             "endpoint" => endpoint.as_deref(), "version" => version.as_deref(),
-            "model" => self.model.as_deref(), "confidence" => self.confidence, "sends" => self.sends, "runs" => self.runs,
-            "ms" => took.as_millis() as u64, "left_ms" => self.left_ms(),
+            "model" => self.model.as_deref(), "confidence" => self.confidence,
+            "sends" => self.sends, "runs" => self.runs,
+            "prompt_tokens" => self.ask.prompt_tokens,
+            "first_ms" => self.first_at.map(|at| (at - self.arrived).as_millis() as u64),
+            "last_event" => self.last_event, "ms" => took.as_millis() as u64, "left_ms" => self.left_ms(),
             "configuration" => view.number(),
             "confirmed_ms" => view.age().map(|age| age.as_millis() as u64));
     }
--- a/crates/fleet-entry/src/relay.rs
+++ b/crates/fleet-entry/src/relay.rs
@@ -177,9 +177,10 @@
             };
             source.flight.endpoint.hear();
             let Ok(data) = data else { continue };
-            if let Some(whole) = self.events.push(&data)
-                && self.pieces.send(Ok(whole)).await.is_err()
-            {
+            let Some(whole) = self.events.push(&data) else { continue };
+            self.course.first_at.get_or_insert_with(boot_time);
+            self.course.last_event = self.events.last_id();
+            if self.pieces.send(Ok(whole)).await.is_err() {
                 return Stop::ClientLeft;
             }
         }
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -129,7 +129,7 @@
     pub name: Name,
     /// Keys of its callers.
     pub keys: Vec<Name>,
-    /// Rank that replaces the rank of the route.
+    /// Rank of its requests, before the rank of the route.
     pub rank: Option<u8>,
 }
 
