Share open work and the ends of sends between entries

Cause: one of 80 entries sends 7 requests a second to 90 endpoints, so it knows the load of few of them, and each entry finds a dark endpoint by its own lost requests.

Change: every 250 ms an entry posts its open requests, its unread prompts and how its sends ended to the first replica that answers, and gets the sums over all entries. An endpoint that only fails is passed over by all.

--- a/crates/fleet-control/src/control.rs
+++ b/crates/fleet-control/src/control.rs
@@ -20,6 +20,7 @@
 use slog::info;
 use tokio::sync::Notify;
 
+use crate::board::Board;
 use crate::directory::Directory;
 use crate::follow;
 use crate::follow::Followers;
@@ -67,6 +68,8 @@
     pub directory_changed: Notify,
     /// Entries that poll this replica.
     pub followers: RefCell<Followers>,
+    /// Work of the entries at endpoints.
+    pub board: RefCell<Board>,
     /// Counts of versions under roll-out.
     pub tallies: Rc<Tallies>,
     /// Metrics.
@@ -244,6 +247,7 @@
             Request::Propose(command) => self.quorum.propose_here(command).await,
             Request::ReadIndex => self.quorum.read_here().await,
             Request::Follow(follow) => follow::answer(self, *follow).await,
+            Request::Post(post) => Answer::Sums(self.board.borrow_mut().post(*post, boot_time())),
         }
     }
 }
--- a/crates/fleet-control/src/lib.rs
+++ b/crates/fleet-control/src/lib.rs
@@ -6,6 +6,7 @@
 //! long polls ([`follow`]). The leader's controllers change the [`members`] and steer the
 //! [`roll_out`]s.
 
+pub mod board;
 pub mod control;
 pub mod directory;
 pub mod follow;
--- a/crates/fleet-control/src/run.rs
+++ b/crates/fleet-control/src/run.rs
@@ -70,6 +70,7 @@
         directory: RefCell::new(Directory::new(settings.announce_interval)),
         directory_changed: Notify::new(),
         followers: RefCell::new(Followers::default()),
+        board: RefCell::default(),
         tallies: Rc::new(Tallies::default()),
         metrics: Metrics::default(),
         log: log.clone(),
--- a/crates/fleet-entry/src/directory.rs
+++ b/crates/fleet-entry/src/directory.rs
@@ -13,6 +13,8 @@
 use hickoryreel_fleet::endpoint::Announcement;
 use hickoryreel_fleet::endpoint::Sighting;
 use hickoryreel_fleet::endpoint::Status;
+use hickoryreel_fleet::work::Key;
+use hickoryreel_fleet::work::Work;
 use smallvec::SmallVec;
 
 use crate::dialect::Load;
@@ -33,6 +35,19 @@
 /// Time since an answer for which an endpoint that is silent towards control stays in use.
 const PROVED_AGE: Duration = Duration::from_secs(6);
 
+/// Age at which the work of the other entries no longer counts: several posts.
+const SHARED_AGE: Duration = Duration::from_millis(1_500);
+
+/// Recent failures over all entries, beside hardly any good answer, from which an endpoint gets no
+/// new work.
+const SUSPECT_FAILURES: f64 = 3.0;
+
+/// Failures for each good answer up to which an endpoint is not suspected.
+const SUSPECT_RATIO: f64 = 4.0;
+
+/// Good answers that are assumed of an endpoint with few ended sends.
+const ASSUMED_GOOD: f64 = 2.0;
+
 /// Weight of a new observation in the smoothed failure share.
 const FAILURE_SMOOTHING: f64 = 0.15;
 
@@ -52,6 +67,11 @@
     /// Expected reading time of this entry's requests that have not answered yet, in milliseconds.
     pub unread_ms: Cell<f64>,
     load: Cell<Option<(Load, Duration)>>,
+    key: Key,
+    posted: Cell<Posted>,
+    others: Cell<Option<(Others, Duration)>>,
+    good: Cell<u32>,
+    bad: Cell<u32>,
     sent_since_load: Cell<u32>,
     failures: Cell<u32>,
     failure_share: Cell<f64>,
@@ -60,8 +80,25 @@
     pub heard: Cell<Option<Duration>>,
 }
 
+/// What this entry posted last.
+#[derive(Clone, Copy, Debug, Default)]
+struct Posted {
+    open: u32,
+    unread_ms: u32,
+}
+
+/// What the other entries have at an endpoint, and how recent sends of all entries ended.
+#[derive(Clone, Copy, Debug, Default)]
+struct Others {
+    open: u32,
+    unread_ms: u32,
+    good: f64,
+    bad: f64,
+}
+
 impl Endpoint {
     fn new(announcement: Announcement) -> Self {
+        let key = Key::of(&announcement.id);
         Self {
             pool: Pool::new(announcement.address),
             announcement: RefCell::new(announcement),
@@ -70,6 +107,11 @@
             open: Cell::new(0),
             unread_ms: Cell::new(0.0),
             load: Cell::new(None),
+            key,
+            posted: Cell::default(),
+            others: Cell::new(None),
+            good: Cell::new(0),
+            bad: Cell::new(0),
             sent_since_load: Cell::new(0),
             failures: Cell::new(0),
             failure_share: Cell::new(0.0),
@@ -96,6 +138,7 @@
             && !self.announcement.borrow().draining
             && now >= self.paused_until.get()
             && (!self.is_silent() || proved)
+            && !self.is_suspect()
     }
 
     /// Whether no replica hears its announcements.
@@ -127,6 +170,59 @@
         !self.gone.get() && !self.announcement.borrow().draining
     }
 
+    /// Short identity among the entries.
+    pub fn key(&self) -> Key {
+        self.key
+    }
+
+    /// The work of this entry for the other entries; `None` if there is none.
+    pub fn post(&self) -> Option<Work> {
+        let posted = Posted { open: self.open.get(), unread_ms: self.unread_ms.get() as u32 };
+        self.posted.set(posted);
+        let work = Work {
+            endpoint: self.key,
+            open: posted.open,
+            unread_ms: posted.unread_ms,
+            good: self.good.take(),
+            bad: self.bad.take(),
+        };
+        (work.open + work.unread_ms + work.good + work.bad > 0).then_some(work)
+    }
+
+    /// Takes in the work of all entries; `None` if there is none.
+    pub fn take_in(&self, sum: Option<&Work>) {
+        let posted = self.posted.get();
+        let others = sum.map_or_else(Others::default, |sum| Others {
+            open: sum.open.saturating_sub(posted.open),
+            unread_ms: sum.unread_ms.saturating_sub(posted.unread_ms),
+            good: f64::from(sum.good),
+            bad: f64::from(sum.bad),
+        });
+        self.others.set(Some((others, boot_time())));
+    }
+
+    /// What the other entries have there, if it is known.
+    fn others(&self) -> Option<Others> {
+        let (others, at) = self.others.get()?;
+        (boot_time() < at + SHARED_AGE).then_some(others)
+    }
+
+    /// Whether the entries together see it fail only.
+    fn is_suspect(&self) -> bool {
+        self.others().is_some_and(|others| {
+            others.bad >= SUSPECT_FAILURES && others.bad > SUSPECT_RATIO * others.good
+        })
+    }
+
+    /// Expected time to read the prompts that wait there, in milliseconds, as far as known.
+    pub fn unread_ms(&self, waiting_ms: f64) -> f64 {
+        let own = self.unread_ms.get();
+        match self.others() {
+            Some(others) => own + f64::from(others.unread_ms),
+            None => own + self.waiting() * waiting_ms,
+        }
+    }
+
     /// Notes a send.
     pub fn sent(&self) {
         self.open.set(self.open.get() + 1);
@@ -147,12 +243,14 @@
     /// Notes a good answer.
     pub fn succeeded(&self) {
         self.failures.set(0);
+        self.good.set(self.good.get() + 1);
         self.failure_share.set(self.failure_share.get() * (1.0 - FAILURE_SMOOTHING));
         self.paused_until.set(Duration::ZERO);
     }
 
     /// Notes a failure. Returns the pause if the endpoint gets one.
     pub fn failed(&self) -> Option<Duration> {
+        self.bad.set(self.bad.get() + 1);
         let failures = self.failures.get() + 1;
         self.failures.set(failures);
         let share = self.failure_share.get();
@@ -162,6 +260,7 @@
 
     /// Notes that no connection could be opened.
     pub fn unreachable(&self) -> Duration {
+        self.bad.set(self.bad.get() + 1);
         let failures = self.failures.get() + 1;
         self.failures.set(failures);
         self.pause(failures - 1)
@@ -175,13 +274,18 @@
 
     /// Share of recent requests that failed there.
     pub fn failure_share(&self) -> f64 {
-        self.failure_share.get()
+        let own = self.failure_share.get();
+        let shared = self.others().map(|one| one.bad / (one.good + one.bad + ASSUMED_GOOD));
+        shared.map_or(own, |shared| shared.max(own))
     }
 
     /// Requests at the endpoint, over all entries, as far as known.
     pub fn estimated_load(&self, entries: u32) -> f64 {
         let now = boot_time();
         let own = f64::from(self.open.get());
+        if let Some(others) = self.others() {
+            return own + f64::from(others.open);
+        }
         match self.load.get().filter(|(_, at)| now < *at + LOAD_AGE) {
             Some((load, _)) => {
                 let reported = f64::from(load.running + load.waiting);
--- a/crates/fleet-entry/src/follow.rs
+++ b/crates/fleet-entry/src/follow.rs
@@ -42,6 +42,14 @@
     members: RefCell<HashSet<Name>>,
 }
 
+impl Followed {
+    /// Addresses of all replicas.
+    pub fn replicas(&self) -> Vec<SocketAddr> {
+        let members = self.members.borrow();
+        members.iter().filter_map(|one| one.parse().ok()).collect()
+    }
+}
+
 /// Follows the seeds and every replica that they name.
 pub fn start(entry: &Rc<Entry>) -> Rc<Followed> {
     let followed = Rc::new(Followed::default());
--- a/crates/fleet-entry/src/lib.rs
+++ b/crates/fleet-entry/src/lib.rs
@@ -25,5 +25,6 @@
 pub mod relay;
 pub mod server;
 pub mod settings;
+pub mod share;
 pub mod tally;
 pub mod view;
--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -165,7 +165,7 @@
         cost += COLD_COST;
     }
     let Some(token_ms) = case.token_ms else { return cost + PLAIN_DELAY * used };
-    let ahead = endpoint.unread_ms.get() + endpoint.waiting() * WAITING_TOKENS * token_ms;
+    let ahead = endpoint.unread_ms(WAITING_TOKENS * token_ms);
     let kept = shared.filter(|one| one.homes.contains(&announcement.id));
     let kept = kept.map_or(0.0, |one| KEPT_PART * one.tokens as f64);
     let own = (case.ask.prompt_tokens as f64 - kept).max(0.0) * token_ms;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod endpoint;
 pub mod link;
 pub mod roll_out;
+pub mod work;
 
 /// A shared name.
 pub type Name = std::sync::Arc<str>;
--- a/crates/fleet/src/link/message.rs
+++ b/crates/fleet/src/link/message.rs
@@ -11,6 +11,8 @@
 use crate::endpoint::Sighting;
 use crate::roll_out::RollOuts;
 use crate::roll_out::Tally;
+use crate::work::Post;
+use crate::work::Work;
 
 /// What a process asks of a control replica.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -29,6 +31,8 @@
     ReadIndex,
     /// An entry's long poll.
     Follow(Box<Follow>),
+    /// An entry's work at endpoints.
+    Post(Box<Post>),
 }
 
 /// A replica and the address of its links.
@@ -109,4 +113,6 @@
     Index(u64),
     /// Answer to a long poll.
     News(Box<News>),
+    /// The work of all entries at endpoints.
+    Sums(Vec<Work>),
 }
