Weigh reading shared parts again by what it costs everybody

Change: the time saved at a home counts three times, since reading delays what waits behind and is billed; the first home goes before the second.

--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -26,8 +26,13 @@
 /// Cost of an endpoint that is still warming up, in milliseconds.
 const COLD_COST: f64 = 300.0;
 
-/// Part of the shared tokens that an endpoint of the prompt's home keeps in its cache.
-const KEPT_PART: f64 = 0.85;
+/// Part of the shared tokens that the homes of a prompt keep in their caches, in order of rank. The
+/// second one gets what the first has no room for.
+const KEPT_PARTS: [f64; 2] = [0.85, 0.4];
+
+/// Weight of reading shared tokens again, in parts of its time: it delays the requests behind it,
+/// and both the reading and the use of the model are billed.
+const READ_AGAIN_WEIGHT: f64 = 3.0;
 
 /// Delay that a request of a full batch adds to the others there, in milliseconds per slot used.
 const BATCH_DELAY: f64 = 250.0;
@@ -41,9 +46,6 @@
 /// Largest random part of a cost, in milliseconds: many entries see the same load.
 const JITTER: f64 = 4.0;
 
-/// Endpoints at which the shared parts of a prompt are kept.
-const HOMES: usize = 2;
-
 /// What a choice depends on beside the endpoints.
 pub struct Case<'a> {
     /// Route.
@@ -166,15 +168,22 @@
     }
     let Some(token_ms) = case.token_ms else { return cost + PLAIN_DELAY * used };
     let ahead = endpoint.unread_ms(WAITING_TOKENS * token_ms);
-    let kept = shared.filter(|one| one.homes.contains(&announcement.id));
-    let kept = kept.map_or(0.0, |one| KEPT_PART * one.tokens as f64);
-    let own = (case.ask.prompt_tokens as f64 - kept).max(0.0) * token_ms;
-    cost + BATCH_DELAY * used + ahead + own
+    let own = case.ask.prompt_tokens as f64 * token_ms;
+    let saved = shared.map_or(0.0, |one| one.kept(&announcement.id)) * token_ms;
+    cost + BATCH_DELAY * used + ahead + own - READ_AGAIN_WEIGHT * saved
 }
 
 struct Shared {
     tokens: u64,
-    homes: SmallVec<[Name; HOMES]>,
+    homes: SmallVec<[Name; KEPT_PARTS.len()]>,
+}
+
+impl Shared {
+    /// Shared tokens that an endpoint is expected to keep.
+    fn kept(&self, id: &Name) -> f64 {
+        let rank = self.homes.iter().position(|home| home == id);
+        rank.map_or(0.0, |rank| KEPT_PARTS[rank] * self.tokens as f64)
+    }
 }
 
 /// The endpoints at which the shared parts of the prompt are kept: the same at every entry, by
@@ -193,6 +202,6 @@
         })
         .collect();
     ranked.sort_unstable_by_key(|(rank, _)| std::cmp::Reverse(*rank));
-    let homes = ranked.into_iter().take(HOMES).map(|(_, id)| id).collect();
+    let homes = ranked.into_iter().take(KEPT_PARTS.len()).map(|(_, id)| id).collect();
     Some(Shared { tokens, homes })
 }
--- a/crates/fleet-entry/tests/load.rs
+++ b/crates/fleet-entry/tests/load.rs
@@ -1,5 +1,6 @@
 //! What an entry believes of the load of an endpoint.
 
+#[allow(dead_code, reason = "the configuration is for other tests")]
 mod common;
 
 use std::net::Ipv4Addr;
