Count the time of a roll-out on every replica

Cause: a new leader counted from the progress that the log last noted, so each time without a leader was lost.

Change: every replica counts from the moment it learned of the order, and a replica that restarted takes over what the log notes.

--- a/crates/fleet-control/src/roll_out.rs
+++ b/crates/fleet-control/src/roll_out.rs
@@ -158,60 +158,91 @@
     }
 }
 
-/// Progress of a roll-out as this leader counts it.
 struct Counted {
     serial: u64,
     /// Time since the order, as of `from`.
-    base_ms: u64,
+    base: Duration,
     from: Duration,
     noted: Duration,
 }
 
+impl Counted {
+    fn elapsed(&self, now: Duration) -> Duration {
+        self.base + now.saturating_sub(self.from)
+    }
+}
+
+/// Time since the orders of the roll-outs that run. Every replica counts it, so that a new leader
+/// knows the time that passed without a leader.
+#[derive(Default)]
+pub struct Progress(Vec<Counted>);
+
+impl Progress {
+    /// Takes in what the log says of the roll-outs.
+    pub fn track<'a>(&mut self, running: impl Iterator<Item = &'a RollOut>, now: Duration) {
+        let mut kept = Vec::new();
+        for one in running {
+            let noted = Duration::from_millis(one.elapsed_ms);
+            let known = self.0.iter().position(|own| own.serial == one.serial);
+            let known = known.map(|index| self.0.swap_remove(index));
+            kept.push(match known {
+                // Another replica has counted longer: this one has restarted.
+                Some(own) if own.elapsed(now) >= noted => own,
+                _ => Counted { serial: one.serial, base: noted, from: now, noted: now },
+            });
+        }
+        self.0 = kept;
+    }
+
+    /// Time since the order of a roll-out that is tracked, in milliseconds.
+    pub fn elapsed_ms(&self, serial: u64, now: Duration) -> Option<u64> {
+        let own = self.0.iter().find(|own| own.serial == serial)?;
+        u64::try_from(own.elapsed(now).as_millis()).ok()
+    }
+
+    /// Whether the log should get to know the progress. It is then due again later.
+    fn is_due(&mut self, serial: u64, now: Duration) -> bool {
+        let Some(own) = self.0.iter_mut().find(|own| own.serial == serial) else { return false };
+        let due = now >= own.noted + PROGRESS_INTERVAL;
+        if due {
+            own.noted = now;
+        }
+        due
+    }
+}
+
 /// Steers the roll-outs while this replica leads.
 pub async fn control(log_handle: Log, tallies: Rc<Tallies>, log: Logger) {
-    let mut counted: Vec<Counted> = Vec::new();
+    let mut progress = Progress::default();
     loop {
         tokio::time::sleep(PERIOD).await;
         tallies.forget_old();
         let agreed = log_handle.agreed.borrow().clone();
+        let roll_outs = agreed.machine.roll_outs.clone();
+        let now = boot_time();
+        progress.track(roll_outs.newest.iter().filter(|one| one.phase.is_running()), now);
         if agreed.role != Role::Leader {
-            counted.clear();
             continue;
         }
-        let roll_outs = agreed.machine.roll_outs.clone();
         for one in roll_outs.newest.iter().filter(|one| one.phase.is_running()) {
-            let Some(phase) = next_phase(one, &mut counted, &tallies, &log) else { continue };
-            let elapsed_ms = elapsed(one, &counted);
-            let command = Command::Step { serial: one.serial, phase, elapsed_ms };
+            let elapsed_ms = progress.elapsed_ms(one.serial, now).unwrap_or(one.elapsed_ms);
+            let phase = next_phase(one, elapsed_ms, &tallies, &log);
+            if phase.is_none() && !progress.is_due(one.serial, now) {
+                continue;
+            }
+            let next = phase.unwrap_or(one.phase);
+            let command = Command::Step { serial: one.serial, phase: next, elapsed_ms };
             let reply = log_handle.propose(command.encode()).await;
-            if phase != one.phase {
+            if phase.is_some() {
                 info!(log, "roll-out step"; "service" => &*one.service, "target" => &*one.target,
-                    "phase" => ?phase, "elapsed_ms" => elapsed_ms, "outcome" => ?reply);
+                    "phase" => ?next, "elapsed_ms" => elapsed_ms, "outcome" => ?reply);
             }
         }
     }
 }
 
-fn elapsed(one: &RollOut, counted: &[Counted]) -> u64 {
-    let Some(own) = counted.iter().find(|own| own.serial == one.serial) else {
-        return one.elapsed_ms;
-    };
-    let passed = boot_time().saturating_sub(own.from);
-    own.base_ms + u64::try_from(passed.as_millis()).unwrap_or(u64::MAX)
-}
-
-/// The phase to propose: a new one, or the present one to note progress. `None` for neither.
-fn next_phase(
-    one: &RollOut,
-    counted: &mut Vec<Counted>,
-    tallies: &Tallies,
-    log: &Logger,
-) -> Option<Phase> {
-    let now = boot_time();
-    if !counted.iter().any(|own| own.serial == one.serial) {
-        let (serial, base_ms) = (one.serial, one.elapsed_ms);
-        counted.push(Counted { serial, base_ms, from: now, noted: now });
-    }
+/// The next phase, if it is time for it.
+fn next_phase(one: &RollOut, elapsed_ms: u64, tallies: &Tallies, log: &Logger) -> Option<Phase> {
     for (route, comparison) in tallies.compare(&one.service, &one.target) {
         if let Some(reason) = comparison.verdict() {
             info!(log, "version is bad"; "service" => &*one.service, "target" => &*one.target,
@@ -219,20 +250,14 @@
             return Some(Phase::RolledBack);
         }
     }
-    let part = elapsed(one, counted) as f64 / one.length_ms.max(1) as f64;
+    let part = elapsed_ms as f64 / one.length_ms.max(1) as f64;
     let idle = tallies.open_elsewhere(&one.service, &one.target) == 0;
     match one.phase {
-        Phase::Pending if part >= PENDING_PART => return Some(Phase::Trial),
-        Phase::Trial if part >= TRIAL_PART => return Some(Phase::Moving),
+        Phase::Pending if part >= PENDING_PART => Some(Phase::Trial),
+        Phase::Trial if part >= TRIAL_PART => Some(Phase::Moving),
         Phase::Moving if part >= COMPLETE_PART || (idle && part >= TRIAL_PART + MOVE_PART) => {
-            return Some(Phase::Complete);
+            Some(Phase::Complete)
         }
-        _ => {}
+        _ => None,
     }
-    let own = counted.iter_mut().find(|own| own.serial == one.serial)?;
-    let due = now >= own.noted + PROGRESS_INTERVAL;
-    due.then(|| {
-        own.noted = now;
-        one.phase
-    })
 }
