Ask a larger model if its answer is expected in time

Cause: a smoothed measure of late answers over all kinds of request decided whether larger models were asked. Reading times of long prompts counted against the tightest target, so labels and questions were kept poor while there was room, and the largest prompts were refused first.

Change: entries share the unread prompts by rank of the route, and a larger model is asked if the endpoint that would get the request begins to read it within a part of its target (half; a quarter for the least urgent rank) and answers within 0.95 of it. Urgent requests get it up to half of their time.

--- a/crates/fleet-control/src/board.rs
+++ b/crates/fleet-control/src/board.rs
@@ -6,6 +6,7 @@
 use hickoryreel_fleet::Name;
 use hickoryreel_fleet::work::Key;
 use hickoryreel_fleet::work::Post;
+use hickoryreel_fleet::work::RANKS;
 use hickoryreel_fleet::work::Work;
 
 /// Time after which the work of an entry that posts no more is not counted: several posts.
@@ -26,7 +27,7 @@
 #[derive(Clone, Copy, Default)]
 struct Sum {
     open: i64,
-    unread_ms: i64,
+    unread_ms: [i64; RANKS],
     good: f64,
     bad: f64,
     at: Duration,
@@ -42,7 +43,9 @@
     }
 
     fn is_empty(&self) -> bool {
-        self.open <= 0 && self.unread_ms <= 0 && self.good + self.bad < LEAST_WEIGHT
+        self.open <= 0
+            && self.unread_ms.iter().all(|one| *one <= 0)
+            && self.good + self.bad < LEAST_WEIGHT
     }
 }
 
@@ -71,7 +74,7 @@
         let sums = self.sums.iter().map(|(endpoint, sum)| Work {
             endpoint: *endpoint,
             open: u32::try_from(sum.open).unwrap_or(0),
-            unread_ms: u32::try_from(sum.unread_ms).unwrap_or(0),
+            unread_ms: sum.unread_ms.map(|one| u32::try_from(one).unwrap_or(0)),
             good: sum.good.round() as u32,
             bad: sum.bad.round() as u32,
         });
@@ -82,7 +85,9 @@
         for work in works {
             let sum = self.sums.entry(work.endpoint).or_default();
             sum.open += sign * i64::from(work.open);
-            sum.unread_ms += sign * i64::from(work.unread_ms);
+            for (sum, own) in sum.unread_ms.iter_mut().zip(work.unread_ms) {
+                *sum += sign * i64::from(own);
+            }
         }
     }
 
--- a/crates/fleet-entry/src/bulk.rs
+++ b/crates/fleet-entry/src/bulk.rs
@@ -27,11 +27,6 @@
 pub struct Place(Rc<Places>);
 
 impl Places {
-    /// Whether a new request would wait behind a full round of others.
-    pub fn is_crowded(&self, places: u32) -> bool {
-        self.waiting.borrow().len() >= places as usize
-    }
-
     /// Takes one of `places`, after waiting for `limit` at most; then it is taken beyond them.
     pub async fn take(self: &Rc<Self>, places: u32, limit: Duration) -> Place {
         if self.taken.get() >= places {
--- a/crates/fleet-entry/src/cascade.rs
+++ b/crates/fleet-entry/src/cascade.rs
@@ -1,13 +1,14 @@
 //! Choice of the model: a small one first, a larger one if it doubts its own answer.
 //!
 //! A model states its confidence with the head of its answer, before the client has any of it. An
-//! answer that the model doubts is dropped and asked for again from a larger model, as long as the
-//! engines have room for the larger one's work.
+//! answer that the model doubts is dropped and asked for again from a larger model, if that one's
+//! answer is expected early enough at the endpoint that would get the request.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use hickoryreel_fleet::Name;
+use hickoryreel_fleet::work::RANKS;
 
 /// Confidence from which an answer is taken to be good: the models' own middle.
 const SURE: u8 = 51;
@@ -31,31 +32,47 @@
 /// Weight of a new observation of the time per token.
 const TOKEN_SMOOTHING: f64 = 0.1;
 
-/// Fewest prompt tokens of a request whose time counts as reading time.
-const LEAST_TOKENS: u64 = 400;
-
-/// Weight of a new observation of the pressure.
-const PRESSURE_SMOOTHING: f64 = 0.08;
-
-/// Largest single observation of the pressure.
-const MOST_PRESSURE: f64 = 3.0;
-
-/// Time after which the pressure halves without an observation.
-const PRESSURE_HALF_LIFE: Duration = Duration::from_millis(1_500);
-
-/// Pressure above which no larger model is asked.
-const NO_ESCALATION: f64 = 0.5;
+/// Fewest prompt tokens of a request whose time counts as reading time: with fewer, the way to the
+/// endpoint and back is a large part of it.
+const LEAST_TOKENS: u64 = 1_500;
+
+/// Part of the target that a request of a rank may wait before a larger model reads it. It does not
+/// depend on the size, so that large requests get larger models as often as small ones. The least
+/// urgent requests have the longest prompts and targets, and give way first.
+const WAIT_PARTS: [f64; RANKS] = [0.5, 0.5, 0.25];
+
+/// Part of the target by which a larger model's answer must be expected to begin. The rest is for
+/// what other entries send meanwhile.
+const ANSWER_PART: f64 = 0.95;
+
+/// Part of the time left in which the answer to a request of the most urgent rank must begin: late
+/// it is worth more than a poor answer in time.
+const URGENT_PART: f64 = 0.5;
+
+/// What a larger model's answer to a request would take.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Outlook {
+    /// Time from the arrival of the request until the model begins to read it, in milliseconds.
+    pub wait_ms: f64,
+    /// Time until the answer begins, in milliseconds.
+    pub answer_ms: f64,
+}
 
-/// Pressure that a prompt token adds to the decision: larger requests give way first.
-const PRESSURE_PER_TOKEN: f64 = 0.000_005;
+impl Outlook {
+    /// Whether the answer is expected early enough for a request of a rank.
+    pub fn is_good(&self, rank: u8, target_ms: u64, left_ms: u64) -> bool {
+        let target_ms = target_ms as f64;
+        let in_time = self.wait_ms <= WAIT_PARTS[usize::from(rank).min(RANKS - 1)] * target_ms
+            && self.answer_ms <= ANSWER_PART * target_ms;
+        in_time || (rank == 0 && self.answer_ms <= URGENT_PART * left_ms as f64)
+    }
+}
 
 /// What the entry has learned about the models of one service.
 #[derive(Debug, Default)]
 pub struct Cascade {
     token_ms: HashMap<Name, f64>,
     margins: HashMap<Name, f64>,
-    pressure: f64,
-    observed_at: Duration,
 }
 
 impl Cascade {
@@ -64,38 +81,15 @@
         self.token_ms.get(model).copied().unwrap_or(FIRST_TOKEN_MS)
     }
 
-    /// Notes the time to the head of an answer. `alone` tells whether nothing else waited there.
-    pub fn observe(
-        &mut self,
-        model: &Name,
-        tokens: u64,
-        time: Duration,
-        target: Duration,
-        alone: bool,
-        now: Duration,
-    ) {
-        let ratio = time.as_secs_f64() / target.as_secs_f64().max(0.001);
-        self.pressure = self.pressure(now);
-        self.pressure += PRESSURE_SMOOTHING * (ratio.min(MOST_PRESSURE) - self.pressure);
-        self.observed_at = now;
-        if alone && tokens >= LEAST_TOKENS {
+    /// Notes the time to the head of an answer of an endpoint where nothing else waited.
+    pub fn observe(&mut self, model: &Name, tokens: u64, time: Duration) {
+        if tokens >= LEAST_TOKENS {
             let sample = time.as_secs_f64() * 1_000.0 / tokens as f64;
             let known = self.token_ms.entry(model.clone()).or_insert(sample);
             *known += TOKEN_SMOOTHING * (sample - *known);
         }
     }
 
-    /// How late answers begin, in parts of the tightest target of the service.
-    pub fn pressure(&self, now: Duration) -> f64 {
-        let idle = now.saturating_sub(self.observed_at).as_secs_f64();
-        self.pressure * 0.5_f64.powf(idle / PRESSURE_HALF_LIFE.as_secs_f64())
-    }
-
-    /// Whether the engines have room for a larger model's work on a prompt.
-    pub fn has_room(&self, tokens: u64, now: Duration) -> bool {
-        self.pressure(now) + PRESSURE_PER_TOKEN * (tokens as f64) < NO_ESCALATION
-    }
-
     /// The model to ask after the answer of `step` with this confidence. `None` to keep it.
     pub fn next(&self, models: &[Name], step: usize, confidence: u8, rank: u8) -> Option<usize> {
         let last = models.len().checked_sub(1)?;
--- a/crates/fleet-entry/src/directory.rs
+++ b/crates/fleet-entry/src/directory.rs
@@ -14,6 +14,7 @@
 use hickoryreel_fleet::endpoint::Sighting;
 use hickoryreel_fleet::endpoint::Status;
 use hickoryreel_fleet::work::Key;
+use hickoryreel_fleet::work::RANKS;
 use hickoryreel_fleet::work::Work;
 use smallvec::SmallVec;
 
@@ -48,6 +49,10 @@
 /// Good answers that are assumed of an endpoint with few ended sends.
 const ASSUMED_GOOD: f64 = 2.0;
 
+/// Part of the reading of less urgent prompts that a request waits for: the piece that is being
+/// read is finished first, and their tokens are produced beside its own.
+const LESS_URGENT_PART: f64 = 0.4;
+
 /// Weight of a new observation in the smoothed failure share.
 const FAILURE_SMOOTHING: f64 = 0.15;
 
@@ -64,8 +69,9 @@
     pub pool: Pool,
     /// Requests of this entry under way there.
     pub open: Cell<u32>,
-    /// Expected reading time of this entry's requests that have not answered yet, in milliseconds.
-    pub unread_ms: Cell<f64>,
+    /// Expected reading time of this entry's requests that have not answered yet, by rank, in
+    /// milliseconds.
+    unread_ms: Cell<[f64; RANKS]>,
     load: Cell<Option<(Load, Duration)>>,
     key: Key,
     posted: Cell<Posted>,
@@ -84,14 +90,14 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Posted {
     open: u32,
-    unread_ms: u32,
+    unread_ms: [u32; RANKS],
 }
 
 /// What the other entries have at an endpoint, and how recent sends of all entries ended.
 #[derive(Clone, Copy, Debug, Default)]
 struct Others {
     open: u32,
-    unread_ms: u32,
+    unread_ms: [u32; RANKS],
     good: f64,
     bad: f64,
 }
@@ -105,7 +111,7 @@
             heard_by: RefCell::default(),
             gone: Cell::new(false),
             open: Cell::new(0),
-            unread_ms: Cell::new(0.0),
+            unread_ms: Cell::default(),
             load: Cell::new(None),
             key,
             posted: Cell::default(),
@@ -177,7 +183,8 @@
 
     /// The work of this entry for the other entries; `None` if there is none.
     pub fn post(&self) -> Option<Work> {
-        let posted = Posted { open: self.open.get(), unread_ms: self.unread_ms.get() as u32 };
+        let unread_ms = self.unread_ms.get().map(|one| one as u32);
+        let posted = Posted { open: self.open.get(), unread_ms };
         self.posted.set(posted);
         let work = Work {
             endpoint: self.key,
@@ -186,7 +193,7 @@
             good: self.good.take(),
             bad: self.bad.take(),
         };
-        (work.open + work.unread_ms + work.good + work.bad > 0).then_some(work)
+        (work.open + work.good + work.bad > 0).then_some(work)
     }
 
     /// Takes in the work of all entries; `None` if there is none.
@@ -194,7 +201,9 @@
         let posted = self.posted.get();
         let others = sum.map_or_else(Others::default, |sum| Others {
             open: sum.open.saturating_sub(posted.open),
-            unread_ms: sum.unread_ms.saturating_sub(posted.unread_ms),
+            unread_ms: std::array::from_fn(|rank| {
+                sum.unread_ms[rank].saturating_sub(posted.unread_ms[rank])
+            }),
             good: f64::from(sum.good),
             bad: f64::from(sum.bad),
         });
@@ -214,13 +223,32 @@
         })
     }
 
-    /// Expected time to read the prompts that wait there, in milliseconds, as far as known.
-    pub fn unread_ms(&self, waiting_ms: f64) -> f64 {
+    /// Adds to the reading time of this entry's requests of a rank.
+    pub fn add_unread(&self, rank: u8, time_ms: f64) {
+        let mut unread_ms = self.unread_ms.get();
+        let own = &mut unread_ms[usize::from(rank).min(RANKS - 1)];
+        *own = (*own + time_ms).max(0.0);
+        self.unread_ms.set(unread_ms);
+    }
+
+    /// Whether this entry has nothing there that is not read yet.
+    pub fn is_read(&self) -> bool {
+        self.unread_ms.get().iter().all(|one| *one == 0.0)
+    }
+
+    /// Expected time to read the prompts there that a request of a rank waits for, in milliseconds,
+    /// as far as known: those of its own rank and more urgent ones, and a part of the others.
+    /// `waiting_ms` is the time for a request of another entry of which nothing else is known.
+    pub fn ahead_ms(&self, rank: u8, waiting_ms: f64) -> f64 {
         let own = self.unread_ms.get();
-        match self.others() {
-            Some(others) => own + f64::from(others.unread_ms),
-            None => own + self.waiting() * waiting_ms,
-        }
+        let others = self.others();
+        let sum = (0..RANKS).map(|one| {
+            let others = others.map_or(0, |others| others.unread_ms[one]);
+            let weight = if one <= usize::from(rank) { 1.0 } else { LESS_URGENT_PART };
+            weight * (own[one] + f64::from(others))
+        });
+        let unknown = if others.is_some() { 0.0 } else { self.waiting() * waiting_ms };
+        sum.sum::<f64>() + unknown
     }
 
     /// Notes a send.
--- a/crates/fleet-entry/src/flight.rs
+++ b/crates/fleet-entry/src/flight.rs
@@ -20,6 +20,7 @@
     service: Name,
     version: Name,
     route: Name,
+    rank: u8,
     unread_ms: f64,
     place: Option<Place>,
     /// When the send began.
@@ -27,28 +28,28 @@
 }
 
 impl Flight {
-    /// Counts a send whose prompt takes `unread_ms` to read.
+    /// Counts a send of a rank whose prompt takes `unread_ms` to read.
     pub fn new(
         entry: Rc<Entry>,
         endpoint: Rc<Endpoint>,
         (service, route): (Name, Name),
-        unread_ms: f64,
+        (rank, unread_ms): (u8, f64),
         place: Option<Place>,
     ) -> Self {
         let version = endpoint.version();
         endpoint.sent();
-        endpoint.unread_ms.set(endpoint.unread_ms.get() + unread_ms);
+        endpoint.add_unread(rank, unread_ms);
         entry.tallies.borrow_mut().sent(&service, &version, &route);
         entry.metrics.sends.inc();
-        Self { entry, endpoint, service, version, route, unread_ms, place, began: boot_time() }
+        let began = boot_time();
+        Self { entry, endpoint, service, version, route, rank, unread_ms, place, began }
     }
 
     /// The endpoint has read the prompt.
     pub fn answered(&mut self) {
         self.place = None;
         let unread_ms = std::mem::take(&mut self.unread_ms);
-        let at_endpoint = &self.endpoint.unread_ms;
-        at_endpoint.set((at_endpoint.get() - unread_ms).max(0.0));
+        self.endpoint.add_unread(self.rank, -unread_ms);
     }
 
     /// Gives the connection back for other requests after a complete exchange.
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -24,6 +24,7 @@
 use crate::bulk;
 use crate::bulk::Place;
 use crate::cascade::Cascade;
+use crate::cascade::Outlook;
 use crate::dialect::Ask;
 use crate::dialect::Reply;
 use crate::dialect::Terms;
@@ -40,6 +41,7 @@
 use crate::outcome::Passed;
 use crate::outcome::Runs;
 use crate::pick;
+use crate::pick::Choice;
 use crate::prepare::NEWS_PATIENCE;
 use crate::prepare::Prepared;
 use crate::prepare::prepare;
@@ -293,6 +295,10 @@
     }
 
     fn pick(&self) -> Option<Rc<Endpoint>> {
+        Some(self.choose(&self.tried, self.token_ms())?.endpoint)
+    }
+
+    fn choose(&self, tried: &[Name], token_ms: Option<f64>) -> Option<Choice> {
         let view = self.entry.view.borrow();
         let directory = self.entry.directory.borrow();
         let is_near = |zone: &str| self.entry.is_near(zone);
@@ -301,12 +307,12 @@
             ask: &self.ask,
             service: &self.service,
             roll_outs: &view.roll_outs,
-            tried: &self.tried,
+            tried,
             entries: self.entry.entries.get(),
-            token_ms: self.token_ms(),
+            token_ms,
             is_near: &is_near,
         };
-        pick::endpoint(&case, directory.of(&self.service))
+        pick::choose(&case, directory.of(&self.service))
     }
 
     /// The model of the next send, if the entry chooses it.
@@ -346,29 +352,35 @@
         let Some((confidence, model)) = sent.reply.confidence.zip(self.model.clone()) else {
             return false;
         };
-        let now = boot_time();
-        let mut cascades = self.entry.cascades.borrow_mut();
-        let cascade = cascades.entry(self.service.clone()).or_default();
-        if let Some(smaller) = self.doubted_by.take() {
-            cascade.learn(&smaller, confidence);
-        }
-        let Some(next) = cascade.next(&self.route.models, self.step, confidence, self.route.rank)
-        else {
-            return false;
+        let (next, token_ms) = {
+            let mut cascades = self.entry.cascades.borrow_mut();
+            let cascade = cascades.entry(self.service.clone()).or_default();
+            if let Some(smaller) = self.doubted_by.take() {
+                cascade.learn(&smaller, confidence);
+            }
+            let models = &self.route.models;
+            let Some(next) = cascade.next(models, self.step, confidence, self.route.rank) else {
+                return false;
+            };
+            (next, cascade.token_ms(&models[next]))
         };
-        let tokens = self.ask.prompt_tokens;
-        let (places, count) = self.entry.places(&self.service);
-        let long = tokens as f64 * cascade.token_ms(&self.route.models[next]) >= bulk::LONG_MS;
-        let crowded = long && self.route.rank > 0 && places.is_crowded(count);
+        let waited_ms = boot_time().saturating_sub(self.arrived).as_secs_f64() * 1_000.0;
+        let outlook = self.choose(&[], Some(token_ms)).map(|choice| {
+            let wait_ms = waited_ms + choice.wait_ms;
+            Outlook { wait_ms, answer_ms: wait_ms + choice.reading_ms }
+        });
+        let (rank, target_ms) = (self.route.rank, self.route.target_ms);
         let allowed = self.runs < self.route.attempts
-            && !crowded
             && self.route.is_repeatable()
-            && cascade.has_room(tokens, now)
+            && outlook.is_some_and(|one| one.is_good(rank, target_ms, self.left_ms()))
             && self.entry.has_spare_budget(&self.service)
             && self.entry.take_second_send(&self.service);
         info!(self.entry.log, "model doubts its answer"; "request" => &self.ask.id,
-            "model" => &*model, "confidence" => confidence, "pressure" => cascade.pressure(now),
-            "next" => &*self.route.models[next], "escalates" => allowed);
+            "model" => &*model, "confidence" => confidence,
+            "next" => &*self.route.models[next], 
+            "expected_wait_ms" => outlook.map(|one| one.wait_ms),
+            "expected_ms" => outlook.map(|one| one.answer_ms), "target_ms" => target_ms,
+            "escalates" => allowed);
         if allowed {
             self.doubted_by = (next == self.step + 1).then_some(model);
             self.step = next;
@@ -406,16 +418,16 @@
             "send" => self.sends + 1, "model" => self.model.as_deref(), "rank" => self.route.rank,
             "load" => endpoint.estimated_load(self.entry.entries.get()),
             "load_age_ms" => endpoint.load_age().map(|age| age.as_millis() as u64),
-            "unread_ms" => endpoint.unread_ms.get(), "after_event" => after_event,
+            "ahead_ms" => endpoint.ahead_ms(self.route.rank, 0.0), "after_event" => after_event,
             "left_ms" => left);
         self.sends += 1;
         self.tried.push(id);
-        let alone = endpoint.unread_ms.get() == 0.0 && endpoint.waiting() == 0.0;
+        let alone = endpoint.is_read() && endpoint.waiting() == 0.0;
         let mut flight = Flight::new(
             Rc::clone(&self.entry),
             Rc::clone(&endpoint),
             (self.service.clone(), self.route.name.clone()),
-            self.reading_ms(),
+            (self.route.rank, self.reading_ms()),
             place,
         );
         let exchange = self.exchange(&endpoint, request, flight.began).await?;
@@ -450,20 +462,11 @@
         }
         endpoint.hear();
         self.confidence = reply.confidence;
-        if let Some(model) = &self.model {
-            let now = boot_time();
-            let index = self.entry.view.borrow().index.clone();
-            let tightest = index.and_then(|index| index.tightest_target_ms(&self.service));
-            let target = tightest.unwrap_or(self.route.target_ms);
+        if alone && let Some(model) = &self.model {
+            let time = boot_time().saturating_sub(flight.began);
             let mut cascades = self.entry.cascades.borrow_mut();
-            cascades.entry(self.service.clone()).or_default().observe(
-                model,
-                self.ask.prompt_tokens,
-                now.saturating_sub(flight.began),
-                Duration::from_millis(target),
-                alone,
-                now,
-            );
+            let cascade = cascades.entry(self.service.clone()).or_default();
+            cascade.observe(model, self.ask.prompt_tokens, time);
         }
         Ok(Sent { exchange, reply, flight })
     }
--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -134,8 +134,18 @@
     xxh3_64(key.as_bytes()) / 7 % SHARE_PARTS < u64::from(share)
 }
 
+/// A chosen endpoint.
+pub struct Choice {
+    /// The endpoint.
+    pub endpoint: Rc<Endpoint>,
+    /// Expected time until it begins to read the request, in milliseconds.
+    pub wait_ms: f64,
+    /// Expected time to read the request, in milliseconds; 0 for plain services.
+    pub reading_ms: f64,
+}
+
 /// Chooses the endpoint. `None` if there is none.
-pub fn endpoint(case: &Case<'_>, endpoints: &[Rc<Endpoint>]) -> Option<Rc<Endpoint>> {
+pub fn choose(case: &Case<'_>, endpoints: &[Rc<Endpoint>]) -> Option<Choice> {
     let mut candidates = versions(case, endpoints);
     candidates.retain(|one| !case.tried.contains(&one.id()));
     if candidates.iter().any(|one| one.is_usable()) {
@@ -143,16 +153,18 @@
     } else {
         candidates.retain(|one| one.is_last_resort());
     }
-    let homes = homes(case.ask, &candidates);
+    let shared = homes(case.ask, &candidates);
     let mut random = rand::rng();
-    candidates
-        .into_iter()
-        .map(|endpoint| {
-            let cost = cost(case, &endpoint, homes.as_ref()) + random.random_range(0.0..JITTER);
-            (endpoint, cost)
-        })
-        .min_by(|left, right| left.1.total_cmp(&right.1))
-        .map(|(endpoint, _)| endpoint)
+    let best = candidates.into_iter().map(|endpoint| {
+        let cost = cost(case, &endpoint, shared.as_ref()) + random.random_range(0.0..JITTER);
+        (endpoint, cost)
+    });
+    let (endpoint, _) = best.min_by(|left, right| left.1.total_cmp(&right.1))?;
+    let token_ms = case.token_ms.unwrap_or(0.0);
+    let kept = shared.map_or(0.0, |one| one.kept(&endpoint.id()));
+    let reading_ms = (case.ask.prompt_tokens as f64 - kept).max(0.0) * token_ms;
+    let wait_ms = endpoint.ahead_ms(case.route.rank, WAITING_TOKENS * token_ms);
+    Some(Choice { endpoint, wait_ms, reading_ms })
 }
 
 /// Expected delay of the request at an endpoint, in milliseconds, and what stands for money.
@@ -167,7 +179,7 @@
         cost += COLD_COST;
     }
     let Some(token_ms) = case.token_ms else { return cost + PLAIN_DELAY * used };
-    let ahead = endpoint.unread_ms(WAITING_TOKENS * token_ms);
+    let ahead = endpoint.ahead_ms(case.route.rank, WAITING_TOKENS * token_ms);
     let own = case.ask.prompt_tokens as f64 * token_ms;
     let saved = shared.map_or(0.0, |one| one.kept(&announcement.id)) * token_ms;
     cost + BATCH_DELAY * used + ahead + own - READ_AGAIN_WEIGHT * saved
--- a/crates/fleet-entry/src/view.rs
+++ b/crates/fleet-entry/src/view.rs
@@ -25,7 +25,6 @@
     hosts: HashMap<Name, Vec<Arc<Route>>>,
     workspaces: HashMap<Name, Arc<Workspace>>,
     services: HashMap<Name, Arc<Service>>,
-    tightest_targets: HashMap<Name, u64>,
 }
 
 impl Index {
@@ -45,15 +44,7 @@
         }
         let services = configuration.services.iter();
         let services = services.map(|one| (one.name.clone(), Arc::new(one.clone()))).collect();
-        let mut tightest_targets: HashMap<Name, u64> = HashMap::new();
-        for route in &configuration.routes {
-            for target in &route.targets {
-                let tightest = tightest_targets.entry(target.service.clone());
-                let tightest = tightest.or_insert(route.target_ms);
-                *tightest = route.target_ms.min(*tightest);
-            }
-        }
-        Self { configuration, hosts, workspaces, services, tightest_targets }
+        Self { configuration, hosts, workspaces, services }
     }
 
     /// The route with the longest prefix of `path`.
@@ -71,11 +62,6 @@
         self.services.get(name)
     }
 
-    /// The tightest target among the routes of a service, in milliseconds.
-    pub fn tightest_target_ms(&self, service: &str) -> Option<u64> {
-        self.tightest_targets.get(service).copied()
-    }
-
     /// Whether requests need a key.
     pub fn needs_keys(&self) -> bool {
         !self.configuration.workspaces.is_empty()
--- a/crates/fleet/src/work.rs
+++ b/crates/fleet/src/work.rs
@@ -22,6 +22,9 @@
     }
 }
 
+/// Ranks of routes that are told apart; less urgent ones count as the last.
+pub const RANKS: usize = 3;
+
 /// Work at one endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Work {
@@ -29,8 +32,8 @@
     pub endpoint: Key,
     /// Requests under way there.
     pub open: u32,
-    /// Expected time to read the prompts that wait there, in milliseconds.
-    pub unread_ms: u32,
+    /// Expected time to read the prompts that wait there, by rank of the route, in milliseconds.
+    pub unread_ms: [u32; RANKS],
     /// Sends that ended well: since the post before, or recently over all entries.
     pub good: u32,
     /// Sends that failed, likewise.
