Compare a random quarter of the endpoints in each choice

Cause: all entries know the same loads, up to 250 ms old, and sent to the same idle endpoint.

Change: a choice compares each endpoint with a chance of a quarter (eight on average at least), and the homes of the prompt always.

--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -7,6 +7,7 @@
 use hickoryreel_fleet::roll_out::Phase;
 use hickoryreel_fleet::roll_out::RollOuts;
 use rand::RngExt;
+use rand::rngs::ThreadRng;
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -46,6 +47,13 @@
 /// Largest random part of a cost, in milliseconds: many entries see the same load.
 const JITTER: f64 = 4.0;
 
+/// Part of the endpoints that are compared. The others know the same loads, which are up to 250 ms
+/// old, and would all send to the same idle endpoint.
+const COMPARED_PART: f64 = 0.25;
+
+/// Endpoints that are compared on average at least.
+const LEAST_COMPARED: f64 = 8.0;
+
 /// What a choice depends on beside the endpoints.
 pub struct Case<'a> {
     /// Route.
@@ -155,6 +163,16 @@
     }
     let shared = homes(case.ask, &candidates);
     let mut random = rand::rng();
+    let part = (LEAST_COMPARED / candidates.len() as f64).max(COMPARED_PART);
+    let drawn = |one: &&Rc<Endpoint>, random: &mut ThreadRng| {
+        shared.as_ref().is_some_and(|shared| shared.kept(&one.id()) > 0.0)
+            || random.random::<f64>() < part
+    };
+    let compared: SmallVec<[Rc<Endpoint>; 16]> =
+        candidates.iter().filter(|one| drawn(one, &mut random)).cloned().collect();
+    if !compared.is_empty() {
+        candidates = compared;
+    }
     let best = candidates.into_iter().map(|endpoint| {
         let cost = cost(case, &endpoint, shared.as_ref()) + random.random_range(0.0..JITTER);
         (endpoint, cost)
