--- a/crates/fleet-entry/src/flight.rs
+++ b/crates/fleet-entry/src/flight.rs
@@ -7,7 +7,7 @@
 use hickoryreel_fleet::Name;
 
 use crate::bulk::Place;
-use crate::directory::Endpoint;
+use crate::endpoint::Endpoint;
 use crate::entry::Entry;
 use crate::exchange::Connection;
 use crate::tally::End;
--- a/crates/fleet-entry/src/lib.rs
+++ b/crates/fleet-entry/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! [`server`] accepts connections. [`forward`] takes a request through its steps: [`prepare`]
 //! reads its terms in its [`dialect`] and finds route and workspace in the [`view`], [`cascade`]
-//! chooses the model, [`bulk`] lets long prompts wait, [`pick`] chooses the endpoint, [`exchange`]
-//! sends the request, [`outcome`] decides what its end means, and [`relay`] passes a stream on
+//! chooses the model, [`bulk`] lets long prompts wait, [`pick`] chooses the endpoint, [`send`]
+//! sends the request over an [`exchange`], [`outcome`] decides what its end means, and [`relay`] passes a stream on
 //! event by event. [`follow`] keeps the view and the [`directory`] current over links to control.
 
 pub mod answer;
@@ -13,6 +13,7 @@
 pub mod cascade;
 pub mod dialect;
 pub mod directory;
+pub mod endpoint;
 pub mod entry;
 pub mod exchange;
 pub mod flight;
@@ -23,6 +24,7 @@
 pub mod pick;
 pub mod prepare;
 pub mod relay;
+pub mod send;
 pub mod server;
 pub mod settings;
 pub mod share;
--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -12,7 +12,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::dialect::Ask;
-use crate::directory::Endpoint;
+use crate::endpoint::Endpoint;
 
 /// Parts of 1,000 into which requests are divided between versions.
 const SHARE_PARTS: u64 = 1_000;
--- a/crates/fleet-entry/src/relay.rs
+++ b/crates/fleet-entry/src/relay.rs
@@ -22,9 +22,9 @@
 use crate::exchange::Exchange;
 use crate::flight::Flight;
 use crate::forward::Course;
-use crate::forward::Sent;
 use crate::outcome::Ended;
 use crate::outcome::Passed;
+use crate::send::Sent;
 use crate::tally::End;
 
 /// Pieces that wait for a client that reads slowly.
--- a/crates/fleet-entry/tests/load.rs
+++ b/crates/fleet-entry/tests/load.rs
@@ -14,7 +14,7 @@
 use hickoryreel_fleet::work::RANKS;
 use hickoryreel_fleet::work::Work;
 use hickoryreel_fleet_entry::directory::Directory;
-use hickoryreel_fleet_entry::directory::Endpoint;
+use hickoryreel_fleet_entry::endpoint::Endpoint;
 
 const ENTRIES: u32 = 80;
 
--- a/crates/testkit/src/harness.rs
+++ b/crates/testkit/src/harness.rs
@@ -1,5 +1,6 @@
 //! Folder, address and processes of one test.
 
+use std::cell::Cell;
 use std::io;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
@@ -31,6 +32,7 @@
 pub struct Harness {
     /// `None` once the folder was kept.
     folder: Option<TempDir>,
+    kept: Cell<bool>,
     address: IpAddr,
 }
 
@@ -38,7 +40,7 @@
     /// Creates the folder and chooses a loopback address that no other harness uses.
     pub fn new() -> eyre::Result<Self> {
         let folder = tempfile::Builder::new().prefix("hickoryreel-test-").tempdir()?;
-        Ok(Self { folder: Some(folder), address: own_address() })
+        Ok(Self { folder: Some(folder), kept: Cell::new(false), address: own_address() })
     }
 
     /// The folder with settings, data and logs.
@@ -46,6 +48,11 @@
         self.folder.as_ref().map_or(Path::new(""), TempDir::path)
     }
 
+    /// Keeps the folder after the end, for a run that showed a failure.
+    pub fn keep(&self) {
+        self.kept.set(true);
+    }
+
     /// Reserves `count` different ports that the kernel chose. No other harness uses the address,
     /// so nothing takes the ports before the processes listen on them.
     pub fn addresses(&self, count: usize) -> eyre::Result<Vec<SocketAddr>> {
@@ -82,7 +89,7 @@
 
 impl Drop for Harness {
     fn drop(&mut self) {
-        if std::thread::panicking()
+        if (std::thread::panicking() || self.kept.get())
             && let Some(folder) = self.folder.take()
         {
             eprintln!("logs are kept in {}", folder.keep().display());
--- a/crates/testkit/src/relay.rs
+++ b/crates/testkit/src/relay.rs
@@ -5,13 +5,15 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::net::tcp::OwnedReadHalf;
-use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::tcp::ReadHalf;
+use tokio::net::tcp::WriteHalf;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
 
@@ -43,6 +45,10 @@
     silent_up_to: AtomicU64,
     cut_to_target: AtomicBool,
     cut_from_target: AtomicBool,
+    /// Time for which each piece is held back, in milliseconds.
+    delay_ms: AtomicU64,
+    /// Connections up to this number are reset.
+    reset_up_to: watch::Sender<u64>,
 }
 
 impl Faults {
@@ -53,6 +59,15 @@
         };
         connection > self.silent_up_to.load(Ordering::SeqCst) && !cut.load(Ordering::SeqCst)
     }
+
+    /// Waits for the delay of a piece.
+    async fn hold(&self) -> bool {
+        let delay_ms = self.delay_ms.load(Ordering::SeqCst);
+        if delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        }
+        true
+    }
 }
 
 impl Relay {
@@ -86,6 +101,17 @@
         self.faults.silent_up_to.store(accepted, Ordering::SeqCst);
     }
 
+    /// Resets all open connections. New ones work.
+    pub fn reset(&self) {
+        self.faults.reset_up_to.send_replace(self.accepted());
+    }
+
+    /// Holds each piece that is forwarded back for `delay`; zero ends it.
+    pub fn delay(&self, delay: Duration) {
+        let delay_ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+        self.faults.delay_ms.store(delay_ms, Ordering::SeqCst);
+    }
+
     /// Drops everything sent in `direction`. A connection that lost bytes stays silent in that
     /// direction after [`Relay::restore`].
     pub fn cut(&self, direction: Direction) {
@@ -125,17 +151,27 @@
     let Ok(far) = TcpStream::connect(target).await else { return };
     // Delays of the relay must not look like delays of the processes.
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
-    let (near_read, near_write) = near.into_split();
-    let (far_read, far_write) = far.into_split();
-    tokio::join!(
-        forward(near_read, far_write, number, Direction::ToTarget, &faults),
-        forward(far_read, near_write, number, Direction::FromTarget, &faults),
-    );
+    let mut resets = faults.reset_up_to.subscribe();
+    let (mut near, mut far) = (near, far);
+    let reset = {
+        let (near_read, near_write) = near.split();
+        let (far_read, far_write) = far.split();
+        let to_target = forward(near_read, far_write, number, Direction::ToTarget, &faults);
+        let from_target = forward(far_read, near_write, number, Direction::FromTarget, &faults);
+        tokio::select! {
+            _ = async { tokio::join!(to_target, from_target) } => false,
+            _ = resets.wait_for(|up_to| number <= *up_to) => true,
+        }
+    };
+    if reset {
+        // A socket without a linger time is closed by a reset.
+        let _ = (near.set_zero_linger(), far.set_zero_linger());
+    }
 }
 
 async fn forward(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     connection: u64,
     direction: Direction,
     faults: &Faults,
@@ -148,10 +184,16 @@
             std::future::pending::<()>().await;
         }
         match read {
-            Ok(length) if length > 0 && to.write_all(&buffer[..length]).await.is_ok() => {
+            Ok(length)
+                if length > 0
+                    && faults.hold().await
+                    && to.write_all(&buffer[..length]).await.is_ok() =>
+            {
                 faults.bytes.fetch_add(length as u64, Ordering::SeqCst);
             }
-            _ => return,
+            _ => break,
         }
     }
+    // The other direction may go on.
+    let _ = to.shutdown().await;
 }
