Keep a harness shareable between threads

Cause: the flag that keeps the folder of a failing soak was a cell, which the tests of the product's entry can't share between threads.

Change: an atomic flag.

--- a/crates/testkit/src/harness.rs
+++ b/crates/testkit/src/harness.rs
@@ -1,6 +1,5 @@
 //! Folder, address and processes of one test.
 
-use std::cell::Cell;
 use std::io;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
@@ -13,6 +12,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 
@@ -32,7 +32,7 @@
 pub struct Harness {
     /// `None` once the folder was kept.
     folder: Option<TempDir>,
-    kept: Cell<bool>,
+    kept: AtomicBool,
     address: IpAddr,
 }
 
@@ -40,7 +40,7 @@
     /// Creates the folder and chooses a loopback address that no other harness uses.
     pub fn new() -> eyre::Result<Self> {
         let folder = tempfile::Builder::new().prefix("hickoryreel-test-").tempdir()?;
-        Ok(Self { folder: Some(folder), kept: Cell::new(false), address: own_address() })
+        Ok(Self { folder: Some(folder), kept: AtomicBool::new(false), address: own_address() })
     }
 
     /// The folder with settings, data and logs.
@@ -50,7 +50,7 @@
 
     /// Keeps the folder after the end, for a run that showed a failure.
     pub fn keep(&self) {
-        self.kept.set(true);
+        self.kept.store(true, Ordering::Relaxed);
     }
 
     /// Reserves `count` different ports that the kernel chose. No other harness uses the address,
@@ -89,7 +89,7 @@
 
 impl Drop for Harness {
     fn drop(&mut self) {
-        if (std::thread::panicking() || self.kept.get())
+        if (std::thread::panicking() || self.kept.load(Ordering::Relaxed))
             && let Some(folder) = self.folder.take()
         {
             eprintln!("logs are kept in {}", folder.keep().display());
