--- a/crates/fleet-entry/src/lib.rs
+++ b/crates/fleet-entry/src/lib.rs
@@ -2,9 +2,10 @@
 //!
 //! [`server`] accepts connections. [`forward`] takes a request through its steps: [`prepare`]
 //! reads its terms in its [`dialect`] and finds route and workspace in the [`view`], [`cascade`]
-//! chooses the model, [`bulk`] lets long prompts wait, [`pick`] chooses the endpoint, [`send`]
-//! sends the request over an [`exchange`], [`outcome`] decides what its end means, and [`relay`] passes a stream on
-//! event by event. [`follow`] keeps the view and the [`directory`] current over links to control.
+//! chooses the model, [`bulk`] lets long prompts wait, [`pick`] chooses the endpoint, [`send`] sends
+//! the request over an [`exchange`], [`outcome`] decides what its end means, and [`relay`] passes a
+//! stream on event by event. [`follow`] keeps the view and the [`directory`] of [`endpoint`]s current
+//! over links to control, and [`share`] exchanges their load with the other entries.
 
 pub mod answer;
 pub mod body;
