Bound what an endpoint may send; check permissions at the write

Cause: an endpoint that sends bytes without end held an entry of 88 MB: relay::Events kept a partial event of any size, searched it again with each read and restarted its pause with each byte; send::read_whole had no limit; interim answers were skipped without end. The lease and the remaining time were checked before a connection was opened, so a process paused there wrote the request after its permission had ended. A late second answer with the status 'not run' was taken as a refusal of the next request on the connection, which was then sent again: a second run of requests that run once.

Now: head_limit counts the bytes before a head, memory bounds what all answers and request bodies take together, progress counts whole new events (or 256 bytes of a body) and not bytes. exchange builds the request right before the write, under a lease and time checked there. An answer with another id, or without one on a reused connection, never counts for this request.

--- a/crates/entry/tests/streams.rs
+++ b/crates/entry/tests/streams.rs
@@ -53,6 +53,23 @@
     assert_eq!(bills[0]["usage"]["completion_tokens"], 20);
 }
 
+/// Guards against a stand-in that drops the events before a cut if they are all ready, so that a
+/// resumed stream makes no progress.
+#[tokio::test]
+async fn events_before_a_cut_arrive_if_they_are_ready() {
+    let (cluster, engine) = one_engine(SETTINGS).await;
+    let (status, _) = cluster.complete(0, "r1", &body(20)).await;
+    assert_eq!(status, 200);
+    set_faults(engine, json!({"cut_after": 3})).await;
+
+    let mut connection = RawConnection::open(engine).await;
+    let path = "/v1/runs/athens%3Ar1/stream?offset=4";
+    connection.send(&format!("GET {path} HTTP/1.1\r\nhost: engine\r\n\r\n")).await;
+    let stream = connection.read_to_end().await;
+
+    assert_eq!(event_texts(&stream), expected_texts(20)[4..7], "{stream}");
+}
+
 /// Guards against a stream that waits forever on a connection that became silent.
 #[tokio::test]
 async fn silent_connection_is_replaced() {
--- a/crates/fleet-entry/src/entry.rs
+++ b/crates/fleet-entry/src/entry.rs
@@ -16,12 +16,16 @@
 use crate::cascade::Cascade;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
+use crate::memory;
 use crate::metrics::Metrics;
 use crate::prefill::PrefillLimiter;
 use crate::settings::Settings;
 use crate::tally::Tallies;
 use crate::view::View;
 
+/// Request bodies and answers may each take this part (1/n) of the memory of the process.
+const BODY_MEMORY_DIVISOR: usize = 4;
+
 /// State of an entry.
 pub struct Entry {
     pub settings: Settings,
@@ -45,8 +49,10 @@
     pub state_changed: Notify,
     /// Requests of clients that are not finished.
     pub outstanding: Cell<u32>,
-    /// Expected bytes of the request bodies that are being read.
-    pub body_bytes: Cell<usize>,
+    /// Memory for the request bodies that are being read.
+    pub body_memory: memory::Budget,
+    /// Memory for the answers without events that are being read.
+    pub answer_memory: memory::Budget,
     /// Time of SIGTERM, once it has arrived.
     pub stopping: Cell<Option<Duration>>,
     /// Notified when the last outstanding request ends.
@@ -58,6 +64,7 @@
 impl Entry {
     /// Creates an entry without agreed state and endpoints.
     pub fn new(settings: Settings, dialect: Box<dyn Dialect>, log: Logger) -> Rc<Self> {
+        let body_bytes = settings.memory / BODY_MEMORY_DIVISOR;
         Rc::new(Self {
             settings,
             dialect,
@@ -71,7 +78,8 @@
             tallies: RefCell::default(),
             state_changed: Notify::new(),
             outstanding: Cell::new(0),
-            body_bytes: Cell::new(0),
+            body_memory: memory::Budget::new(body_bytes),
+            answer_memory: memory::Budget::new(body_bytes),
             stopping: Cell::new(None),
             closed: Notify::new(),
             metrics: Metrics::default(),
--- a/crates/fleet-entry/src/exchange.rs
+++ b/crates/fleet-entry/src/exchange.rs
@@ -1,4 +1,7 @@
 //! HTTP exchanges with an endpoint over a connection pool.
+//!
+//! A permission is checked right before a request is written: opening the connection may take long
+//! enough for it to expire, for example if the process is paused meanwhile.
 
 use std::cell::RefCell;
 use std::net::SocketAddrV4;
@@ -16,6 +19,9 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::head_limit::HeadLimit;
+use crate::head_limit::LimitedStream;
+
 /// Over ten round trips between regions; TCP would resend a lost SYN only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -29,11 +35,25 @@
 /// endpoint may be closing an older one, which leaves the outcome of the request unknown.
 const MAX_FRESH_IDLE: Duration = Duration::from_millis(900);
 
+/// Size of the read buffer in bytes, which also bounds the head of an answer.
+const READ_BUFFER: usize = 64 << 10;
+
 /// An open connection. Dropping it closes it at once, which cancels the request at the endpoint.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     idle_timeout: Duration,
+    head_limit: HeadLimit,
+    /// Whether an answer was received on it before.
+    reused: bool,
+}
+
+impl Connection {
+    /// Whether an answer was received on it before the current exchange. A second copy of that
+    /// answer may still arrive.
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
 }
 
 impl Drop for Connection {
@@ -58,6 +78,8 @@
 pub enum Failure {
     /// No connection could be opened; nothing was sent.
     Unreachable(String),
+    /// The permission to send ended before the request was written.
+    Withdrawn,
     /// The connection failed after the request was written, at least in part.
     Lost(String),
 }
@@ -105,6 +127,7 @@
         if let Some(named) = keep_alive {
             connection.idle_timeout = named.saturating_sub(IDLE_MARGIN).min(IDLE_TIMEOUT);
         }
+        connection.reused = true;
         let mut idle = self.idle.borrow_mut();
         if idle.len() < max_idle {
             idle.push(Idle { connection, since: boot_time() });
@@ -125,25 +148,34 @@
             .map_err(|_| "no connection in time".to_owned())?
             .map_err(|cause| cause.to_string())?;
         let _ = stream.set_nodelay(true);
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream));
+        let head_limit = HeadLimit::default();
+        let stream = LimitedStream::new(stream, head_limit.clone());
+        let handshake =
+            http1::Builder::new().max_buf_size(READ_BUFFER).handshake(TokioIo::new(stream));
         let (sender, driver) = handshake.await.map_err(|cause| cause.to_string())?;
         let task = tokio::task::spawn_local(async move {
             // The error also reaches the sender of the request.
             let _ = driver.await;
         });
-        Ok(Connection { sender, task: task.abort_handle(), idle_timeout: IDLE_TIMEOUT })
+        Ok(Connection {
+            sender,
+            task: task.abort_handle(),
+            idle_timeout: IDLE_TIMEOUT,
+            head_limit,
+            reused: false,
+        })
     }
 
     /// Sends a request and waits for the head of its answer. With `fresh`, only a connection that
     /// is new or was used recently is taken, so that the outcome of the request rarely becomes
-    /// unknown. `on_connect` is called before each new connection.
+    /// unknown. `on_connect` is called before each new connection. `request` builds the request
+    /// right before it is written, or returns `None` if it may no longer be sent.
     pub async fn send(
         &self,
-        request: Request<Full<Bytes>>,
+        request: impl Fn() -> Option<Request<Full<Bytes>>>,
         fresh: bool,
         on_connect: impl Fn(),
     ) -> Result<Exchange, Failure> {
-        let mut request = request;
         loop {
             let (mut connection, reused) = match self.take(fresh) {
                 Some(connection) => (connection, true),
@@ -152,11 +184,15 @@
                     (self.connect().await.map_err(Failure::Unreachable)?, false)
                 }
             };
-            match connection.sender.try_send_request(request).await {
+            let request = request().ok_or(Failure::Withdrawn)?;
+            connection.head_limit.expect_head();
+            let sent = connection.sender.try_send_request(request).await;
+            connection.head_limit.head_received();
+            match sent {
                 Ok(response) => return Ok(Exchange { connection, response }),
                 Err(mut failed) => match failed.take_message() {
                     // Nothing was written because the pooled connection had been closed.
-                    Some(unsent) if reused => request = unsent,
+                    Some(_) if reused => {}
                     Some(_) => return Err(Failure::Unreachable(failed.into_error().to_string())),
                     None => return Err(Failure::Lost(failed.into_error().to_string())),
                 },
--- a/crates/fleet-entry/src/lib.rs
+++ b/crates/fleet-entry/src/lib.rs
@@ -4,7 +4,8 @@
 //! reads its metadata with the [`dialect`] and finds its route and workspace in the [`view`],
 //! [`cascade`] chooses the model, [`prefill`] limits concurrent long prompts, [`pick`] chooses the
 //! endpoint, [`send`] sends the request over an [`exchange`], [`outcome`] decides what follows from
-//! the way in which a send ended, and [`relay`] forwards a stream event by event. [`control_poll`]
+//! the way in which a send ended, and [`relay`] forwards a stream event by event. What an endpoint may
+//! send is bounded by [`head_limit`], [`memory`] and [`progress`]. [`control_poll`]
 //! keeps the view and the [`directory`] of [`endpoint`]s current over links to the control replicas,
 //! and [`load_report`] exchanges the load of the endpoints with the other entries.
 
@@ -19,13 +20,16 @@
 pub mod entry;
 pub mod exchange;
 pub mod forward;
+pub mod head_limit;
 pub mod in_flight;
 pub mod load_report;
+pub mod memory;
 pub mod metrics;
 pub mod outcome;
 pub mod pick;
 pub mod prefill;
 pub mod prepare;
+pub mod progress;
 pub mod relay;
 pub mod send;
 pub mod server;
--- a/crates/fleet-entry/src/prepare.rs
+++ b/crates/fleet-entry/src/prepare.rs
@@ -11,8 +11,6 @@
 use hickoryreel_fleet::configuration::Workspace;
 use http::request::Parts;
 use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::body::Body as _;
 use hyper::body::Incoming;
 use slog::info;
@@ -21,6 +19,7 @@
 use crate::dialect::RequestMetadata;
 use crate::entry::Entry;
 use crate::forward::ActiveRequest;
+use crate::memory;
 use crate::pick;
 use crate::view::Index;
 
@@ -31,9 +30,6 @@
 /// Deadline of a request without one.
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
-/// Request bodies may take this part (1/n) of the memory of the process.
-const BODY_MEMORY_DIVISOR: usize = 4;
-
 /// A request that is ready to be sent.
 pub struct Prepared {
     /// Head of the client's request.
@@ -115,19 +111,9 @@
     Ok((Arc::clone(index), Arc::clone(route), Some(Arc::clone(workspace))))
 }
 
-/// Memory reserved for a body while it is read.
-struct Reserved<'a>(&'a Entry, usize);
-
-impl Drop for Reserved<'_> {
-    fn drop(&mut self) {
-        let taken = &self.0.body_bytes;
-        taken.set(taken.get().saturating_sub(self.1));
-    }
-}
-
 async fn read_body(
     entry: &Entry,
-    body: Incoming,
+    mut body: Incoming,
     limit: usize,
     deadline: Duration,
 ) -> Result<Bytes, Refusal> {
@@ -138,17 +124,25 @@
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    // A body of unknown length reserves nothing; reserving the limit would refuse too many requests.
-    let reserved = Reserved(entry, expected);
-    let taken = entry.body_bytes.get() + reserved.1;
-    entry.body_bytes.set(taken);
-    if taken > entry.settings.memory / BODY_MEMORY_DIVISOR {
-        return Err(Refusal::NoMemory);
-    }
+    // A body of unknown length reserves memory as it is read; reserving the limit would refuse too
+    // many requests.
+    let mut memory = entry.body_memory.reserve(expected).ok_or(Refusal::NoMemory)?;
+    let read = async {
+        let mut parts = memory::Parts::default();
+        let mut bytes = 0;
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.map_err(|_| Refusal::BodyLate)?.into_data() else { continue };
+            bytes += data.len();
+            if bytes > limit {
+                return Err(Refusal::BodyTooLarge);
+            }
+            if !memory.grow(bytes.saturating_sub(memory.bytes())) {
+                return Err(Refusal::NoMemory);
+            }
+            parts.push(data);
+        }
+        Ok(parts.whole())
+    };
     let left = deadline.saturating_sub(boot_time());
-    match tokio::time::timeout(left, Limited::new(body, limit).collect()).await {
-        Ok(Ok(read)) => Ok(read.to_bytes()),
-        Ok(Err(cause)) if cause.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
-        Ok(Err(_)) | Err(_) => Err(Refusal::BodyLate),
-    }
+    tokio::time::timeout(left, read).await.unwrap_or(Err(Refusal::BodyLate))
 }
--- a/crates/fleet-entry/src/relay.rs
+++ b/crates/fleet-entry/src/relay.rs
@@ -24,6 +24,7 @@
 use crate::in_flight::InFlight;
 use crate::outcome::Delivered;
 use crate::outcome::SendEnd;
+use crate::progress::Progress;
 use crate::send::Sent;
 use crate::tally::Verdict;
 
@@ -35,6 +36,9 @@
 /// Field of an event that holds its id.
 const ID_FIELD: &[u8] = b"id:";
 
+/// Field of an event that holds its data.
+const DATA_FIELD: &[u8] = b"data:";
+
 /// Gap between events, in target gaps, after which a stream is resumed at another endpoint.
 const MAX_TARGET_GAPS: u32 = 2;
 
@@ -48,19 +52,35 @@
     last_id: Option<u64>,
 }
 
+/// Whole events of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Batch {
+    pub bytes: Bytes,
+    /// Whether an event is new: it has a higher id than the ones before, or data if the events have
+    /// no ids. Comments and empty events are not.
+    pub is_progress: bool,
+}
+
 impl Events {
     /// Adds bytes and returns the events that are now complete.
-    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+    pub fn push(&mut self, bytes: &[u8]) -> Option<Batch> {
+        // The end of an event may begin with the last byte of the previous read.
+        let unread = self.partial.len().saturating_sub(EVENT_END.len() - 1);
         self.partial.extend_from_slice(bytes);
-        let end = memmem::rfind(&self.partial, EVENT_END)? + EVENT_END.len();
+        let end = memmem::rfind(&self.partial[unread..], EVENT_END)? + unread + EVENT_END.len();
         let whole = self.partial.split_to(end).freeze();
-        let lines = whole.split(|byte| *byte == b'\n').rev();
-        let mut id = lines.filter_map(|line| {
-            let value = line.strip_prefix(ID_FIELD)?;
-            std::str::from_utf8(value).ok()?.trim().parse().ok()
-        });
-        self.last_id = id.next().or(self.last_id);
-        Some(whole)
+        let field = |field: &'static [u8]| {
+            let lines = whole.split(|byte| *byte == b'\n').rev();
+            lines.filter_map(move |line| line.strip_prefix(field))
+        };
+        let id = field(ID_FIELD)
+            .find_map(|value| std::str::from_utf8(value).ok()?.trim().parse::<u64>().ok());
+        let is_progress = match id.or(self.last_id) {
+            Some(_) => id > self.last_id,
+            None => field(DATA_FIELD).any(|data| !data.trim_ascii().is_empty()),
+        };
+        self.last_id = id.or(self.last_id);
+        Some(Batch { bytes: whole, is_progress })
     }
 
     /// Id of the last whole event.
@@ -151,10 +171,20 @@
     async fn forward_events(&mut self, source: &mut Source) -> End {
         let max_gap = Duration::from_millis(self.request.route.target_gap_ms) * MAX_TARGET_GAPS;
         let max_gap = max_gap.max(MIN_RESUME_GAP);
+        let mut progress = Progress::new(boot_time());
         loop {
-            let left = self.request.deadline.saturating_sub(boot_time());
+            let (now, deadline) = (boot_time(), self.request.deadline);
+            if now >= deadline {
+                return End::Failed(SendEnd::DeadlineExceeded, "out of time".to_owned());
+            }
+            // Only a stream that can be resumed is given up because it pauses.
+            let stalls_at = self.request.route.is_repeatable().then(|| progress.stalls_at(max_gap));
+            if stalls_at.is_some_and(|at| now >= at) {
+                return End::Failed(SendEnd::Unknown, "the stream pauses".to_owned());
+            }
+            let until = stalls_at.map_or(deadline, |at| at.min(deadline));
             let frame = tokio::select! {
-                frame = tokio::time::timeout(left.min(max_gap), source.incoming.frame()) => frame,
+                frame = tokio::time::timeout(until - now, source.incoming.frame()) => frame,
                 () = self.chunks.closed() => return End::ClientGone,
             };
             let data = match frame {
@@ -167,22 +197,29 @@
                     return End::Failed(SendEnd::Unknown, cause);
                 }
                 Ok(None) => return End::Complete,
-                Err(_) if self.request.left_ms() == 0 => {
-                    return End::Failed(SendEnd::DeadlineExceeded, "out of time".to_owned());
-                }
-                Err(_) if self.request.route.is_repeatable() => {
-                    return End::Failed(SendEnd::Unknown, "the stream pauses".to_owned());
-                }
+                // The checks above decide what the end of the wait means.
                 Err(_) => continue,
             };
             source.in_flight.endpoint.record_activity();
             let Ok(data) = data else { continue };
-            let Some(whole) = self.events.push(&data) else { continue };
+            let max_bytes = self.request.entry.settings.max_event_bytes;
+            let received = progress.receive(data.len());
+            let batch = self.events.push(&data);
+            let is_progress = batch.as_ref().is_some_and(|batch| batch.is_progress);
+            if !is_progress && received > max_bytes {
+                let cause = format!("{received} bytes without an event");
+                return End::Failed(SendEnd::Unknown, cause);
+            }
+            let Some(batch) = batch else { continue };
             self.request.first_at.get_or_insert_with(boot_time);
             self.request.last_event = self.events.last_id();
-            if self.chunks.send(Ok(whole)).await.is_err() {
+            if self.chunks.send(Ok(batch.bytes)).await.is_err() {
                 return End::ClientGone;
             }
+            if is_progress {
+                // The time that a slow client takes is no pause of the endpoint.
+                progress.advance(boot_time());
+            }
         }
     }
 
--- a/crates/fleet-entry/src/send.rs
+++ b/crates/fleet-entry/src/send.rs
@@ -10,6 +10,8 @@
 use http::Response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::body::Body as _;
+use hyper::body::Incoming;
 use slog::info;
 
 use crate::body::Body;
@@ -23,7 +25,9 @@
 use crate::forward::MIN_SEND_TIME_MS;
 use crate::forward::rank;
 use crate::in_flight::InFlight;
+use crate::memory::Parts;
 use crate::outcome::SendEnd;
+use crate::progress::Progress;
 use crate::tally::Verdict;
 
 /// Time without data from an endpoint after which a repeatable request is sent to another one,
@@ -41,6 +45,22 @@
 /// Interval between checks of an endpoint that has not answered.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time in which [`MIN_BODY_PROGRESS`] bytes of an answer must arrive if the request can be sent to
+/// another endpoint.
+const MAX_BODY_PAUSE: Duration = Duration::from_millis(2_500);
+
+/// Bytes of an answer without events that count as progress.
+const MIN_BODY_PROGRESS: usize = 256;
+
+/// Reason why the body of an answer was not read to its end.
+enum BodyFailure {
+    DeadlineExceeded,
+    /// The answers that are being read take all memory for them.
+    NoMemory,
+    /// The endpoint's fault, with the cause for the log.
+    Broken(String),
+}
+
 /// Reason to send a repeatable request to another endpoint before this one has answered.
 enum LeaveReason {
     /// The endpoint has sent no data to this entry for [`SILENCE_TIMEOUT`].
@@ -70,15 +90,13 @@
         }
         let permit = self.acquire_prefill_permit().await;
         let Some(endpoint) = self.wait_for_endpoint().await else { return Err(SendEnd::NotRun) };
-        let left = self.left_ms();
         // The lease may have expired while the request waited.
-        let lease = self.entry.settings.lease;
-        if self.workspace.is_some() && !self.entry.view.borrow().has_lease(lease) {
+        if !self.has_lease() {
             return Err(SendEnd::NotRun);
         }
+        let left = self.left_ms();
         let id = endpoint.id();
         self.endpoint = Some((id.clone(), endpoint.version()));
-        let request = self.request(&id, left, after_event);
         if self.sends == 0 {
             self.entry.record_first_send(&self.service);
         }
@@ -89,7 +107,7 @@
             "ahead_ms" => endpoint.prefill_wait_ms(self.route.rank, 0.0), "after_event" => after_event,
             "left_ms" => left);
         self.sends += 1;
-        self.tried.push(id);
+        self.tried.push(id.clone());
         let unloaded = endpoint.is_prefill_done() && endpoint.waiting() == 0.0;
         let mut in_flight = InFlight::new(
             Rc::clone(&self.entry),
@@ -98,11 +116,29 @@
             (self.route.rank, self.prefill_ms()),
             permit,
         );
-        let exchange = self.exchange(&endpoint, request, in_flight.began).await?;
+        let build = || self.permitted_request(&id, after_event);
+        let exchange = match self.exchange(&endpoint, build, in_flight.began).await {
+            Ok(exchange) => exchange,
+            Err(ended) => {
+                self.runs += u32::from(ended != SendEnd::NotRun);
+                return Err(ended);
+            }
+        };
         let response = &exchange.response;
         let (status, headers) = (response.status(), response.headers());
         let reply = self.entry.dialect.parse_response(status, headers, &self.metadata.id);
         in_flight.prefill_done();
+        // A late second answer to the previous request on the connection may come first. It says
+        // nothing about this request, whatever its status.
+        let is_foreign = match reply.matches {
+            Some(matches) => !matches,
+            None => exchange.connection.is_reused(),
+        };
+        if is_foreign {
+            self.runs += 1;
+            self.record_endpoint_failure(&endpoint, "the answer belongs to another request");
+            return Err(SendEnd::Unknown);
+        }
         if let Some(load) = reply.load {
             endpoint.record_load(load);
         }
@@ -124,8 +160,8 @@
             return Err(SendEnd::NotRun);
         }
         self.runs += 1;
-        if reply.matches == Some(false) || reply.encoded {
-            self.record_endpoint_failure(&endpoint, "the answer belongs to another request");
+        if reply.encoded {
+            self.record_endpoint_failure(&endpoint, "the answer has a content encoding");
             return Err(SendEnd::Unknown);
         }
         endpoint.record_activity();
@@ -139,6 +175,22 @@
         Ok(Sent { exchange, reply, in_flight })
     }
 
+    /// Whether the request's key may be relied on; requests without a key need no lease.
+    fn has_lease(&self) -> bool {
+        let lease = self.entry.settings.lease;
+        self.workspace.is_none() || self.entry.view.borrow().has_lease(lease)
+    }
+
+    /// Builds the request right before it is written. Returns `None` if it may not be sent any more.
+    fn permitted_request(
+        &self,
+        endpoint: &str,
+        after: Option<u64>,
+    ) -> Option<Request<Full<Bytes>>> {
+        let left = self.left_ms();
+        (left > MIN_SEND_TIME_MS && self.has_lease()).then(|| self.request(endpoint, left, after))
+    }
+
     fn request(&self, endpoint: &str, left: u64, after: Option<u64>) -> Request<Full<Bytes>> {
         let options = SendOptions {
             endpoint,
@@ -162,9 +214,9 @@
     /// Waits for the head of the answer until the deadline, or until a repeatable request should be
     /// sent to another endpoint.
     async fn exchange(
-        &mut self,
+        &self,
         endpoint: &Rc<Endpoint>,
-        request: Request<Full<Bytes>>,
+        request: impl Fn() -> Option<Request<Full<Bytes>>>,
         began: Duration,
     ) -> Result<Exchange, SendEnd> {
         let fresh = !self.route.is_repeatable();
@@ -179,10 +231,7 @@
             let step = if self.can_retry_elsewhere() { left.min(CHECK_INTERVAL) } else { left };
             match tokio::time::timeout(step, sending.as_mut()).await {
                 Ok(sent) => return self.classify_send(endpoint, sent),
-                Err(_) if boot_time() >= self.deadline => {
-                    self.runs += 1;
-                    return Err(SendEnd::DeadlineExceeded);
-                }
+                Err(_) if boot_time() >= self.deadline => return Err(SendEnd::DeadlineExceeded),
                 Err(_) => {}
             }
             let reason = match self.leave_reason(endpoint, began) {
@@ -201,7 +250,6 @@
                     "the endpoint is silent"
                 }
             };
-            self.runs += 1;
             self.record_endpoint_failure(endpoint, reason);
             return Err(SendEnd::Unknown);
         }
@@ -209,7 +257,7 @@
 
     /// Records a send without an answer and classifies its end.
     fn classify_send(
-        &mut self,
+        &self,
         endpoint: &Endpoint,
         sent: Result<Exchange, Failure>,
     ) -> Result<Exchange, SendEnd> {
@@ -223,8 +271,13 @@
                     "cause" => cause, "pause_ms" => ejection.as_millis() as u64);
                 Err(SendEnd::NotRun)
             }
+            Err(Failure::Withdrawn) => {
+                info!(self.entry.log, "request is not sent any more";
+                    "endpoint" => &*endpoint.id(), "request" => &self.metadata.id,
+                    "left_ms" => self.left_ms(), "has_lease" => self.has_lease());
+                Err(SendEnd::NotRun)
+            }
             Err(Failure::Lost(cause)) => {
-                self.runs += 1;
                 self.record_endpoint_failure(endpoint, &cause);
                 Err(SendEnd::Unknown)
             }
@@ -259,14 +312,19 @@
     pub async fn read_whole(&mut self, sent: Sent) -> Result<Response<Body>, SendEnd> {
         let Sent { exchange: Exchange { mut connection, response }, reply, in_flight } = sent;
         let (head, body) = response.into_parts();
-        let left = self.deadline.saturating_sub(boot_time());
-        let read = match tokio::time::timeout(left, body.collect()).await {
-            Ok(Ok(read)) => read.to_bytes(),
-            Ok(Err(cause)) => {
-                self.record_endpoint_failure(&in_flight.endpoint, &cause.to_string());
+        let read = match self.read_body(body).await {
+            Ok(read) => read,
+            Err(BodyFailure::DeadlineExceeded) => return Err(SendEnd::DeadlineExceeded),
+            Err(BodyFailure::NoMemory) => {
+                info!(self.entry.log, "no memory for the answer"; "request" => &self.metadata.id,
+                    "endpoint" => &*in_flight.endpoint.id(),
+                    "used_bytes" => self.entry.answer_memory.used());
+                return Err(SendEnd::Unknown);
+            }
+            Err(BodyFailure::Broken(cause)) => {
+                self.record_endpoint_failure(&in_flight.endpoint, &cause);
                 return Err(SendEnd::Unknown);
             }
-            Err(_) => return Err(SendEnd::DeadlineExceeded),
         };
         if exchange::is_reusable(&mut connection).await {
             in_flight.return_connection(connection, reply.keep_alive);
@@ -283,4 +341,47 @@
         *response.headers_mut() = self.entry.dialect.response_headers(&head.headers);
         Ok(response)
     }
+
+    /// Reads the body of an answer until its end. The deadline always ends the wait; a stalled body
+    /// is given up sooner only if the request can be sent to another endpoint.
+    async fn read_body(&self, mut body: Incoming) -> Result<Bytes, BodyFailure> {
+        let max_bytes = self.entry.settings.max_answer_bytes;
+        let too_large = || BodyFailure::Broken(format!("the answer is over {max_bytes} bytes"));
+        if body.size_hint().lower() > max_bytes as u64 {
+            return Err(too_large());
+        }
+        let mut memory = self.entry.answer_memory.reserve(0).ok_or(BodyFailure::NoMemory)?;
+        let can_retry = self.route.is_repeatable() && self.runs < self.route.attempts.max(1);
+        let mut progress = Progress::new(boot_time());
+        let mut parts = Parts::default();
+        loop {
+            let (now, stalls_at) = (boot_time(), progress.stalls_at(MAX_BODY_PAUSE));
+            if now >= self.deadline {
+                return Err(BodyFailure::DeadlineExceeded);
+            }
+            if can_retry && now >= stalls_at {
+                return Err(BodyFailure::Broken("the answer stalls".to_owned()));
+            }
+            let until = if can_retry { stalls_at.min(self.deadline) } else { self.deadline };
+            let frame = match tokio::time::timeout(until - now, body.frame()).await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(cause))) => return Err(BodyFailure::Broken(cause.to_string())),
+                Ok(None) => break,
+                // The checks above decide what the end of the wait means.
+                Err(_) => continue,
+            };
+            let Ok(data) = frame.into_data() else { continue };
+            if !memory.grow(data.len()) {
+                return Err(BodyFailure::NoMemory);
+            }
+            if memory.bytes() > max_bytes {
+                return Err(too_large());
+            }
+            if progress.receive(data.len()) >= MIN_BODY_PROGRESS {
+                progress.advance(boot_time());
+            }
+            parts.push(data);
+        }
+        Ok(parts.whole())
+    }
 }
--- a/crates/fleet-entry/src/settings.rs
+++ b/crates/fleet-entry/src/settings.rs
@@ -29,6 +29,10 @@
     pub retry_slack: f64,
     /// Memory of the process, in bytes.
     pub memory: usize,
+    /// Maximum size of an answer without events, in bytes.
+    pub max_answer_bytes: usize,
+    /// Maximum size of a stream's data from one event to the next, in bytes.
+    pub max_event_bytes: usize,
 }
 
 impl Default for Settings {
@@ -45,6 +49,8 @@
             retry_window: Duration::from_secs(10),
             retry_slack: 8.0,
             memory: 88 << 20,
+            max_answer_bytes: 8 << 20,
+            max_event_bytes: 256 << 10,
         }
     }
 }
--- a/crates/fleet-entry/tests/common/harness.rs
+++ b/crates/fleet-entry/tests/common/harness.rs
@@ -1,5 +1,6 @@
 //! An entry on loopback, endpoints that answer with scripted bytes, and raw clients.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
@@ -79,6 +80,7 @@
 
 /// Action of an endpoint after it has read a request.
 #[derive(Clone)]
+#[allow(dead_code, reason = "each test crate uses some of the actions")]
 pub(crate) enum Action {
     /// Writes bytes. `{id}` is replaced by the id of the request.
     Write(&'static str),
@@ -88,6 +90,8 @@
     Hang,
     /// Waits before the next action.
     Pause(Duration),
+    /// Writes bytes again and again, with a pause in between, until the entry closes the connection.
+    Repeat(&'static str, Duration),
 }
 
 /// An endpoint that runs the next script for each request; the last script repeats.
@@ -97,6 +101,9 @@
     pub(crate) arrived: Rc<RefCell<Vec<String>>>,
     /// Number of connections that the entry closed.
     pub(crate) closed: Rc<RefCell<u32>>,
+    /// Bytes written by [`Action::Repeat`].
+    #[allow(dead_code, reason = "not every test crate repeats bytes")]
+    pub(crate) repeated: Rc<Cell<usize>>,
 }
 
 impl Endpoint {
@@ -107,11 +114,18 @@
         };
         let arrived = Rc::new(RefCell::new(Vec::new()));
         let closed = Rc::new(RefCell::new(0));
-        let endpoint = Self { address, arrived: arrived.clone(), closed: closed.clone() };
+        let repeated = Rc::new(Cell::new(0));
+        let endpoint = Self {
+            address,
+            arrived: arrived.clone(),
+            closed: closed.clone(),
+            repeated: repeated.clone(),
+        };
         tokio::task::spawn_local(async move {
             loop {
                 let (stream, _) = listener.accept().await.expect("loopback works");
-                let task = connection(stream, scripts.clone(), arrived.clone(), closed.clone());
+                let (scripts, repeated) = (scripts.clone(), repeated.clone());
+                let task = connection(stream, scripts, arrived.clone(), closed.clone(), repeated);
                 tokio::task::spawn_local(task);
             }
         });
@@ -128,6 +142,7 @@
     scripts: Vec<Vec<Action>>,
     arrived: Rc<RefCell<Vec<String>>>,
     closed: Rc<RefCell<u32>>,
+    repeated: Rc<Cell<usize>>,
 ) {
     while let Some(head) = read_message(&mut stream).await {
         let id = header(&head, "id").unwrap_or_default();
@@ -143,6 +158,16 @@
                 }
                 Action::Close => return,
                 Action::Pause(time) => tokio::time::sleep(*time).await,
+                Action::Repeat(bytes, pause) => {
+                    while stream.write_all(bytes.as_bytes()).await.is_ok() {
+                        repeated.set(repeated.get() + bytes.len());
+                        if !pause.is_zero() {
+                            tokio::time::sleep(*pause).await;
+                        }
+                    }
+                    *closed.borrow_mut() += 1;
+                    return;
+                }
                 Action::Hang => {
                     let mut byte = [0];
                     let _ = stream.read(&mut byte).await;
@@ -183,9 +208,14 @@
 
 /// Starts an entry that prefers the first endpoint because the others are in another region.
 pub(crate) async fn serve(endpoints: &[&Endpoint]) -> TestEntry {
+    serve_with_state(endpoints).await.0
+}
+
+/// Like [`serve`]; also returns the state of the entry.
+pub(crate) async fn serve_with_state(endpoints: &[&Endpoint]) -> (TestEntry, Rc<Entry>) {
     let (served, entry) = serve_without_configuration(endpoints).await;
     learn_configuration(&entry);
-    served
+    (served, entry)
 }
 
 /// Gives an entry its first configuration, as the answer to a poll does.
@@ -201,6 +231,7 @@
         regions: vec![("a".to_owned(), "near".to_owned()), ("b".to_owned(), "far".to_owned())],
         retry_ratio: 1.0,
         retry_slack: 100.0,
+        max_answer_bytes: 1 << 20,
         ..Settings::default()
     };
     let entry = Entry::new(settings, Box::new(TestDialect), logging::discard());
--- a/crates/fleet-entry/tests/events.rs
+++ b/crates/fleet-entry/tests/events.rs
@@ -13,7 +13,7 @@
         let mut events = Events::default();
         let mut passed = Vec::new();
         for bytes in [&STREAM[..split], &STREAM[split..]] {
-            passed.extend(events.push(bytes).into_iter().flatten());
+            passed.extend(events.push(bytes).into_iter().flat_map(|batch| batch.bytes));
         }
 
         assert!(STREAM.starts_with(&passed) && passed.ends_with(b"data: c\n\n"));
--- a/crates/fleet-entry/tests/sends.rs
+++ b/crates/fleet-entry/tests/sends.rs
@@ -4,8 +4,10 @@
 #[path = "common/harness.rs"]
 mod harness;
 
+use std::cell::Cell;
 use std::time::Duration;
 
+use bytes::Bytes;
 use common::ONCE;
 use common::SAFE;
 use common::STREAM;
@@ -20,6 +22,10 @@
 use harness::serve_without_configuration;
 use harness::status;
 use harness::wait_until;
+use hickoryreel_fleet_entry::exchange::Failure;
+use hickoryreel_fleet_entry::exchange::Pool;
+use http::Request;
+use http_body_util::Full;
 use tokio::task::LocalSet;
 
 const GOOD: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ncontent-length: 4\r\n\r\ngood";
@@ -157,6 +163,51 @@
         .await;
 }
 
+/// Guards against a second run because a late second answer to another request states that it did
+/// not run, and against a late answer that names no request.
+#[tokio::test]
+async fn late_refusal_of_another_request_is_no_refusal() {
+    let late = [
+        "HTTP/1.1 503 Full\r\nid: r1\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nbad",
+    ];
+    for late in late {
+        LocalSet::new()
+            .run_until(async {
+                let scripts =
+                    vec![vec![Action::Write(GOOD)], vec![Action::Write(late), Action::Write(GOOD)]];
+                let endpoint = Endpoint::start(scripts).await;
+                let other = good().await;
+                let served = serve(&[&endpoint, &other]).await;
+                assert_eq!(status(&call(&served, ONCE, "r1").await), 200);
+
+                let answer = call(&served, ONCE, "r2").await;
+
+                assert_eq!((status(&answer), other.count()), (502, 0), "{answer}");
+            })
+            .await;
+    }
+}
+
+/// Guards against a request that is written under a lease that ended while the connection was being
+/// opened.
+#[tokio::test]
+async fn request_is_not_written_after_its_permission_ended() {
+    LocalSet::new()
+        .run_until(async {
+            let endpoint = good().await;
+            let pool = Pool::new(endpoint.address);
+            let permitted = Cell::new(true);
+            let request = || permitted.get().then(|| Request::new(Full::new(Bytes::new())));
+
+            let sent = pool.send(request, false, || permitted.set(false)).await;
+
+            assert_eq!(sent.map(|_| ()), Err(Failure::Withdrawn));
+            assert_eq!(endpoint.count(), 0);
+        })
+        .await;
+}
+
 /// Guards against a resumed stream in which an event is missing, repeated or incomplete.
 #[tokio::test]
 async fn interrupted_stream_is_resumed_after_its_last_whole_event() {
--- a/crates/standin/src/stream.rs
+++ b/crates/standin/src/stream.rs
@@ -63,6 +63,9 @@
                 std::future::pending::<()>().await;
             }
             if faults.cut_after.is_some_and(|most| self.sent_events >= most) {
+                // The server drops what it has buffered when the body fails; it flushes its buffer
+                // when the body is not ready.
+                tokio::task::yield_now().await;
                 return Err(io::Error::other("connection broken by fault injection"));
             }
             if let Some(bytes) = self.pending.pop_front() {
