Send new configurations to an entry from one replica

Now one replica that answers, in the entry's region if there is one, sends the content; the others state the number, and an entry that stays behind for 150 ms asks all.

--- a/crates/fleet-control/src/long_poll.rs
+++ b/crates/fleet-control/src/long_poll.rs
@@ -57,6 +57,8 @@
         confirmed: state.map(|state| confirmed(&state, &poll)),
         cursor: directory.cursor(),
         endpoint_updates: directory.updates_since(poll.cursor),
+        zone: (directory.cursor().epoch != poll.cursor.epoch)
+            .then(|| control.settings.zone.as_str().into()),
         replicas: latest_state.members.iter().map(|member| member.address.clone()).collect(),
         entries,
     }))
@@ -69,7 +71,7 @@
         number,
         revision: machine.revision,
         roll_outs: (machine.revision != poll.revision).then(|| (*machine.roll_outs).clone()),
-        configuration: (number > poll.configuration)
+        configuration: (poll.wants_configuration && number > poll.configuration)
             .then(|| Box::new((*machine.configuration).clone())),
     }
 }
@@ -78,8 +80,8 @@
 async fn wait_for_change(control: &Control, poll: &Poll) {
     let mut state = control.log_handle.state.clone();
     let differs = |state: &Arc<ReplicaState>| {
-        state.machine.configuration.number > poll.configuration
-            || state.machine.revision != poll.revision
+        let newer = state.machine.configuration.number > poll.configuration;
+        (poll.wants_configuration && newer) || state.machine.revision != poll.revision
     };
     loop {
         let directory_changed = control.directory_changed.notified();
--- a/crates/fleet-control/src/settings.rs
+++ b/crates/fleet-control/src/settings.rs
@@ -12,6 +12,8 @@
 pub struct Settings {
     /// Name of the VM.
     pub name: String,
+    /// Availability zone of the VM.
+    pub zone: String,
     /// Address on which this replica accepts links.
     pub link_address: SocketAddrV4,
     /// Link addresses of the replicas that were known when the settings were written.
@@ -36,6 +38,7 @@
         let any_port = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
         Self {
             name: String::new(),
+            zone: String::new(),
             link_address: any_port,
             seeds: Vec::new(),
             bootstrap: false,
--- a/crates/fleet-control/tests/cluster.rs
+++ b/crates/fleet-control/tests/cluster.rs
@@ -8,7 +8,10 @@
 use bytes::Bytes;
 use hickoryreel_base::logging;
 use hickoryreel_fleet::configuration::Configuration;
+use hickoryreel_fleet::link::Answer;
+use hickoryreel_fleet::link::Poll;
 use hickoryreel_fleet_control::control::Control;
+use hickoryreel_fleet_control::long_poll;
 use hickoryreel_fleet_control::run;
 use hickoryreel_fleet_control::settings::Settings;
 use tempfile::TempDir;
@@ -119,3 +122,44 @@
         })
         .await;
 }
+
+/// Guards against a new configuration that every replica sends to every entry.
+#[tokio::test]
+async fn configuration_is_sent_to_polls_that_want_it() {
+    LocalSet::new()
+        .run_until(async {
+            let data_dir = TempDir::new().unwrap();
+            let seed = free_address().await;
+            let replica = start(seed, &[seed], data_dir.path(), true).await;
+            put_configuration(&replica, 1).await;
+            let poll = |wants_configuration, wait_ms| Poll {
+                entry: "entry".into(),
+                incarnation: 1,
+                configuration: 1,
+                wants_configuration,
+                revision: replica.consensus.state().machine.revision,
+                cursor: replica.directory.borrow().cursor(),
+                wait_ms,
+                tallies: Vec::new(),
+            };
+            let mut content = Vec::new();
+            let mut waits = [(true, 60_000), (false, 200)].map(|(wants, wait_ms)| {
+                tokio::task::spawn_local(long_poll::answer(
+                    Rc::clone(&replica),
+                    poll(wants, wait_ms),
+                ))
+            });
+
+            put_configuration(&replica, 2).await;
+            for wait in &mut waits {
+                let Ok(Answer::Poll(answer)) = wait.await else {
+                    panic!("not an answer to a poll")
+                };
+                let confirmed = answer.confirmed.expect("a single replica is a quorum");
+                content.push((confirmed.number, confirmed.configuration.is_some()));
+            }
+
+            assert_eq!(content, [(2, true), (2, false)]);
+        })
+        .await;
+}
--- a/crates/fleet-entry/src/control_poll.rs
+++ b/crates/fleet-entry/src/control_poll.rs
@@ -1,7 +1,8 @@
 //! Long polls to the control replicas, with one loop for each replica.
 //!
 //! The entry polls all replicas concurrently, so that an update of an endpoint arrives from the
-//! replica that acknowledged it even during a network partition between the replicas.
+//! replica that acknowledged it even during a network partition between the replicas. New
+//! configurations come from the one that [`crate::source`] chooses.
 
 use std::cell::RefCell;
 use std::collections::HashSet;
@@ -22,6 +23,7 @@
 
 use crate::directory::Change;
 use crate::entry::Entry;
+use crate::source::Sources;
 
 /// Time after which a replica answers a poll if nothing changes. It bounds the age of the lease
 /// while a quorum is reachable.
@@ -41,6 +43,7 @@
 pub struct PolledReplicas {
     addresses: RefCell<HashSet<SocketAddr>>,
     members: RefCell<HashSet<Name>>,
+    sources: RefCell<Sources>,
 }
 
 impl PolledReplicas {
@@ -77,14 +80,16 @@
     let mut failures = 0;
     loop {
         let asked_at = boot_time();
-        let request = Request::Poll(Box::new(poll_request(&entry, cursor)));
+        let request = Request::Poll(Box::new(poll_request(&entry, &polled, address, cursor)));
         let Some(Answer::Poll(answer)) = client.call(request, ANSWER_TIMEOUT).await else {
             failures += 1;
+            polled.sources.borrow_mut().record_failure(address);
             let member = polled.members.borrow().contains(address.to_string().as_str());
             let seed = entry.settings.seeds.iter().any(|seed| SocketAddr::V4(*seed) == address);
             if failures >= MAX_FAILURES && !member && !seed {
                 info!(entry.log, "replica is no longer polled"; "peer" => %address);
                 polled.addresses.borrow_mut().remove(&address);
+                polled.sources.borrow_mut().remove(address);
                 return;
             }
             tokio::time::sleep(RETRY_DELAY).await;
@@ -96,14 +101,27 @@
     }
 }
 
-fn poll_request(entry: &Entry, cursor: Cursor) -> Poll {
+fn poll_request(
+    entry: &Entry,
+    polled: &PolledReplicas,
+    address: SocketAddr,
+    cursor: Cursor,
+) -> Poll {
     let view = entry.view.borrow();
+    let sources = polled.sources.borrow();
+    let source = sources.source(&entry.settings.name, |zone| entry.is_in_region(zone));
     let running = view.roll_outs.newest.iter().filter(|roll_out| roll_out.phase.is_running());
     let services: Vec<Name> = running.map(|roll_out| roll_out.service.clone()).collect();
     Poll {
         entry: entry.settings.name.as_str().into(),
         incarnation: entry.incarnation,
         configuration: view.number(),
+        wants_configuration: sources.wants_configuration(
+            address,
+            source,
+            view.number(),
+            boot_time(),
+        ),
         revision: view.revision,
         cursor,
         wait_ms: u64::try_from(POLL_WAIT.as_millis()).unwrap_or(u64::MAX),
@@ -119,6 +137,7 @@
     from: SocketAddr,
 ) {
     entry.entries.set(answer.entries.max(1));
+    polled.sources.borrow_mut().record_answer(from, answer.zone);
     for update in answer.endpoint_updates {
         let (id, order) = (update.announcement.id.clone(), update.announcement.order());
         let address = update.announcement.address;
@@ -132,8 +151,10 @@
     }
     if let Some(confirmed) = answer.confirmed {
         let (ready, age) = (entry.is_ready(), entry.view.borrow().age());
+        let newest = confirmed.number;
         let changed = entry.view.borrow_mut().confirm(asked_at, confirmed);
         let view = entry.view.borrow();
+        polled.sources.borrow_mut().record_numbers(newest, view.number(), boot_time());
         if changed {
             entry.metrics.configuration.set(i64::try_from(view.number()).unwrap_or(i64::MAX));
             info!(entry.log, "agreed state changed"; "configuration" => view.number(),
--- a/crates/fleet-entry/src/lib.rs
+++ b/crates/fleet-entry/src/lib.rs
@@ -7,7 +7,7 @@
 //! the way in which a send ended, and [`relay`] forwards a stream event by event. What an endpoint may
 //! send is bounded by [`head_limit`], [`memory`] and [`progress`]. [`control_poll`]
 //! keeps the view and the [`directory`] of [`endpoint`]s current over links to the control replicas,
-//! and [`load_report`] exchanges the load of the endpoints with the other entries.
+//! of which [`source`] chooses one to send configurations, and [`load_report`] exchanges the load of the endpoints with the other entries.
 
 pub mod answer;
 pub mod body;
@@ -34,5 +34,6 @@
 pub mod send;
 pub mod server;
 pub mod settings;
+pub mod source;
 pub mod tally;
 pub mod view;
--- a/crates/fleet/src/link/message.rs
+++ b/crates/fleet/src/link/message.rs
@@ -60,6 +60,9 @@
     pub incarnation: u64,
     /// Number of the configuration that the entry has.
     pub configuration: u64,
+    /// Whether the answer shall contain a newer configuration, and be sent as soon as there is one.
+    /// Otherwise it only states the number.
+    pub wants_configuration: bool,
     /// Revision of the roll-outs that the entry has.
     pub revision: u64,
     /// Position in the replica's directory.
@@ -79,7 +82,7 @@
     pub revision: u64,
     /// Present if the entry has an older revision.
     pub roll_outs: Option<RollOuts>,
-    /// The newest configuration; present if the entry has an older one.
+    /// The newest configuration; present if the entry has an older one and wants it.
     pub configuration: Option<Box<Configuration>>,
 }
 
@@ -92,6 +95,8 @@
     pub cursor: Cursor,
     /// Updates of the directory since the position of the poll.
     pub endpoint_updates: Vec<EndpointUpdate>,
+    /// Availability zone of the replica, unless the entry's position belongs to its process.
+    pub zone: Option<Name>,
     /// Link addresses of all replicas.
     pub replicas: Vec<Name>,
     /// Number of entries that poll this replica.
