Share the retry budget of a service between all entries

Cause: with 295 entries an entry has about 30 requests in the 10 s window; the number of answers in doubt among them varies by chance, so that entries refuse second sends by their own share while the fleet uses 0.59 of 0.9. Now entries report first and second sends with their loads, the replica answers with the sums of the window, and an entry may exceed its share while the sums show room.

--- a/crates/fleet-control/src/control.rs
+++ b/crates/fleet-control/src/control.rs
@@ -15,6 +15,7 @@
 use hickoryreel_fleet::link::Answer;
 use hickoryreel_fleet::link::Handler;
 use hickoryreel_fleet::link::Request;
+use hickoryreel_fleet::load::Totals;
 use hickoryreel_fleet::roll_out::RollOut;
 use slog::Logger;
 use slog::info;
@@ -31,6 +32,7 @@
 use crate::peers::Peers;
 use crate::replicated_log::LogHandle;
 use crate::roll_out::Tallies;
+use crate::send_totals::SendTotals;
 use crate::settings::Settings;
 
 /// Time to wait for another replica to confirm that an endpoint drains or has deregistered. The
@@ -64,6 +66,8 @@
     pub polling_entries: RefCell<PollingEntries>,
     /// Load that all entries put on each endpoint.
     pub load_totals: RefCell<LoadTotals>,
+    /// Sends of all entries to each service.
+    pub send_totals: RefCell<SendTotals>,
     /// Request counts of services with a running roll-out.
     pub tallies: Rc<Tallies>,
     pub metrics: Metrics,
@@ -247,7 +251,11 @@
             Request::ReadIndex => self.consensus.read_index().await,
             Request::Poll(poll) => long_poll::answer(self, *poll).await,
             Request::ReportLoad(report) => {
-                Answer::TotalLoads(self.load_totals.borrow_mut().add_report(*report, boot_time()))
+                let now = boot_time();
+                let mut send_totals = self.send_totals.borrow_mut();
+                send_totals.add(&report.sends, now);
+                let loads = self.load_totals.borrow_mut().add_report(*report, now);
+                Answer::Totals(Totals { loads, sends: send_totals.totals(now) })
             }
         }
     }
--- a/crates/fleet-control/src/lib.rs
+++ b/crates/fleet-control/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod replicated_log;
 pub mod roll_out;
 pub mod run;
+pub mod send_totals;
 pub mod settings;
--- a/crates/fleet-control/src/run.rs
+++ b/crates/fleet-control/src/run.rs
@@ -32,6 +32,7 @@
 use crate::replicated_log;
 use crate::roll_out;
 use crate::roll_out::Tallies;
+use crate::send_totals::SendTotals;
 use crate::settings::Settings;
 
 /// Capacity of the outbox for consensus messages. The protocol resends messages that do not fit.
@@ -71,6 +72,7 @@
         directory_changed: Notify::new(),
         polling_entries: RefCell::new(PollingEntries::default()),
         load_totals: RefCell::default(),
+        send_totals: RefCell::new(SendTotals::new(settings.retry_window)),
         tallies: Rc::new(Tallies::default()),
         metrics: Metrics::default(),
         log: log.clone(),
--- a/crates/fleet-control/src/settings.rs
+++ b/crates/fleet-control/src/settings.rs
@@ -27,6 +27,8 @@
     /// Maximum share of a service's requests that may reach a version that has not passed its
     /// trial, from 0 to 1.
     pub exposure_limit: f64,
+    /// Window of the retry budget that the entries share.
+    pub retry_window: Duration,
     /// Time after which an operator command or read fails. Callers try another replica after 1 s.
     pub answer_timeout: Duration,
     /// Settings of the replicated log.
@@ -45,6 +47,7 @@
             data_dir: PathBuf::new(),
             announce_interval: Duration::from_millis(1_200),
             exposure_limit: 0.15,
+            retry_window: Duration::from_secs(10),
             answer_timeout: Duration::from_millis(900),
             log: log_settings(),
         }
--- a/crates/fleet-control/tests/load_totals.rs
+++ b/crates/fleet-control/tests/load_totals.rs
@@ -18,7 +18,7 @@
 }
 
 fn report(entry: &str, loads: &[EndpointLoad]) -> Report {
-    Report { entry: entry.into(), loads: loads.to_vec() }
+    Report { entry: entry.into(), loads: loads.to_vec(), sends: Vec::new() }
 }
 
 const START: Duration = Duration::from_secs(100);
--- a/crates/fleet-entry/src/entry.rs
+++ b/crates/fleet-entry/src/entry.rs
@@ -8,9 +8,11 @@
 
 use hickoryreel_base::time::boot_time;
 use hickoryreel_fleet::Name;
+use hickoryreel_fleet::load::ServiceSends;
 use slog::Logger;
 use tokio::sync::Notify;
 
+use crate::budget::Counts;
 use crate::budget::Limits;
 use crate::budget::RetryBudget;
 use crate::cascade::Cascade;
@@ -127,6 +129,28 @@
         taken
     }
 
+    /// Returns the sends by service since the previous call, for a report to the other entries.
+    pub fn take_sends(&self) -> Vec<ServiceSends> {
+        let mut budgets = self.budgets.borrow_mut();
+        let counts = budgets.iter_mut().map(|(service, budget)| (service, budget.take_report()));
+        let sent = counts.filter(|(_, counts)| *counts != Counts::default());
+        sent.map(|(service, Counts { first, retries })| ServiceSends {
+            service: service.clone(),
+            first,
+            retries,
+        })
+        .collect()
+    }
+
+    /// Applies the sends of all entries within the window of the retry budgets.
+    pub fn apply_send_totals(&self, totals: &[ServiceSends]) {
+        let (mut budgets, now) = (self.budgets.borrow_mut(), boot_time());
+        for sent in totals {
+            let counts = Counts { first: sent.first, retries: sent.retries };
+            budgets.entry(sent.service.clone()).or_default().apply_totals(counts, now);
+        }
+    }
+
     /// Whether the retry budget of a service allows a second send that no failure demands.
     pub fn has_spare_budget(&self, service: &Name) -> bool {
         let mut budgets = self.budgets.borrow_mut();
--- a/crates/fleet-entry/src/load_report.rs
+++ b/crates/fleet-entry/src/load_report.rs
@@ -1,4 +1,4 @@
-//! Exchange of endpoint load with the other entries.
+//! Exchange of endpoint load and of the use of retry budgets with the other entries.
 //!
 //! All entries report to the same replica, the one with the lowest address, so that its totals are
 //! complete. While it does not answer, they report to the next one.
@@ -47,9 +47,13 @@
         };
         let start = || Client::start(replica, entry.log.clone());
         let client = clients.entry(replica).or_insert_with(start).clone();
-        let report = Report { entry: entry.settings.name.as_str().into(), loads: loads(&entry) };
+        let name = entry.settings.name.as_str().into();
+        let report = Report { entry: name, loads: loads(&entry), sends: entry.take_sends() };
         match client.call(Request::ReportLoad(Box::new(report)), ANSWER_TIMEOUT).await {
-            Some(Answer::TotalLoads(totals)) => apply_totals(&entry, &totals),
+            Some(Answer::Totals(totals)) => {
+                apply_totals(&entry, &totals.loads);
+                entry.apply_send_totals(&totals.sends);
+            }
             _ => {
                 info!(entry.log, "replica did not answer the load report"; "peer" => %replica);
                 avoided.insert(replica, now + AVOID_DURATION);
--- a/crates/fleet/src/link/message.rs
+++ b/crates/fleet/src/link/message.rs
@@ -9,8 +9,8 @@
 use crate::configuration::Configuration;
 use crate::endpoint::Announcement;
 use crate::endpoint::EndpointUpdate;
-use crate::load::EndpointLoad;
 use crate::load::Report;
+use crate::load::Totals;
 use crate::roll_out::RollOuts;
 use crate::roll_out::Tally;
 
@@ -114,6 +114,6 @@
     /// The log index that a linearizable read must wait for.
     Index(u64),
     Poll(Box<PollAnswer>),
-    /// Load of the endpoints, summed over all entries.
-    TotalLoads(Vec<EndpointLoad>),
+    /// Sums of the load reports of all entries.
+    Totals(Totals),
 }
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -39,6 +39,17 @@
     pub failed: u32,
 }
 
+/// Sends to the endpoints of a service: by one entry since its previous report, or by all entries
+/// within the window of the retry budget.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceSends {
+    pub service: Name,
+    /// First sends of requests.
+    pub first: u32,
+    /// Sends after the first one.
+    pub retries: u32,
+}
+
 /// Load report of one entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
@@ -46,4 +57,13 @@
     pub entry: Name,
     /// Endpoints with outstanding requests, or with sends that ended since the previous report.
     pub loads: Vec<EndpointLoad>,
+    /// Services with sends since the previous report.
+    pub sends: Vec<ServiceSends>,
+}
+
+/// Answer to a report: sums over all entries.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Totals {
+    pub loads: Vec<EndpointLoad>,
+    pub sends: Vec<ServiceSends>,
 }
