Choose endpoints by the level that unseen load fills

Cause: all entries know the same loads, up to 300 ms late, and an endpoint gets two or three requests in that time. Now the expected unseen load fills the endpoints of the region up to a level, and a request goes to one in proportion to the room below it (spread.rs). The preferred endpoints of a prefix are compared at that level.

--- a/crates/fleet-entry/src/lib.rs
+++ b/crates/fleet-entry/src/lib.rs
@@ -35,5 +35,6 @@
 pub mod server;
 pub mod settings;
 pub mod source;
+pub mod spread;
 pub mod tally;
 pub mod view;
--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -1,9 +1,12 @@
 //! Choice of the service, the version and the endpoint of a request.
 //!
-//! The service follows from the weights of the route, the version from the roll-outs. Among the
-//! endpoints of these a random sample is compared by estimated cost in milliseconds: the expected
-//! delay, with penalties for failures, other regions and warm-up, less the prefill that cached
-//! parts of the prompt save.
+//! The service follows from the weights of the route, the version from the roll-outs. The endpoints
+//! of these have estimated costs in milliseconds: the expected delay, with penalties for failures,
+//! other regions and warm-up. All entries know the same loads, up to 300 ms late, so [`spread`]
+//! chooses by the level to which the unseen load fills the endpoints. The preferred endpoints of the
+//! prompt are taken instead if the prefill that their cached parts save is worth the difference.
+//!
+//! This answers a burst of long prompts at hundreds of entries, each with a few requests a second.
 
 use std::rc::Rc;
 
@@ -12,12 +15,12 @@
 use hickoryreel_fleet::roll_out::Phase;
 use hickoryreel_fleet::roll_out::RollOuts;
 use rand::RngExt;
-use rand::rngs::ThreadRng;
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::dialect::RequestMetadata;
 use crate::endpoint::Endpoint;
+use crate::spread;
 
 /// Denominator of the share of requests that go to a new version.
 const SHARE_SCALE: u64 = 1_000;
@@ -47,15 +50,12 @@
 /// Delay at a plain endpoint with all slots in use: about the service time of one request.
 const PLAIN_DELAY_MS: f64 = 120.0;
 
-/// Upper bound of the random part of a cost. It spreads entries that see the same load.
-const JITTER_MS: f64 = 4.0;
-
-/// Fraction of the endpoints that a choice compares. All entries know the same loads, which are up
-/// to 250 ms old; without sampling they would all send to the same idle endpoint.
-const SAMPLED_FRACTION: f64 = 0.25;
+/// Prefill time that arrives at a model endpoint before the totals over all entries show it: most of
+/// the 300 ms until an entry has them, at a busy endpoint.
+const UNSEEN_MS: f64 = 200.0;
 
-/// Minimum of the expected number of endpoints in a sample.
-const MIN_SAMPLED: f64 = 8.0;
+/// The same for a plain endpoint, of whose slots several work at once.
+const PLAIN_UNSEEN_MS: f64 = 80.0;
 
 /// Input of a choice besides the endpoints.
 pub struct PickContext<'a> {
@@ -163,46 +163,64 @@
         candidates.retain(|endpoint| endpoint.is_last_resort());
     }
     let shared = preferred(context.metadata, &candidates);
-    let mut random = rand::rng();
-    let fraction = (MIN_SAMPLED / candidates.len() as f64).max(SAMPLED_FRACTION);
-    let is_sampled = |endpoint: &&Rc<Endpoint>, random: &mut ThreadRng| {
-        shared.as_ref().is_some_and(|shared| shared.cached_tokens(&endpoint.id()) > 0.0)
-            || random.random::<f64>() < fraction
+    let cached_tokens = |endpoint: &Endpoint| {
+        shared.as_ref().map_or(0.0, |shared| shared.cached_tokens(&endpoint.id()))
     };
-    let sampled: SmallVec<[Rc<Endpoint>; 16]> =
-        candidates.iter().filter(|endpoint| is_sampled(endpoint, &mut random)).cloned().collect();
-    if !sampled.is_empty() {
-        candidates = sampled;
-    }
-    let best = candidates.into_iter().map(|endpoint| {
-        let cost = cost(context, &endpoint, shared.as_ref()) + random.random_range(0.0..JITTER_MS);
-        (endpoint, cost)
-    });
-    let (endpoint, _) = best.min_by(|left, right| left.1.total_cmp(&right.1))?;
     let token_ms = context.token_ms.unwrap_or(0.0);
-    let cached_tokens = shared.map_or(0.0, |prefix| prefix.cached_tokens(&endpoint.id()));
-    let prefill_ms = (context.metadata.prompt_tokens as f64 - cached_tokens).max(0.0) * token_ms;
+    let costs = costs(context, &candidates);
+    let unseen_ms = unseen_ms(context) * near_count(context, &candidates) as f64;
+    let spread = spread::choose(&costs, unseen_ms, rand::rng().random())?;
+    // An endpoint below the level is expected to be filled up to it before this request arrives.
+    let saved = |index: usize| RECOMPUTE_WEIGHT * token_ms * cached_tokens(&candidates[index]);
+    let expected = |index: usize| costs[index].max(spread.level) - saved(index);
+    let preferred = (0..candidates.len()).filter(|index| saved(*index) > 0.0);
+    let index = preferred
+        .chain([spread.index])
+        .min_by(|left, right| expected(*left).total_cmp(&expected(*right)))?;
+    let endpoint = Rc::clone(&candidates[index]);
+    let uncached = context.metadata.prompt_tokens as f64 - cached_tokens(&endpoint);
+    let prefill_ms = uncached.max(0.0) * token_ms;
     let wait_ms = endpoint.prefill_wait_ms(context.route.rank, WAITING_PROMPT_TOKENS * token_ms);
     Some(Choice { endpoint, wait_ms, prefill_ms })
 }
 
-/// Estimated cost of sending the request to an endpoint, in milliseconds: its expected delay, and
-/// equivalents for failures and money.
-fn cost(context: &PickContext<'_>, endpoint: &Endpoint, shared: Option<&SharedPrefix>) -> f64 {
+/// Load that is expected to arrive at an endpoint of the region before the totals show it.
+fn unseen_ms(context: &PickContext<'_>) -> f64 {
+    if context.token_ms.is_some() { UNSEEN_MS } else { PLAIN_UNSEEN_MS }
+}
+
+fn is_near(context: &PickContext<'_>, endpoint: &Endpoint) -> bool {
+    (context.is_in_region)(&endpoint.announcement.borrow().zone)
+}
+
+/// Number of endpoints that this entry fills together with the other entries of its region.
+fn near_count(context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]) -> usize {
+    match endpoints.iter().filter(|endpoint| is_near(context, endpoint)).count() {
+        0 => endpoints.len(),
+        near => near,
+    }
+}
+
+/// Estimated costs of sending the request to each endpoint, without the prefill that cached parts
+/// of the prompt save.
+fn costs(context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]) -> SmallVec<[f64; 64]> {
+    // The entries of other regions fill their endpoints meanwhile.
+    let far_ms = CROSS_REGION_COST_MS + unseen_ms(context);
+    let far_cost = |endpoint: &Endpoint| if is_near(context, endpoint) { 0.0 } else { far_ms };
+    endpoints.iter().map(|endpoint| cost(context, endpoint) + far_cost(endpoint)).collect()
+}
+
+/// Estimated cost of sending the request to an endpoint of the region, in milliseconds: its expected
+/// delay, and equivalents for failures.
+fn cost(context: &PickContext<'_>, endpoint: &Endpoint) -> f64 {
     let used = endpoint.estimated_load(context.entries) / f64::from(endpoint.slots());
-    let announcement = endpoint.announcement.borrow();
     let mut cost = FAILURE_COST_MS * endpoint.failure_share();
-    if !(context.is_in_region)(&announcement.zone) {
-        cost += CROSS_REGION_COST_MS;
-    }
-    if announcement.warm_up_left_ms > 0 {
+    if endpoint.announcement.borrow().warm_up_left_ms > 0 {
         cost += WARM_UP_COST_MS;
     }
     let Some(token_ms) = context.token_ms else { return cost + PLAIN_DELAY_MS * used };
     let ahead = endpoint.prefill_wait_ms(context.route.rank, WAITING_PROMPT_TOKENS * token_ms);
-    let own = context.metadata.prompt_tokens as f64 * token_ms;
-    let saved = shared.map_or(0.0, |prefix| prefix.cached_tokens(&announcement.id)) * token_ms;
-    cost + BATCH_DELAY_MS * used + ahead + own - RECOMPUTE_WEIGHT * saved
+    cost + BATCH_DELAY_MS * used + ahead
 }
 
 /// Part of a prompt that other requests share, and the endpoints that should have it cached.
