Answer requests that were accepted just before the end of a planned stop

Cause: when the time for new connections ends, select! could take the timer while connections waited in the accept queue, and closing the listener reset them; the graceful shutdown then closes connections of which nothing has been read, also those whose request is in the socket. Now waiting connections are accepted first, and the shutdown follows 300 ms after the listener is closed.

--- a/crates/fleet-entry/src/server.rs
+++ b/crates/fleet-entry/src/server.rs
@@ -33,6 +33,10 @@
 /// them after two failed health checks, one second apart.
 const ACCEPT_LINGER: Duration = Duration::from_millis(2_600);
 
+/// Time in which the first request on a connection that was just accepted, or a request that is under
+/// way on a kept one, is read before idle connections are closed. Several round trips to a client.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
+
 /// Time before SIGKILL at which the process exits.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
@@ -65,11 +69,16 @@
     let mut linger = std::pin::pin!(linger);
     loop {
         tokio::select! {
+            // Connections that the kernel has accepted get an answer; closing the listener would
+            // reset them.
+            biased;
             () = accept(&entry, &listener, &graceful) => {}
             () = &mut linger => break,
         }
     }
     drop(listener);
+    // The shutdown closes connections on which no request has been read yet.
+    tokio::time::sleep(FIRST_REQUEST_TIME).await;
     let left = (began + entry.settings.grace).saturating_sub(boot_time() + EXIT_MARGIN);
     if tokio::time::timeout(left, graceful.shutdown()).await.is_err() {
         info!(entry.log, "requests are cut off by the end of the grace time";
