--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -26,7 +26,7 @@
 const SHARE_SCALE: u64 = 1_000;
 
 /// A hop between regions takes 24 ms, and the traffic of a long prompt and its stream is billed.
-const CROSS_REGION_COST_MS: f64 = 100.0;
+const CROSS_REGION_COST_MS: f64 = 200.0;
 
 /// Cost of an endpoint whose requests all fail: more than a retry.
 const FAILURE_COST_MS: f64 = 2_000.0;
--- a/crates/fleet-entry/tests/common/harness.rs
+++ b/crates/fleet-entry/tests/common/harness.rs
@@ -1,4 +1,5 @@
 //! An entry on loopback, endpoints that answer with scripted bytes, and raw clients.
+#![allow(dead_code, reason = "each test file uses some of the fixtures")]
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -80,7 +81,6 @@
 
 /// Action of an endpoint after it has read a request.
 #[derive(Clone)]
-#[allow(dead_code, reason = "each test crate uses some of the actions")]
 pub(crate) enum Action {
     /// Writes bytes. `{id}` is replaced by the id of the request.
     Write(&'static str),
@@ -102,7 +102,6 @@
     /// Number of connections that the entry closed.
     pub(crate) closed: Rc<RefCell<u32>>,
     /// Bytes written by [`Action::Repeat`].
-    #[allow(dead_code, reason = "not every test crate repeats bytes")]
     pub(crate) repeated: Rc<Cell<usize>>,
 }
 
