No limit on long prompts where entries outnumber endpoints

Cause: an entry's share of one permit per endpoint was rounded up to 1, so that 295 entries had 295 permits for 160 endpoints, which limits nothing there, while long prompts waited up to 1.3 s at an entry whose permit was taken (label checks up to 0.75 s) with idle endpoints elsewhere.

No bound has changed.

--- a/crates/fleet-entry/src/entry.rs
+++ b/crates/fleet-entry/src/entry.rs
@@ -20,6 +20,7 @@
 use crate::directory::Directory;
 use crate::memory;
 use crate::metrics::Metrics;
+use crate::prefill;
 use crate::prefill::PrefillLimiter;
 use crate::settings::Settings;
 use crate::tally::Tallies;
@@ -158,15 +159,15 @@
     }
 
     /// Returns the limiter of long prompts of a service and its number of permits: this entry's
-    /// share of one permit for each usable endpoint.
-    pub fn prefill_limiter(&self, service: &Name) -> (Rc<PrefillLimiter>, u32) {
+    /// share of one permit for each usable endpoint. `None` if the share is less than one permit;
+    /// the entries could only round it up, to more permits than endpoints.
+    pub fn prefill_limiter(&self, service: &Name) -> Option<(Rc<PrefillLimiter>, u32)> {
         let directory = self.directory.borrow();
         let usable =
             directory.for_service(service).iter().filter(|endpoint| endpoint.is_usable()).count();
-        let permits = usable.div_ceil(self.entries.get().max(1) as usize).max(1);
+        let permits = prefill::permits(usable, self.entries.get())?;
         let mut limiters = self.prefill_limiters.borrow_mut();
-        let shared = Rc::clone(limiters.entry(service.clone()).or_default());
-        (shared, u32::try_from(permits).unwrap_or(u32::MAX))
+        Some((Rc::clone(limiters.entry(service.clone()).or_default()), permits))
     }
 
     /// Maximum number of idle connections to one endpoint of a service: this entry's share of half
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -292,14 +292,14 @@
         self.metadata.prompt_tokens as f64 * self.token_ms().unwrap_or(0.0)
     }
 
-    /// Acquires a permit if the prompt is long and the route is not of the most urgent rank. Waits
-    /// until half of the target latency at most.
+    /// Acquires a permit if the prompt is long, the route is not of the most urgent rank and there is a
+    /// limit. Waits until half of the target latency at most.
     pub async fn acquire_prefill_permit(&self) -> Option<PrefillPermit> {
         if self.route.rank == 0 || self.prefill_ms() < prefill::LONG_PREFILL_MS {
             return None;
         }
         let target = self.arrived + Duration::from_millis(self.route.target_ms) / 2;
-        let (limiter, permits) = self.entry.prefill_limiter(&self.service);
+        let (limiter, permits) = self.entry.prefill_limiter(&self.service)?;
         Some(limiter.acquire(permits, target.saturating_sub(boot_time())).await)
     }
 
--- a/crates/fleet-entry/src/prefill.rs
+++ b/crates/fleet-entry/src/prefill.rs
@@ -2,7 +2,9 @@
 //!
 //! The prefill of a long prompt delays the tokens of all requests at its endpoint. Requests with
 //! long prompts that are not urgent therefore wait in the entry for one of a few permits, in order
-//! of arrival. All entries together allow about one long prompt per endpoint.
+//! of arrival. All entries together allow about one long prompt per endpoint. Where there are more
+//! entries than endpoints there is no limit: prompts would wait at one entry while others have
+//! permits to spare, and the choice of endpoints by the shared loads spreads them.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -15,6 +17,13 @@
 /// Prefill time from which a prompt counts as long: that of several events of a stream.
 pub const LONG_PREFILL_MS: f64 = 150.0;
 
+/// Number of permits of each entry, or `None` if there are fewer endpoints than entries.
+pub fn permits(endpoints: usize, entries: u32) -> Option<u32> {
+    let endpoints = u32::try_from(endpoints).unwrap_or(u32::MAX);
+    let entries = entries.max(1);
+    (endpoints >= entries).then(|| endpoints.div_ceil(entries))
+}
+
 /// Limiter of one service at one entry.
 #[derive(Debug, Default)]
 pub struct PrefillLimiter {
--- a/crates/fleet-entry/tests/endless.rs
+++ b/crates/fleet-entry/tests/endless.rs
@@ -65,9 +65,9 @@
             let second = Endpoint::start(vec![vec![Action::Write(GOOD)]]).await;
             let (served, entry) = serve_with_state(&[&first, &second]).await;
 
-            let alone = serve(&[&first]).await;
-
             let safe = call(&served, SAFE, "r1").await;
+            // Its lease begins here.
+            let alone = serve(&[&first]).await;
             let once = call(&alone, ONCE, "r2").await;
 
             assert_eq!((status(&safe), second.count()), (200, 1), "{safe}");
--- a/crates/fleet-entry/tests/prefill.rs
+++ b/crates/fleet-entry/tests/prefill.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hickoryreel_fleet_entry::prefill::PrefillLimiter;
+use hickoryreel_fleet_entry::prefill::permits;
 use tokio::time::Instant;
 
 const TIMEOUT: Duration = Duration::from_secs(4);
@@ -41,3 +42,20 @@
     let _third = limiter.acquire(1, TIMEOUT).await;
     assert_eq!(began.elapsed(), TIMEOUT);
 }
+
+/// Guards against prompts that wait for a permit at one entry while hundreds of others, and endpoints,
+/// are idle, and against entries that together permit far more long prompts than there are endpoints.
+#[test]
+fn entries_limit_long_prompts_to_about_one_per_endpoint() {
+    for entries in 1..=400_u32 {
+        for endpoints in (0..=800).step_by(7) {
+            match permits(endpoints, entries) {
+                None => assert!(endpoints < entries as usize),
+                Some(permits) => {
+                    let total = (permits * entries) as usize;
+                    assert!((endpoints..endpoints + entries as usize).contains(&total));
+                }
+            }
+        }
+    }
+}
