--- a/crates/fleet-entry/tests/pick.rs
+++ b/crates/fleet-entry/tests/pick.rs
@@ -1,5 +1,6 @@
 //! Choice of an endpoint by entries that know the same loads.
 
+#[allow(dead_code, reason = "some fixtures are for other tests")]
 mod common;
 
 use std::collections::HashMap;
