Bound bodies that control reads; measure the time for an order on the boot clock

Cause: Call::send collected a response of any size until its timeout, so that one endpoint without end could fill a control replica (settling and orders call endpoints). The controller of orders measured the time in which it may send with std::time::Instant, which stands still while a VM is suspended, so that a suspended leader could send beside the next holder of the order lease. Ruled out: settle.rs:111 collects a stream of at most MAX_CONCURRENT_CALLS results, not a body. Dispatch deadlines of the product's entry are on the steady clock too, but their check also reads the lease, which is on the boot clock. Bounds of existing tests are unchanged.

--- a/crates/base/src/client.rs
+++ b/crates/base/src/client.rs
@@ -10,6 +10,7 @@
 use eyre::WrapErr;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
@@ -19,6 +20,9 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Maximum size of a response body, in bytes. A faulty peer may send one without end.
+pub const MAX_BODY_BYTES: usize = 8 << 20;
+
 /// HTTP client for calls to other processes and to endpoints.
 pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
@@ -74,7 +78,8 @@
 }
 
 impl Call {
-    /// Sends the request and reads the response.
+    /// Sends the request and reads the response. Fails if the body is larger than
+    /// [`MAX_BODY_BYTES`].
     pub async fn send(self, client: &HttpClient) -> eyre::Result<Answer> {
         let mut request = Request::builder()
             .method(self.method)
@@ -91,7 +96,8 @@
             let response = client.request(request).await?;
             let status = response.status().as_u16();
             let headers = response.headers().clone();
-            let body = response.into_body().collect().await?.to_bytes();
+            let body = Limited::new(response.into_body(), MAX_BODY_BYTES).collect().await;
+            let body = body.map_err(|cause| eyre::eyre!(cause))?.to_bytes();
             eyre::Ok(Answer { status, headers, body })
         };
         tokio::time::timeout(self.timeout, exchange)
--- a/crates/base/src/time.rs
+++ b/crates/base/src/time.rs
@@ -1,6 +1,7 @@
 //! Clocks: wall-clock time for records and logs, and time since boot for leases and timeouts.
 
 use std::fmt;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -38,3 +39,23 @@
         boot_time()
     }
 }
+
+/// A permission that ends after a time, also while the VM is suspended.
+#[derive(Clone, Debug)]
+pub struct Permission {
+    clock: Arc<dyn Clock>,
+    ends_at: Duration,
+}
+
+impl Permission {
+    /// Creates a permission that ends after `length`.
+    pub fn new(clock: Arc<dyn Clock>, length: Duration) -> Self {
+        let ends_at = clock.now() + length;
+        Self { clock, ends_at }
+    }
+
+    /// Whether it has not ended yet.
+    pub fn holds(&self) -> bool {
+        self.clock.now() < self.ends_at
+    }
+}
--- a/crates/control/src/controllers/orders.rs
+++ b/crates/control/src/controllers/orders.rs
@@ -6,6 +6,7 @@
 //! do not exceed the rate limit of the weight store.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -19,6 +20,8 @@
 use hickoryreel_base::error::Kind;
 use hickoryreel_base::name::Endpoint;
 use hickoryreel_base::name::Version;
+use hickoryreel_base::time::BootClock;
+use hickoryreel_base::time::Permission;
 use hickoryreel_base::time::unix_millis;
 use hickoryreel_state::command::Action;
 use hickoryreel_state::machine::Outcome;
@@ -162,12 +165,13 @@
         let body = serde_json::to_string(&action)
             .map_err(|cause| Error::new(Kind::Internal, cause.to_string()))?;
         let expires_ms = unix_millis() + millis(ORDER_LIFETIME);
-        let proposed_at = Instant::now();
+        // A later send could overlap with one of the next holder of the order lease.
+        let send_time = Duration::from_millis(board.limits.order_send_ms) / 2;
+        let permission = Permission::new(Arc::new(BootClock), send_time);
         let endpoint = engine.endpoint.clone();
         let change = Change::Send { holder, endpoint, body: body.into(), expires_ms };
         let Accepted::Order(fence) = propose(control, change).await? else { return Ok(()) };
-        // A send after a longer delay could overlap with one of the next holder of the order lease.
-        if proposed_at.elapsed() >= Duration::from_millis(board.limits.order_send_ms) / 2 {
+        if !permission.holds() {
             return Ok(());
         }
         let order = engine::Order { fence, expires_ms, action };
--- a/crates/load/src/call.rs
+++ b/crates/load/src/call.rs
@@ -4,10 +4,12 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use hickoryreel_base::client;
 use hickoryreel_base::client::HttpClient;
 use hickoryreel_base::error::Body;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -116,7 +118,8 @@
 
 async fn error_code(response: Response<Incoming>) -> eyre::Result<String> {
     let status = response.status();
-    let body = response.into_body().collect().await?.to_bytes();
+    let body = Limited::new(response.into_body(), client::MAX_BODY_BYTES).collect().await;
+    let body = body.map_err(|cause| eyre::eyre!(cause))?.to_bytes();
     let code = serde_json::from_slice::<Body>(&body).map(|body| body.error.code);
     Ok(code.unwrap_or_else(|_| format!("status {status}")))
 }
