Give up a paused answer only if the request can be sent again at once

Callers saw: streams broken off in the middle, and 502s for requests that may be repeated, although the endpoint was sound and only paused. Cause: three places decide that an endpoint pauses too long (relay: two target gaps or 1.3 s; send: 1.1 s, 0.7 s or 2.5 s without a head; read_body: 2.5 s). They closed its connection first and asked afterwards whether attempts, time, another endpoint and the retry budget allow another send. The relay did not even look at the attempts. Without one of them the request ended, and the answer was lost. Class: an irreversible step on the assumption that the next one is allowed. Now `obstacle_to_leave` answers all of this before the connection is closed; otherwise the entry waits until the deadline and checks again every 250 ms. Evidence: tests/pauses.rs, ten cases; on the code before eight fail (the two plain cases at the last attempt passed). Added: the line `request is not sent again` with the obstacle, `stream pauses and is not resumed`, `stopping` in `request ended`, and counters of both. The entry may wait until the deadline for a dead endpoint that closed no connection, where nothing else can take the request.

--- a/crates/fleet-entry/src/budget.rs
+++ b/crates/fleet-entry/src/budget.rs
@@ -124,9 +124,14 @@
         self.used(now, limits) <= SPARE_FRACTION
     }
 
+    /// Whether the budget has a retry left.
+    pub fn has_left(&mut self, now: Duration, limits: &Limits) -> bool {
+        self.used(now, limits) <= 1.0
+    }
+
     /// Takes one retry from the budget. Returns whether there was one left.
     pub fn take(&mut self, now: Duration, limits: &Limits) -> bool {
-        if self.used(now, limits) > 1.0 {
+        if !self.has_left(now, limits) {
             return false;
         }
         self.slice(now, limits.window).retries += 1;
--- a/crates/fleet-entry/src/entry.rs
+++ b/crates/fleet-entry/src/entry.rs
@@ -152,6 +152,12 @@
         }
     }
 
+    /// Whether [`Self::take_second_send`] would allow a second send now.
+    pub fn has_second_send(&self, service: &Name) -> bool {
+        let mut budgets = self.budgets.borrow_mut();
+        budgets.entry(service.clone()).or_default().has_left(boot_time(), &self.limits())
+    }
+
     /// Whether the retry budget of a service allows a second send that no failure demands.
     pub fn has_spare_budget(&self, service: &Name) -> bool {
         let mut budgets = self.budgets.borrow_mut();
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -46,6 +46,19 @@
 /// Additional sends of a request that endpoints refuse without running it.
 const MAX_REFUSED_SENDS: u32 = 2;
 
+/// What prevents another send of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Obstacle {
+    /// The request may not run again, or the attempts of its route are used up.
+    Attempts,
+    /// The deadline is too close.
+    Time,
+    /// No other endpoint can take the request.
+    Endpoint,
+    /// The retry budget of the service is used up.
+    Budget,
+}
+
 /// State of a request that is being handled.
 pub struct ActiveRequest {
     pub entry: Rc<Entry>,
@@ -203,17 +216,45 @@
         match outcome::decide(ended, runs, delivered, self.may_have_run) {
             Next::End(fallback) => Some(fallback),
             Next::Retry(fallback) => {
-                let attempts = self.route.attempts.max(1);
-                let allowed = self.runs < attempts
-                    && self.sends < attempts + MAX_REFUSED_SENDS
-                    && self.left_ms() > MIN_SEND_TIME_MS
-                    && self.has_endpoint()
-                    && self.entry.take_second_send(&self.service);
-                (!allowed).then_some(fallback)
+                let obstacle = self.obstacle(self.runs, |_| true).or_else(|| {
+                    let taken = self.entry.take_second_send(&self.service);
+                    (!taken).then_some(Obstacle::Budget)
+                })?;
+                info!(self.entry.log, "request is not sent again"; "request" => &self.metadata.id,
+                    "obstacle" => ?obstacle, "sends" => self.sends, "runs" => self.runs,
+                    "delivered" => ?delivered);
+                Some(fallback)
             }
         }
     }
 
+    /// Returns what prevents another send after `runs` runs to an endpoint that `accepts` holds for,
+    /// apart from the retry budget.
+    fn obstacle(&self, runs: u32, accepts: impl Fn(&Endpoint) -> bool) -> Option<Obstacle> {
+        let attempts = self.route.attempts.max(1);
+        if runs >= attempts || self.sends >= attempts + MAX_REFUSED_SENDS {
+            Some(Obstacle::Attempts)
+        } else if self.left_ms() <= MIN_SEND_TIME_MS {
+            Some(Obstacle::Time)
+        } else if !self.pick().is_some_and(|endpoint| accepts(&endpoint)) {
+            Some(Obstacle::Endpoint)
+        } else {
+            None
+        }
+    }
+
+    /// Returns what prevents leaving an endpoint that pauses, where leaving makes it `runs` runs. The
+    /// endpoint may still continue, so it is left only if the next send is allowed at once.
+    pub fn obstacle_to_leave(&self, runs: u32) -> Option<Obstacle> {
+        if !self.route.is_repeatable() {
+            return Some(Obstacle::Attempts);
+        }
+        self.obstacle(runs, Endpoint::is_usable).or_else(|| {
+            let has_budget = self.entry.has_second_send(&self.service);
+            (!has_budget).then_some(Obstacle::Budget)
+        })
+    }
+
     fn conclude(&self, fallback: Fallback, failed: Option<Response<Body>>) -> Response<Body> {
         let refusal = match fallback {
             Fallback::Refuse(refusal) => refusal,
@@ -238,10 +279,6 @@
         u64::try_from(self.deadline.saturating_sub(boot_time()).as_millis()).unwrap_or(u64::MAX)
     }
 
-    fn has_endpoint(&self) -> bool {
-        self.pick().is_some()
-    }
-
     /// Picks an endpoint. Before the first send it waits for one to announce itself if there is none.
     pub async fn wait_for_endpoint(&self) -> Option<Rc<Endpoint>> {
         let until = boot_time() + Duration::from_millis(self.left_ms() / 3).min(MAX_STATE_WAIT);
@@ -387,6 +424,7 @@
             "prompt_tokens" => self.metadata.prompt_tokens,
             "first_ms" => self.first_at.map(|at| (at - self.arrived).as_millis() as u64),
             "last_event" => self.last_event, "ms" => took.as_millis() as u64, "left_ms" => self.left_ms(),
+            "stopping" => self.entry.stopping.get().is_some(),
             "configuration" => view.number(),
             "confirmed_ms" => view.age().map(|age| age.as_millis() as u64));
     }
--- a/crates/fleet-entry/src/metrics.rs
+++ b/crates/fleet-entry/src/metrics.rs
@@ -24,6 +24,10 @@
     pub budget_refusals: Counter,
     /// Streams that were resumed at another endpoint.
     pub resumed: Counter,
+    /// Streams that were broken off before their end.
+    pub broken_off: Counter,
+    /// Pauses of streams that no other endpoint could resume.
+    pub waits: Counter,
     /// New connections to endpoints.
     pub connections: Counter,
     /// Ejections of endpoints after failures.
@@ -53,6 +57,8 @@
         let budget_refusals =
             counter("budget_refusals", "Second sends that the budget did not allow");
         let resumed = counter("resumed", "Streams continued at another endpoint");
+        let broken_off = counter("broken_off", "Streams broken off before their end");
+        let waits = counter("waits", "Pauses of streams that no other endpoint could resume");
         let connections = counter("connections", "New connections to endpoints");
         let paused = counter("paused", "Endpoints that got a pause after failures");
         let mut gauge = |name: &str, help: &str| {
@@ -77,6 +83,8 @@
             second_sends,
             budget_refusals,
             resumed,
+            broken_off,
+            waits,
             connections,
             paused,
             open,
--- a/crates/fleet-entry/src/relay.rs
+++ b/crates/fleet-entry/src/relay.rs
@@ -18,9 +18,11 @@
 use crate::body::Body;
 use crate::body::Chunk;
 use crate::body::StreamInterrupted;
+use crate::endpoint::Endpoint;
 use crate::exchange;
 use crate::exchange::Exchange;
 use crate::forward::ActiveRequest;
+use crate::forward::Obstacle;
 use crate::in_flight::InFlight;
 use crate::outcome::Delivered;
 use crate::outcome::SendEnd;
@@ -158,6 +160,7 @@
             match self.resume(ended).await {
                 Some(next) => source = next,
                 None => {
+                    self.request.entry.metrics.broken_off.inc();
                     self.request.log_end(200, "broken off");
                     // Sending fails if the client has closed its connection.
                     let _ = self.chunks.send(Err(StreamInterrupted)).await;
@@ -172,17 +175,25 @@
         let max_gap = Duration::from_millis(self.request.route.target_gap_ms) * MAX_TARGET_GAPS;
         let max_gap = max_gap.max(MIN_RESUME_GAP);
         let mut progress = Progress::new(boot_time());
+        // Whether the current pause was logged.
+        let mut pauses = false;
         loop {
             let (now, deadline) = (boot_time(), self.request.deadline);
             if now >= deadline {
                 return End::Failed(SendEnd::DeadlineExceeded, "out of time".to_owned());
             }
-            // Only a stream that can be resumed is given up because it pauses.
-            let stalls_at = self.request.route.is_repeatable().then(|| progress.stalls_at(max_gap));
-            if stalls_at.is_some_and(|at| now >= at) {
-                return End::Failed(SendEnd::Unknown, "the stream pauses".to_owned());
+            let stalls_at = progress.stalls_at(max_gap);
+            if now >= stalls_at {
+                match self.request.obstacle_to_leave(self.request.runs) {
+                    None => return End::Failed(SendEnd::Unknown, "the stream pauses".to_owned()),
+                    Some(obstacle) if !pauses => {
+                        pauses = true;
+                        self.log_wait(&source.in_flight.endpoint, obstacle);
+                    }
+                    Some(_) => {}
+                }
             }
-            let until = stalls_at.map_or(deadline, |at| at.min(deadline));
+            let until = self.request.next_check(now, stalls_at);
             let frame = tokio::select! {
                 frame = tokio::time::timeout(until - now, source.incoming.frame()) => frame,
                 () = self.chunks.closed() => return End::ClientGone,
@@ -219,10 +230,19 @@
             if is_progress {
                 // The time that a slow client takes is no pause of the endpoint.
                 progress.advance(boot_time());
+                pauses = false;
             }
         }
     }
 
+    fn log_wait(&self, endpoint: &Endpoint, obstacle: Obstacle) {
+        let request = &self.request;
+        request.entry.metrics.waits.inc();
+        info!(request.entry.log, "stream pauses and is not resumed"; "request" => &request.metadata.id,
+            "endpoint" => &*endpoint.id(), "obstacle" => ?obstacle,
+            "last_event" => self.events.last_id(), "left_ms" => request.left_ms());
+    }
+
     async fn complete(self, source: Source) {
         let Source { mut connection, keep_alive, in_flight, .. } = source;
         in_flight.record_verdict(Verdict::Success(boot_time().saturating_sub(in_flight.began)));
--- a/crates/fleet-entry/src/send.rs
+++ b/crates/fleet-entry/src/send.rs
@@ -228,7 +228,7 @@
         let mut sending = std::pin::pin!(sending);
         loop {
             let left = self.deadline.saturating_sub(boot_time());
-            let step = if self.can_retry_elsewhere() { left.min(CHECK_INTERVAL) } else { left };
+            let step = if self.is_repeatable_after(1) { left.min(CHECK_INTERVAL) } else { left };
             match tokio::time::timeout(step, sending.as_mut()).await {
                 Ok(sent) => return self.classify_send(endpoint, sent),
                 Err(_) if boot_time() >= self.deadline => return Err(SendEnd::DeadlineExceeded),
@@ -284,28 +284,43 @@
         }
     }
 
-    fn can_retry_elsewhere(&self) -> bool {
-        self.route.is_repeatable() && self.runs + 1 < self.route.attempts.max(1)
+    /// Whether the request may run again after `runs` more runs.
+    pub fn is_repeatable_after(&self, runs: u32) -> bool {
+        self.route.is_repeatable() && self.runs + runs < self.route.attempts.max(1)
     }
 
-    /// Returns the reason to send a repeatable request to another endpoint, if there is one.
+    /// Returns the reason to send a repeatable request to another endpoint, if there is one and the
+    /// next send is possible.
     fn leave_reason(&self, endpoint: &Endpoint, began: Duration) -> Option<LeaveReason> {
-        if !self.can_retry_elsewhere() {
-            return None;
-        }
         let now = boot_time();
         let waited = now.saturating_sub(began);
         let silent = endpoint.last_activity.get().is_none_or(|at| now >= at + SILENCE_TIMEOUT);
-        if silent && waited >= SILENCE_TIMEOUT {
-            return Some(LeaveReason::Silent);
-        }
         let answer_timeout = match self.route.kind {
             Kind::Stream => {
                 MIN_STREAM_ANSWER_TIMEOUT.max(Duration::from_millis(2 * self.route.target_ms))
             }
             Kind::Safe | Kind::Unsafe => PLAIN_ANSWER_TIMEOUT,
         };
-        (waited >= answer_timeout).then_some(LeaveReason::NoAnswer)
+        let reason = if silent && waited >= SILENCE_TIMEOUT {
+            LeaveReason::Silent
+        } else if waited >= answer_timeout {
+            LeaveReason::NoAnswer
+        } else {
+            return None;
+        };
+        // This send counts as a run once the endpoint is left.
+        self.obstacle_to_leave(self.runs + 1).is_none().then_some(reason)
+    }
+
+    /// Time at which an answer that is awaited at time `now` is checked next: the deadline, or for a
+    /// request that may run again the time `stalls_at`. A stalled answer is checked periodically,
+    /// because another endpoint may become available.
+    pub fn next_check(&self, now: Duration, stalls_at: Duration) -> Duration {
+        if !self.is_repeatable_after(0) {
+            return self.deadline;
+        }
+        let check = if now < stalls_at { stalls_at } else { now + CHECK_INTERVAL };
+        check.min(self.deadline)
     }
 
     /// Reads the whole answer and returns the response for the client.
@@ -351,7 +366,6 @@
             return Err(too_large());
         }
         let mut memory = self.entry.answer_memory.reserve(0).ok_or(BodyFailure::NoMemory)?;
-        let can_retry = self.route.is_repeatable() && self.runs < self.route.attempts.max(1);
         let mut progress = Progress::new(boot_time());
         let mut parts = Parts::default();
         loop {
@@ -359,10 +373,10 @@
             if now >= self.deadline {
                 return Err(BodyFailure::DeadlineExceeded);
             }
-            if can_retry && now >= stalls_at {
+            if now >= stalls_at && self.obstacle_to_leave(self.runs).is_none() {
                 return Err(BodyFailure::Broken("the answer stalls".to_owned()));
             }
-            let until = if can_retry { stalls_at.min(self.deadline) } else { self.deadline };
+            let until = self.next_check(now, stalls_at);
             let frame = match tokio::time::timeout(until - now, body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(cause))) => return Err(BodyFailure::Broken(cause.to_string())),
--- a/crates/fleet-entry/tests/common/harness.rs
+++ b/crates/fleet-entry/tests/common/harness.rs
@@ -95,6 +95,7 @@
 }
 
 /// An endpoint that runs the next script for each request; the last script repeats.
+#[derive(Clone)]
 pub(crate) struct Endpoint {
     pub(crate) address: SocketAddrV4,
     /// Heads and bodies of the requests that arrived.
--- /dev/null
+++ b/crates/fleet-entry/tests/pauses.rs
@@ -0,0 +1,158 @@
+//! Endpoints that pause during an answer and then continue.
+
+mod common;
+#[path = "common/harness.rs"]
+mod harness;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use common::SAFE;
+use common::STREAM;
+use harness::Action;
+use harness::Endpoint;
+use harness::TestEntry;
+use harness::call;
+use harness::learn_configuration;
+use harness::read_all;
+use harness::send;
+use harness::serve_with_state;
+use harness::serve_without_configuration;
+use harness::status;
+use harness::wait_until;
+use hickoryreel_fleet::Name;
+use hickoryreel_fleet_entry::server;
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+use tokio::task::LocalSet;
+use yare::parameterized;
+
+const STREAM_HEAD: &str =
+    "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: one\r\ntransfer-encoding: chunked\r\n\r\n";
+const FIRST_EVENT: &str = "f\r\nid: 1\ndata: a\n\n\r\n";
+const LAST_EVENT: &str = "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
+const PLAIN_HEAD: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ncontent-length: 4\r\n\r\n";
+
+/// Longer than the pauses after which a request is sent to another endpoint.
+const STREAM_PAUSE: Duration = Duration::from_millis(1_700);
+const HEAD_PAUSE: Duration = Duration::from_millis(1_500);
+const BODY_PAUSE: Duration = Duration::from_millis(2_900);
+
+/// What prevents another send.
+#[derive(Clone, Copy)]
+enum Obstacle {
+    Endpoint,
+    Budget,
+    Attempts,
+}
+
+fn paused_stream() -> Vec<Action> {
+    vec![
+        Action::Write(STREAM_HEAD),
+        Action::Write(FIRST_EVENT),
+        Action::Pause(STREAM_PAUSE),
+        Action::Write(LAST_EVENT),
+    ]
+}
+
+fn slow_head() -> Vec<Action> {
+    vec![Action::Pause(HEAD_PAUSE), Action::Write(PLAIN_HEAD), Action::Write("good")]
+}
+
+fn slow_body() -> Vec<Action> {
+    vec![Action::Write(PLAIN_HEAD), Action::Pause(BODY_PAUSE), Action::Write("good")]
+}
+
+/// Sends a request whose last send meets an endpoint with `script`, and returns the answer and the
+/// number of sends.
+async fn call_with_obstacle(
+    obstacle: Obstacle,
+    prefix: &str,
+    script: Vec<Action>,
+) -> (String, usize) {
+    let failing = vec![vec![Action::Close], vec![Action::Close], script.clone()];
+    let endpoints = match obstacle {
+        Obstacle::Endpoint => vec![Endpoint::start(vec![script]).await],
+        Obstacle::Budget => {
+            vec![Endpoint::start(vec![script]).await, Endpoint::start(vec![slow_head()]).await]
+        }
+        Obstacle::Attempts => {
+            let shared = Endpoint::start(failing).await;
+            let same = (0..4).map(|_| shared.clone());
+            same.collect()
+        }
+    };
+    let (served, entry) = serve_with_state(&endpoints.iter().collect::<Vec<_>>()).await;
+    if matches!(obstacle, Obstacle::Budget) {
+        while entry.take_second_send(&Name::from("service")) {}
+    }
+    let answer = call(&served, prefix, "r1").await;
+    let sends = match obstacle {
+        Obstacle::Attempts => endpoints[0].count(),
+        Obstacle::Endpoint | Obstacle::Budget => endpoints.iter().map(Endpoint::count).sum(),
+    };
+    (answer, sends)
+}
+
+/// Guards against an answer that is given up although its endpoint only pauses and the request can't
+/// be sent to another one: the connection of the client was closed, or it got a 502.
+#[parameterized(
+    stream_without_another_endpoint = { Obstacle::Endpoint, STREAM, paused_stream(), 1, "0\r\n\r\n" },
+    stream_without_budget = { Obstacle::Budget, STREAM, paused_stream(), 1, "0\r\n\r\n" },
+    stream_at_its_last_attempt = { Obstacle::Attempts, STREAM, paused_stream(), 3, "0\r\n\r\n" },
+    head_without_another_endpoint = { Obstacle::Endpoint, SAFE, slow_head(), 1, "good" },
+    head_without_budget = { Obstacle::Budget, SAFE, slow_head(), 1, "good" },
+    head_at_its_last_attempt = { Obstacle::Attempts, SAFE, slow_head(), 3, "good" },
+    body_without_another_endpoint = { Obstacle::Endpoint, SAFE, slow_body(), 1, "good" },
+    body_without_budget = { Obstacle::Budget, SAFE, slow_body(), 1, "good" },
+    body_at_its_last_attempt = { Obstacle::Attempts, SAFE, slow_body(), 3, "good" },
+)]
+#[test_macro(tokio::test)]
+async fn paused_answer_that_cannot_come_from_elsewhere_is_awaited(
+    obstacle: Obstacle,
+    prefix: &str,
+    script: Vec<Action>,
+    sends: usize,
+    end: &str,
+) {
+    LocalSet::new()
+        .run_until(async {
+            let (answer, arrived) = call_with_obstacle(obstacle, prefix, script).await;
+
+            assert_eq!((status(&answer), arrived), (200, sends), "{answer}");
+            assert!(answer.ends_with(end), "{answer}");
+        })
+        .await;
+}
+
+/// Guards against a stream that is broken off during a planned stop because its endpoint pauses.
+#[tokio::test]
+async fn paused_stream_is_completed_at_a_stop() {
+    LocalSet::new()
+        .run_until(async {
+            let endpoint = Endpoint::start(vec![paused_stream()]).await;
+            let (_, entry) = serve_without_configuration(&[&endpoint]).await;
+            learn_configuration(&entry);
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback works");
+            let served = TestEntry { address: listener.local_addr().expect("loopback works") };
+            let (stop, stopped) = oneshot::channel::<()>();
+            let stopped = async move {
+                let _ = stopped.await;
+            };
+            let serving =
+                tokio::task::spawn_local(server::serve(Rc::clone(&entry), listener, stopped));
+            let request = format!(
+                "POST {STREAM}x HTTP/1.1\r\nhost: host\r\nid: r1\r\ndeadline: 19000\r\n\
+                 content-length: 0\r\n\r\n"
+            );
+            let client = send(&served, &request).await;
+            wait_until("the request arrives", || endpoint.count() == 1).await;
+
+            stop.send(()).expect("the entry runs");
+            let answer = read_all(client).await;
+            serving.await.expect("the entry stops");
+
+            assert!(answer.contains("data: b") && answer.ends_with("0\r\n\r\n"), "{answer}");
+        })
+        .await;
+}
