Contain prompt parts that crash endpoints

Cause: nothing connected a crash with what the endpoint was working on. A lost request was repeated at the next endpoint, up to the attempts of its route, and other entries went on sending its like. Class of fault: a failure that follows the request and not the endpoint, against which ejection of endpoints can't help. Ruled out: that ejection came too late (each endpoint was avoided at once, the next one crashed), and that the first token tells (its head with 200 arrives, then the connection breaks 40 ms later, before an event). Change: entries report what waited for an answer at crashed endpoints; the replica that sums the load finds the part that explains several crashes and has had no answer since, and entries refuse it. The report says what it needs to clear sound parts. The harness learns a crash and the header with parts. The product's own path (crates/entry) has no such check yet.

--- a/crates/fleet-control/src/control.rs
+++ b/crates/fleet-control/src/control.rs
@@ -11,6 +11,8 @@
 use hickoryreel_base::time::boot_time;
 use hickoryreel_fleet::Name;
 use hickoryreel_fleet::configuration::Configuration;
+use hickoryreel_fleet::crash;
+use hickoryreel_fleet::crash::Ledger;
 use hickoryreel_fleet::endpoint::Announcement;
 use hickoryreel_fleet::link::Answer;
 use hickoryreel_fleet::link::Handler;
@@ -68,6 +70,8 @@
     pub load_totals: RefCell<LoadTotals>,
     /// Sends of all entries to each service.
     pub send_totals: RefCell<SendTotals>,
+    /// Crashes of endpoints, and the prompt parts that are blocked for them.
+    pub crash_ledger: RefCell<Ledger>,
     /// Request counts of services with a running roll-out.
     pub tallies: Rc<Tallies>,
     pub metrics: Metrics,
@@ -209,6 +213,20 @@
         Unconfirmed
     }
 
+    /// Adds what an entry knows about crashes and returns what it should know.
+    fn add_crashes(&self, entry: &Name, report: &crash::Report, now: Duration) -> crash::Verdict {
+        let mut ledger = self.crash_ledger.borrow_mut();
+        ledger.add_report(report, now);
+        for finding in ledger.judge(now) {
+            self.metrics.blocked_parts.inc();
+            info!(self.log, "prompt part crashes endpoints and is blocked";
+                "part" => format!("{:x}", finding.part), "crashes" => finding.crashes,
+                "ambiguous" => finding.ambiguous, "reported_by" => &**entry,
+                "block_s" => crash::BLOCK_TIME.as_secs());
+        }
+        ledger.verdict(now)
+    }
+
     /// Answers a request of an entry or another replica.
     async fn answer(self: Rc<Self>, request: Request) -> Answer {
         match request {
@@ -254,8 +272,9 @@
                 let now = boot_time();
                 let mut send_totals = self.send_totals.borrow_mut();
                 send_totals.add(&report.sends, now);
+                let crashes = self.add_crashes(&report.entry, &report.crashes, now);
                 let loads = self.load_totals.borrow_mut().add_report(*report, now);
-                Answer::Totals(Totals { loads, sends: send_totals.totals(now) })
+                Answer::Totals(Totals { loads, sends: send_totals.totals(now), crashes })
             }
         }
     }
--- a/crates/fleet-control/src/metrics.rs
+++ b/crates/fleet-control/src/metrics.rs
@@ -19,6 +19,8 @@
     pub unconfirmed: Counter,
     /// Long polls received from entries.
     pub polls: Counter,
+    /// Prompt parts that were blocked because they crash endpoints.
+    pub blocked_parts: Counter,
     /// Time from the proposal of an operator command until it was applied.
     pub order_seconds: Histogram,
     /// Endpoints in the directory that are present.
@@ -43,6 +45,8 @@
         let orders = counter("orders", "Orders that were acknowledged");
         let unconfirmed = counter("unconfirmed", "Orders and reads without a quorum in time");
         let polls = counter("polls", "Long polls of entries");
+        let blocked_parts =
+            counter("blocked_parts", "Prompt parts blocked because they crash endpoints");
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
@@ -65,6 +69,7 @@
             orders,
             unconfirmed,
             polls,
+            blocked_parts,
             order_seconds,
             endpoints,
             configuration,
--- a/crates/fleet-control/tests/load_totals.rs
+++ b/crates/fleet-control/tests/load_totals.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hickoryreel_fleet::crash;
 use hickoryreel_fleet::load::EndpointKey;
 use hickoryreel_fleet::load::EndpointLoad;
 use hickoryreel_fleet::load::Report;
@@ -18,7 +19,12 @@
 }
 
 fn report(entry: &str, loads: &[EndpointLoad]) -> Report {
-    Report { entry: entry.into(), loads: loads.to_vec(), sends: Vec::new() }
+    Report {
+        entry: entry.into(),
+        loads: loads.to_vec(),
+        sends: Vec::new(),
+        crashes: crash::Report::default(),
+    }
 }
 
 const START: Duration = Duration::from_secs(100);
--- a/crates/fleet-entry/src/answer.rs
+++ b/crates/fleet-entry/src/answer.rs
@@ -31,6 +31,8 @@
     NoEndpoint,
     /// No endpoint accepted the request.
     Overloaded,
+    /// A part of the prompt crashes endpoints; the time until it is tried again.
+    Blocked(Duration),
     /// The memory for request bodies is in use.
     NoMemory,
     /// The deadline passed before the request was sent.
@@ -58,6 +60,7 @@
             Self::NoEndpoint | Self::Overloaded => {
                 (StatusCode::SERVICE_UNAVAILABLE, Some(Duration::from_millis(400)))
             }
+            Self::Blocked(left) => (StatusCode::SERVICE_UNAVAILABLE, Some(left)),
             Self::NoMemory => (StatusCode::SERVICE_UNAVAILABLE, Some(Duration::from_millis(300))),
             Self::TooLate => (StatusCode::SERVICE_UNAVAILABLE, Some(Duration::from_millis(100))),
             Self::Unknown => (StatusCode::BAD_GATEWAY, None),
--- a/crates/fleet-entry/src/entry.rs
+++ b/crates/fleet-entry/src/entry.rs
@@ -22,6 +22,7 @@
 use crate::metrics::Metrics;
 use crate::prefill;
 use crate::prefill::PrefillLimiter;
+use crate::quarantine::Quarantine;
 use crate::settings::Settings;
 use crate::tally::Tallies;
 use crate::view::View;
@@ -46,6 +47,8 @@
     pub cascades: RefCell<HashMap<Name, Cascade>>,
     /// Limiters of long prompts, by service.
     pub prefill_limiters: RefCell<HashMap<Name, Rc<PrefillLimiter>>>,
+    /// Prompt parts that crash endpoints.
+    pub quarantine: RefCell<Quarantine>,
     /// Request counts for the decisions on roll-outs.
     pub tallies: RefCell<Tallies>,
     /// Wakes requests that wait for agreed state or for an endpoint.
@@ -78,6 +81,7 @@
             budgets: RefCell::default(),
             cascades: RefCell::default(),
             prefill_limiters: RefCell::default(),
+            quarantine: RefCell::default(),
             tallies: RefCell::default(),
             state_changed: Notify::new(),
             outstanding: Cell::new(0),
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -1,5 +1,6 @@
 //! Handling of one request from its arrival to its end, with retries and larger models.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use hickoryreel_fleet::configuration::Kind;
 use hickoryreel_fleet::configuration::Route;
 use hickoryreel_fleet::configuration::Workspace;
+use hickoryreel_fleet::load::EndpointKey;
 use http::Request;
 use http::Response;
 use http::request::Parts;
@@ -37,6 +39,8 @@
 use crate::prepare::MAX_STATE_WAIT;
 use crate::prepare::Prepared;
 use crate::prepare::prepare;
+use crate::quarantine;
+use crate::quarantine::Prefix;
 use crate::relay;
 use crate::send::Sent;
 
@@ -46,6 +50,9 @@
 /// Additional sends of a request that endpoints refuse without running it.
 const MAX_REFUSED_SENDS: u32 = 2;
 
+/// Endpoints that a request may crash before it waits for a verdict on its prompt.
+const MAX_CRASHES_WITHOUT_VERDICT: usize = 2;
+
 /// State of a request that is being handled.
 pub struct ActiveRequest {
     pub entry: Rc<Entry>,
@@ -67,6 +74,8 @@
     pub sends: u32,
     /// Number of sends that the endpoint may have run.
     pub runs: u32,
+    /// Endpoints that ended before any part of an answer arrived from them.
+    lost: RefCell<SmallVec<[EndpointKey; 4]>>,
     /// Whether an endpoint may have run the request, so that a refusal must not deny it.
     pub may_have_run: bool,
     /// Index of the latest send's model among the models of the route.
@@ -147,6 +156,7 @@
             tried: SmallVec::new(),
             sends: 0,
             runs: 0,
+            lost: RefCell::default(),
             may_have_run: false,
             model_index: 0,
             model: None,
@@ -160,6 +170,9 @@
 
     /// Sends the request until an answer is accepted or no further send is allowed.
     async fn run(mut self) -> Response<Body> {
+        if self.block_left().is_some() {
+            return self.conclude(Fallback::Refuse(Refusal::Overloaded), None);
+        }
         let mut failed: Option<Response<Body>> = None;
         loop {
             let ended = match self.send(None).await {
@@ -207,6 +220,7 @@
                 let allowed = self.runs < attempts
                     && self.sends < attempts + MAX_REFUSED_SENDS
                     && self.left_ms() > MIN_SEND_TIME_MS
+                    && self.block_left().is_none()
                     && self.has_endpoint()
                     && self.entry.take_second_send(&self.service);
                 (!allowed).then_some(fallback)
@@ -227,12 +241,70 @@
         };
         let refusal = match refusal {
             Refusal::TimedOut if !self.may_have_run => Refusal::TooLate,
+            Refusal::Overloaded => match self.block_left() {
+                Some(left) => {
+                    self.entry.metrics.blocked.inc();
+                    Refusal::Blocked(left)
+                }
+                None => refusal,
+            },
             other => other,
         };
         self.log_end(refusal.answer().0.as_u16(), &format!("{refusal:?}"));
         refusal.response()
     }
 
+    /// Ids of the parts of the prompt that other requests may share.
+    pub fn shared_parts(&self) -> Prefix {
+        let shared = self.metadata.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|part| part.id).collect()
+    }
+
+    /// Time until the request may be sent, if a part of its prompt is blocked.
+    pub fn block_left(&self) -> Option<Duration> {
+        if self.metadata.parts.len() < 2 {
+            return None;
+        }
+        let now = boot_time();
+        let blocked = self.entry.quarantine.borrow().blocked(&self.shared_parts(), now);
+        blocked.map(|(_, until)| until.saturating_sub(now))
+    }
+
+    /// Records that the connection to an endpoint broke before any part of an answer arrived. The
+    /// request may have crashed the endpoint; if it accepts no connection any more, it has crashed.
+    pub fn record_loss(&self, endpoint: &Rc<Endpoint>) {
+        let parts = self.shared_parts();
+        if parts.is_empty() {
+            return;
+        }
+        let key = endpoint.key();
+        self.lost.borrow_mut().push(key);
+        let is_first = self.entry.quarantine.borrow_mut().record_loss(key, parts, boot_time());
+        if !is_first {
+            return;
+        }
+        let (entry, endpoint) = (Rc::clone(&self.entry), Rc::clone(endpoint));
+        tokio::task::spawn_local(async move {
+            let crashed = !endpoint.pool.preconnect().await;
+            let lost = entry.quarantine.borrow_mut().record_check(key, crashed, boot_time());
+            info!(entry.log, "connections broke before an answer"; "endpoint" => &*endpoint.id(),
+                "crashed" => crashed, "lost" => lost);
+        });
+    }
+
+    /// Waits for a verdict on the prompt if the request may have crashed several endpoints, so that it
+    /// does not crash another one meanwhile.
+    pub async fn wait_for_verdict(&self) {
+        let may_have_crashed = {
+            let (lost, quarantine) = (self.lost.borrow(), self.entry.quarantine.borrow());
+            lost.iter().filter(|endpoint| quarantine.may_have_crashed(**endpoint)).count()
+        };
+        if may_have_crashed >= MAX_CRASHES_WITHOUT_VERDICT {
+            let left = Duration::from_millis(self.left_ms());
+            tokio::time::sleep(quarantine::VERDICT_TIME.min(left / 3)).await;
+        }
+    }
+
     /// Milliseconds until the deadline.
     pub fn left_ms(&self) -> u64 {
         u64::try_from(self.deadline.saturating_sub(boot_time()).as_millis()).unwrap_or(u64::MAX)
@@ -370,6 +442,7 @@
         }
         info!(self.entry.log, "send failed"; "request" => &self.metadata.id,
             "endpoint" => &*endpoint.id(), "cause" => cause,
+            "parts" => self.shared_parts().iter().map(|part| format!("{part:x}")).collect::<Vec<_>>().join(","),
             "pause_ms" => ejection.map(|ejection| ejection.as_millis() as u64));
     }
 
--- a/crates/fleet-entry/src/load_report.rs
+++ b/crates/fleet-entry/src/load_report.rs
@@ -1,4 +1,4 @@
-//! Exchange of endpoint load and of the use of retry budgets with the other entries.
+//! Exchange of endpoint load, of the use of retry budgets and of crashes with the other entries.
 //!
 //! All entries report to the same replica, the one with the lowest address, so that its totals are
 //! complete. While it does not answer, they report to the next one.
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use hickoryreel_base::time::boot_time;
+use hickoryreel_fleet::crash;
 use hickoryreel_fleet::link::Answer;
 use hickoryreel_fleet::link::Client;
 use hickoryreel_fleet::link::Request;
@@ -37,6 +38,7 @@
     loop {
         tokio::time::sleep(REPORT_PERIOD).await;
         let now = boot_time();
+        judge_alone(&entry, now);
         avoided.retain(|_, until| now < *until);
         let mut replicas = polled.replicas();
         clients.retain(|address, _| replicas.contains(address));
@@ -48,11 +50,17 @@
         let start = || Client::start(replica, entry.log.clone());
         let client = clients.entry(replica).or_insert_with(start).clone();
         let name = entry.settings.name.as_str().into();
-        let report = Report { entry: name, loads: loads(&entry), sends: entry.take_sends() };
+        let (crashes, last_loss) = {
+            let quarantine = entry.quarantine.borrow();
+            (quarantine.report(replica, now), quarantine.last_number())
+        };
+        let report =
+            Report { entry: name, loads: loads(&entry), sends: entry.take_sends(), crashes };
         match client.call(Request::ReportLoad(Box::new(report)), ANSWER_TIMEOUT).await {
             Some(Answer::Totals(totals)) => {
                 apply_totals(&entry, &totals.loads);
                 entry.apply_send_totals(&totals.sends);
+                apply_verdict(&entry, replica, last_loss, totals.crashes);
             }
             _ => {
                 info!(entry.log, "replica did not answer the load report"; "peer" => %replica);
@@ -62,6 +70,27 @@
     }
 }
 
+/// Applies the blocked prompt parts that a replica decided from reports up to a loss.
+fn apply_verdict(entry: &Entry, replica: SocketAddr, last_loss: u64, verdict: crash::Verdict) {
+    let now = boot_time();
+    let mut quarantine = entry.quarantine.borrow_mut();
+    for part in quarantine.apply(replica, last_loss, verdict, now) {
+        info!(entry.log, "prompt part is blocked"; "part" => format!("{part:x}"),
+            "replica" => %replica);
+    }
+    let blocked = quarantine.blocked_count(now);
+    entry.metrics.blocked_parts.set(i64::try_from(blocked).unwrap_or(i64::MAX));
+}
+
+/// Blocks prompt parts by the losses of this entry if no replica answers.
+fn judge_alone(entry: &Entry, now: Duration) {
+    for finding in entry.quarantine.borrow_mut().judge_alone(now) {
+        info!(entry.log, "prompt part crashes endpoints and is blocked by this entry alone";
+            "part" => format!("{:x}", finding.part), "crashes" => finding.crashes,
+            "ambiguous" => finding.ambiguous);
+    }
+}
+
 /// Collects the load of all endpoints for a report.
 fn loads(entry: &Entry) -> Vec<EndpointLoad> {
     let directory = entry.directory.borrow();
--- a/crates/fleet-entry/src/metrics.rs
+++ b/crates/fleet-entry/src/metrics.rs
@@ -28,6 +28,10 @@
     pub connections: Counter,
     /// Ejections of endpoints after failures.
     pub paused: Counter,
+    /// Requests that were refused because of a part of their prompt.
+    pub blocked: Counter,
+    /// Prompt parts that are blocked.
+    pub blocked_parts: Gauge,
     /// Outstanding requests.
     pub open: Gauge,
     /// Number of the configuration in force.
@@ -55,12 +59,15 @@
         let resumed = counter("resumed", "Streams continued at another endpoint");
         let connections = counter("connections", "New connections to endpoints");
         let paused = counter("paused", "Endpoints that got a pause after failures");
+        let blocked =
+            counter("blocked", "Requests refused because a part of their prompt crashes endpoints");
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
             gauge
         };
         let open = gauge("open", "Requests under way");
+        let blocked_parts = gauge("blocked_parts", "Prompt parts that are blocked");
         let configuration = gauge("configuration", "Number of the configuration in force");
         let mut histogram = |name: &str, help: &str| {
             // From 5 ms to 20 s.
@@ -79,6 +86,8 @@
             resumed,
             connections,
             paused,
+            blocked,
+            blocked_parts,
             open,
             configuration,
             first_part,
--- a/crates/fleet-entry/src/relay.rs
+++ b/crates/fleet-entry/src/relay.rs
@@ -111,7 +111,8 @@
     response.headers_mut().remove(http::header::CONTENT_LENGTH);
     let time = boot_time().saturating_sub(request.arrived);
     request.entry.metrics.first_part.observe(time.as_secs_f64());
-    let source = Source { connection, incoming, keep_alive: reply.keep_alive, in_flight };
+    let source =
+        Source { connection, incoming, keep_alive: reply.keep_alive, in_flight, answered: false };
     let relay = Relay { request, chunks, events: Events::default() };
     tokio::task::spawn_local(relay.run(source));
     response
@@ -122,6 +123,8 @@
     incoming: Incoming,
     keep_alive: Option<Duration>,
     in_flight: InFlight,
+    /// Whether it has sent a new event.
+    answered: bool,
 }
 
 struct Relay {
@@ -137,6 +140,8 @@
     ClientGone,
     /// The endpoint failed, with the cause for the log.
     Failed(SendEnd, String),
+    /// The connection broke, with the cause for the log.
+    Lost(String),
 }
 
 impl Relay {
@@ -147,6 +152,12 @@
                 End::Complete => return self.complete(source).await,
                 End::ClientGone => return self.request.log_end(499, "client left"),
                 End::Failed(ended, cause) => (ended, cause),
+                End::Lost(cause) => {
+                    if !source.answered {
+                        self.request.record_loss(&source.in_flight.endpoint);
+                    }
+                    (SendEnd::Unknown, cause)
+                }
             };
             if ended != SendEnd::DeadlineExceeded {
                 self.request.record_endpoint_failure(&source.in_flight.endpoint, &cause);
@@ -190,11 +201,10 @@
             let data = match frame {
                 Ok(Some(Ok(frame))) => frame.into_data(),
                 Ok(Some(Err(cause))) => {
-                    return End::Failed(SendEnd::Unknown, cause.to_string());
+                    return End::Lost(cause.to_string());
                 }
                 Ok(None) if self.events.is_partial() => {
-                    let cause = "the stream ended within an event".to_owned();
-                    return End::Failed(SendEnd::Unknown, cause);
+                    return End::Lost("the stream ended within an event".to_owned());
                 }
                 Ok(None) => return End::Complete,
                 // The checks above decide what the end of the wait means.
@@ -213,6 +223,11 @@
             let Some(batch) = batch else { continue };
             self.request.first_at.get_or_insert_with(boot_time);
             self.request.last_event = self.events.last_id();
+            if is_progress && !source.answered {
+                source.answered = true;
+                let parts = self.request.shared_parts();
+                self.request.entry.quarantine.borrow_mut().record_answer(&parts, boot_time());
+            }
             if self.chunks.send(Ok(batch.bytes)).await.is_err() {
                 return End::ClientGone;
             }
@@ -257,6 +272,7 @@
                         incoming,
                         keep_alive: reply.keep_alive,
                         in_flight,
+                        answered: false,
                     });
                 }
                 Ok(sent) => {
--- a/crates/fleet-entry/src/send.rs
+++ b/crates/fleet-entry/src/send.rs
@@ -84,6 +84,7 @@
         if left <= MIN_SEND_TIME_MS {
             return Err(SendEnd::DeadlineExceeded);
         }
+        self.wait_for_verdict().await;
         // A resumed stream keeps its model, so that the answer stays consistent.
         if after_event.is_none() || self.model.is_none() {
             self.model = self.choose_model();
@@ -188,7 +189,8 @@
         after: Option<u64>,
     ) -> Option<Request<Full<Bytes>>> {
         let left = self.left_ms();
-        (left > MIN_SEND_TIME_MS && self.has_lease()).then(|| self.request(endpoint, left, after))
+        let permitted = left > MIN_SEND_TIME_MS && self.has_lease() && self.block_left().is_none();
+        permitted.then(|| self.request(endpoint, left, after))
     }
 
     fn request(&self, endpoint: &str, left: u64, after: Option<u64>) -> Request<Full<Bytes>> {
@@ -228,12 +230,19 @@
         let mut sending = std::pin::pin!(sending);
         loop {
             let left = self.deadline.saturating_sub(boot_time());
-            let step = if self.can_retry_elsewhere() { left.min(CHECK_INTERVAL) } else { left };
+            let checks = self.can_retry_elsewhere() || self.metadata.parts.len() > 1;
+            let step = if checks { left.min(CHECK_INTERVAL) } else { left };
             match tokio::time::timeout(step, sending.as_mut()).await {
                 Ok(sent) => return self.classify_send(endpoint, sent),
                 Err(_) if boot_time() >= self.deadline => return Err(SendEnd::DeadlineExceeded),
                 Err(_) => {}
             }
+            if self.block_left().is_some() {
+                // Closes the connection before the endpoint begins the answer.
+                info!(self.entry.log, "request is withdrawn because its prompt is blocked";
+                    "request" => &self.metadata.id, "endpoint" => &*endpoint.id());
+                return Err(SendEnd::Unknown);
+            }
             let reason = match self.leave_reason(endpoint, began) {
                 None => continue,
                 Some(LeaveReason::NoAnswer) => "no answer in time",
@@ -258,7 +267,7 @@
     /// Records a send without an answer and classifies its end.
     fn classify_send(
         &self,
-        endpoint: &Endpoint,
+        endpoint: &Rc<Endpoint>,
         sent: Result<Exchange, Failure>,
     ) -> Result<Exchange, SendEnd> {
         match sent {
@@ -278,6 +287,7 @@
                 Err(SendEnd::NotRun)
             }
             Err(Failure::Lost(cause)) => {
+                self.record_loss(endpoint);
                 self.record_endpoint_failure(endpoint, &cause);
                 Err(SendEnd::Unknown)
             }
--- a/crates/fleet-entry/tests/common/harness.rs
+++ b/crates/fleet-entry/tests/common/harness.rs
@@ -14,6 +14,7 @@
 use hickoryreel_fleet::endpoint::Status;
 use hickoryreel_fleet_entry::dialect::Dialect;
 use hickoryreel_fleet_entry::dialect::Malformed;
+use hickoryreel_fleet_entry::dialect::PromptPart;
 use hickoryreel_fleet_entry::dialect::Reply;
 use hickoryreel_fleet_entry::dialect::RequestMetadata;
 use hickoryreel_fleet_entry::dialect::SendOptions;
@@ -24,10 +25,12 @@
 use http::HeaderValue;
 use http::StatusCode;
 use http::request::Parts;
+use smallvec::SmallVec;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
 
 use crate::common::announcement;
 use crate::common::configuration;
@@ -43,6 +46,13 @@
     headers.get(name)?.to_str().ok()?.parse().ok()
 }
 
+/// Parses the header with the ids of the prompt parts.
+fn parts(headers: &HeaderMap) -> SmallVec<[PromptPart; 4]> {
+    let ids = headers.get("parts").and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let ids = ids.split(',').filter_map(|id| id.parse().ok());
+    ids.map(|id| PromptPart { id, tokens: 100 }).collect()
+}
+
 impl Dialect for TestDialect {
     fn parse_request(&self, head: &Parts) -> Result<RequestMetadata, Malformed> {
         let id = head.headers.get("id").ok_or(Malformed("no id"))?;
@@ -50,6 +60,7 @@
             id: id.to_str().unwrap_or_default().to_owned(),
             host: "host".to_owned(),
             deadline_ms: number(&head.headers, "deadline"),
+            parts: parts(&head.headers),
             key: head.headers.get("key").map(|key| key.to_str().unwrap_or_default().to_owned()),
             ..RequestMetadata::default()
         })
@@ -58,6 +69,9 @@
     fn request_headers(&self, head: &Parts, options: &SendOptions<'_>) -> HeaderMap {
         let mut headers = HeaderMap::new();
         headers.insert("id", head.headers["id"].clone());
+        if let Some(parts) = head.headers.get("parts") {
+            headers.insert("parts", parts.clone());
+        }
         if let Some(event) = options.after_event {
             headers.insert("after", HeaderValue::from(event));
         }
@@ -86,6 +100,8 @@
     Write(&'static str),
     /// Closes the connection.
     Close,
+    /// Ends the endpoint if the head has this line: closes its connections and accepts no others.
+    CrashOn(&'static str),
     /// Keeps the connection open without writing until the entry closes it.
     Hang,
     /// Waits before the next action.
@@ -121,11 +137,15 @@
             repeated: repeated.clone(),
         };
         tokio::task::spawn_local(async move {
-            loop {
-                let (stream, _) = listener.accept().await.expect("loopback works");
-                let (scripts, repeated) = (scripts.clone(), repeated.clone());
-                let task = connection(stream, scripts, arrived.clone(), closed.clone(), repeated);
-                tokio::task::spawn_local(task);
+            let crash = CancellationToken::new();
+            while let Some(accepted) = crash.run_until_cancelled(listener.accept()).await {
+                let (stream, _) = accepted.expect("loopback works");
+                let (scripts, repeated, crash) = (scripts.clone(), repeated.clone(), crash.clone());
+                let (arrived, closed) = (arrived.clone(), closed.clone());
+                tokio::task::spawn_local(async move {
+                    let task = connection(stream, scripts, arrived, closed, repeated, &crash);
+                    crash.run_until_cancelled(task).await
+                });
             }
         });
         endpoint
@@ -142,11 +162,12 @@
     arrived: Rc<RefCell<Vec<String>>>,
     closed: Rc<RefCell<u32>>,
     repeated: Rc<Cell<usize>>,
+    crash: &CancellationToken,
 ) {
     while let Some(head) = read_message(&mut stream).await {
         let id = header(&head, "id").unwrap_or_default();
         let turn = arrived.borrow().len().min(scripts.len() - 1);
-        arrived.borrow_mut().push(head);
+        arrived.borrow_mut().push(head.clone());
         for action in &scripts[turn] {
             match action {
                 Action::Write(bytes) => {
@@ -156,6 +177,11 @@
                     }
                 }
                 Action::Close => return,
+                Action::CrashOn(line) => {
+                    if head.contains(line) {
+                        return crash.cancel();
+                    }
+                }
                 Action::Pause(time) => tokio::time::sleep(*time).await,
                 Action::Repeat(bytes, pause) => {
                     while stream.write_all(bytes.as_bytes()).await.is_ok() {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,9 +3,10 @@
 //! Control replicas agree on the [`configuration`] and the [`roll_out`]s and collect the
 //! [`endpoint`] announcements. Each entry keeps one [`link`] to every control replica and asks for
 //! changes with long polls, whose answers also renew its lease. Entries exchange the [`load`] that
-//! they put on endpoints through a control replica.
+//! they put on endpoints, and what they know about a [`crash`] of one, through a control replica.
 
 pub mod configuration;
+pub mod crash;
 pub mod endpoint;
 pub mod link;
 pub mod load;
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -9,6 +9,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::Name;
+use crate::crash;
 
 /// Hash of an endpoint's id, used in reports. Endpoints whose hashes collide share their totals,
 /// which makes balancing worse but breaks nothing.
@@ -59,6 +60,7 @@
     pub loads: Vec<EndpointLoad>,
     /// Services with sends since the previous report.
     pub sends: Vec<ServiceSends>,
+    pub crashes: crash::Report,
 }
 
 /// Answer to a report: sums over all entries.
@@ -66,4 +68,5 @@
 pub struct Totals {
     pub loads: Vec<EndpointLoad>,
     pub sends: Vec<ServiceSends>,
+    pub crashes: crash::Verdict,
 }
