Don't forward a refusal whose endpoint has not stated that nothing ran

What callers saw: 503, 429, 408 or 421 for a request that the endpoint may have run. Clients take these statuses as a promise and send it again. Cause: the statement decided only whether the entry sent the request elsewhere; an answer without it was forwarded with its status. Ruled out: copies of refusals of other requests while the connection is idle, while the next request is written and after it was read, for requests that run once, repeatable ones and streams: they were not believed before either. Conclusion: such an answer counts as lost, 502 or another endpoint.

--- a/crates/fleet-entry/src/send.rs
+++ b/crates/fleet-entry/src/send.rs
@@ -8,6 +8,7 @@
 use hickoryreel_fleet::configuration::Kind;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Body as _;
@@ -52,6 +53,14 @@
 /// Bytes of an answer without events that count as progress.
 const MIN_BODY_PROGRESS: usize = 256;
 
+/// Statuses by which clients know that a request did not run.
+const NOT_RUN_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// Reason why the body of an answer was not read to its end.
 enum BodyFailure {
     DeadlineExceeded,
@@ -160,6 +169,12 @@
             return Err(SendEnd::NotRun);
         }
         self.runs += 1;
+        if NOT_RUN_STATUSES.contains(&status) {
+            // Forwarded, the status would promise what the endpoint has not stated.
+            in_flight.record_verdict(Verdict::Failure);
+            self.record_endpoint_failure(&endpoint, "a refusal does not state that nothing ran");
+            return Err(SendEnd::Unknown);
+        }
         if reply.encoded {
             self.record_endpoint_failure(&endpoint, "the answer has a content encoding");
             return Err(SendEnd::Unknown);
--- a/crates/fleet-entry/tests/common/harness.rs
+++ b/crates/fleet-entry/tests/common/harness.rs
@@ -36,6 +36,9 @@
 /// Time limit for conditions that should hold at once; not a bound under test.
 pub(crate) const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
+/// A reset discards what the receiver has not read yet.
+const RESET_DELAY: Duration = Duration::from_millis(100);
+
 /// A dialect with only the headers that the tests need.
 struct TestDialect;
 
@@ -86,6 +89,8 @@
     Write(&'static str),
     /// Closes the connection.
     Close,
+    /// Resets the connection after a pause in which the entry reads what was written.
+    Reset,
     /// Keeps the connection open without writing until the entry closes it.
     Hang,
     /// Waits before the next action.
@@ -156,6 +161,11 @@
                     }
                 }
                 Action::Close => return,
+                Action::Reset => {
+                    tokio::time::sleep(RESET_DELAY).await;
+                    stream.set_zero_linger().expect("loopback works");
+                    return;
+                }
                 Action::Pause(time) => tokio::time::sleep(*time).await,
                 Action::Repeat(bytes, pause) => {
                     while stream.write_all(bytes.as_bytes()).await.is_ok() {
