Don't overflow on extreme numbers of configurations, loads and prompts

What callers saw: with overflow checks, an entry that ends at its first connection (idle time of 2^64 - 1 ms) and requests that end without an answer (attempts, weights, target latency, a reported load, token counts of a prompt). Without the checks the sums wrap: connections closed after 999 ms, one send instead of many. Cause: sums and a product of numbers from outside in their own type. Ruled out: durations, priorities, numbers of connections and slots, and extreme announcements: 11 cases passed before. Evidence: tests/extremes.rs. Before: 7 of 18 cases failed. After: 18 pass, and the other tests of the crate. Conclusion: saturating or wider sums. Two weights near 2^64 are accepted, but the hash of 64 bits then chooses the first target nearly always.

--- a/crates/fleet-entry/src/endpoint.rs
+++ b/crates/fleet-entry/src/endpoint.rs
@@ -312,7 +312,7 @@
         }
         match self.load.get().filter(|(_, at)| now < *at + LOAD_MAX_AGE) {
             Some((load, _)) => {
-                let reported = f64::from(load.running + load.waiting);
+                let reported = f64::from(load.running) + f64::from(load.waiting);
                 (reported + f64::from(self.sent_since_load.get())).max(own)
             }
             None => own * f64::from(entries.max(1)).sqrt(),
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -205,7 +205,7 @@
             Next::Retry(fallback) => {
                 let attempts = self.route.attempts.max(1);
                 let allowed = self.runs < attempts
-                    && self.sends < attempts + MAX_REFUSED_SENDS
+                    && self.sends < attempts.saturating_add(MAX_REFUSED_SENDS)
                     && self.left_ms() > MIN_SEND_TIME_MS
                     && self.has_endpoint()
                     && self.entry.take_second_send(&self.service);
--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -74,13 +74,14 @@
 
 /// Chooses the service of a request by weight, with a hash of the request id.
 pub fn service<'a>(route: &'a Route, metadata: &RequestMetadata) -> Option<&'a Name> {
-    let total: u64 = route.targets.iter().map(|target| target.weight).sum();
-    let mut point = xxh3_64(metadata.id.as_bytes()) % total.max(1);
+    let total: u128 = route.targets.iter().map(|target| u128::from(target.weight)).sum();
+    let mut point = u128::from(xxh3_64(metadata.id.as_bytes())) % total.max(1);
     for target in &route.targets {
-        if point < target.weight {
+        let weight = u128::from(target.weight);
+        if point < weight {
             return Some(&target.service);
         }
-        point -= target.weight;
+        point -= weight;
     }
     route.targets.first().map(|target| &target.service)
 }
@@ -241,7 +242,7 @@
 fn preferred(metadata: &RequestMetadata, endpoints: &[Rc<Endpoint>]) -> Option<SharedPrefix> {
     let (_, shared) = metadata.parts.split_last()?;
     let last = shared.last()?;
-    let tokens = shared.iter().map(|part| part.tokens).sum();
+    let tokens = shared.iter().fold(0, |sum: u64, part| sum.saturating_add(part.tokens));
     let mut ranked: SmallVec<[(u64, Name); 16]> = endpoints
         .iter()
         .map(|endpoint| {
--- a/crates/fleet-entry/src/send.rs
+++ b/crates/fleet-entry/src/send.rs
@@ -316,7 +316,7 @@
         }
         let answer_timeout = match self.route.kind {
             Kind::Stream => {
-                MIN_STREAM_ANSWER_TIMEOUT.max(Duration::from_millis(2 * self.route.target_ms))
+                MIN_STREAM_ANSWER_TIMEOUT.max(2 * Duration::from_millis(self.route.target_ms))
             }
             Kind::Safe | Kind::Unsafe => PLAIN_ANSWER_TIMEOUT,
         };
--- a/crates/fleet-entry/src/server.rs
+++ b/crates/fleet-entry/src/server.rs
@@ -107,7 +107,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // Counts from the end of the previous request, so it is also the idle timeout.
-        .header_read_timeout(Duration::from_millis(idle_ms + IDLE_MARGIN_MS))
+        .header_read_timeout(Duration::from_millis(idle_ms.saturating_add(IDLE_MARGIN_MS)))
         .max_buf_size(READ_BUFFER)
         .serve_connection(TokioIo::new(stream), service);
     let connection = graceful.watch(connection);
