Let an endpoint come back after an announcement with an odd order

What callers saw: no requests at a sound endpoint, and later ones at an endpoint that drains, after one announcement with its id and a start time far in the future or the highest sequence number. Control replicas ignored the endpoint for 120 s, entries for good. Cause: an order once seen was final, even if it was never heard again. Ruled out: a bound on start times by the replica's clock, because clocks of VMs jump. Delayed announcements of an earlier incarnation still change nothing. Evidence: fleet-control/tests/directory.rs, fleet-entry/tests/state.rs. Before: 3 and 3 cases failed. After: all pass, and the other tests of both crates. Not mended: it deregisters while the odd start time is in force and starts again under its id.

--- a/crates/fleet-control/src/directory.rs
+++ b/crates/fleet-control/src/directory.rs
@@ -23,6 +23,37 @@
     last_heard: Duration,
     /// Number of the latest change of this endpoint.
     change: u64,
+    /// Announcements whose order is lower than that of the newest one.
+    earlier: Option<Earlier>,
+}
+
+impl KnownEndpoint {
+    /// Records an announcement with a lower order. Returns whether such announcements have kept
+    /// arriving since the one with the highest order became silent: that one was wrong, or the
+    /// clock that orders the incarnations went back.
+    fn is_outlived(&mut self, order: (u64, u64), silent_after: Duration) -> bool {
+        let now = boot_time();
+        let earlier = self.earlier.as_mut().filter(|earlier| {
+            earlier.order.0 == order.0 && now < earlier.last_heard + silent_after
+        });
+        let since = match earlier {
+            Some(earlier) if order > earlier.order => earlier.since,
+            // Repeated or delayed.
+            Some(_) => return false,
+            None => now,
+        };
+        self.earlier = Some(Earlier { order, since, last_heard: now });
+        self.update.status != Status::Present && now >= since + silent_after
+    }
+}
+
+/// Announcements of one incarnation that arrive one after the other.
+struct Earlier {
+    order: (u64, u64),
+    /// Time of the first one.
+    since: Duration,
+    /// Time of the newest one.
+    last_heard: Duration,
 }
 
 /// The directory of one replica.
@@ -46,18 +77,19 @@
     /// Records an announcement. Returns whether entries need it, or `None` if it is stale.
     pub fn announce(&mut self, announcement: Announcement) -> Option<bool> {
         let now = boot_time();
-        let known = self.endpoints.get(&announcement.id);
-        if let Some(known) = known {
+        if let Some(known) = self.endpoints.get_mut(&announcement.id) {
             let previous = &known.update.announcement;
             let same_incarnation = announcement.incarnation == previous.incarnation;
             let gone = same_incarnation && known.update.status == Status::Gone;
-            if gone || announcement.order() < previous.order() {
+            let late = announcement.order() < previous.order();
+            if gone || (late && !known.is_outlived(announcement.order(), self.silent_after)) {
                 return None;
             }
         }
         if self.is_superseded(&announcement) {
             return None;
         }
+        let known = self.endpoints.get(&announcement.id);
         let differs = known.is_none_or(|known| {
             known.update.status != Status::Present
                 || announcement.differs(&known.update.announcement)
@@ -70,7 +102,7 @@
         });
         let id = announcement.id.clone();
         let update = EndpointUpdate { announcement, status: Status::Present };
-        self.endpoints.insert(id, KnownEndpoint { update, last_heard: now, change });
+        self.endpoints.insert(id, KnownEndpoint { update, last_heard: now, change, earlier: None });
         Some(differs)
     }
 
--- a/crates/fleet-control/tests/directory.rs
+++ b/crates/fleet-control/tests/directory.rs
@@ -8,6 +8,7 @@
 use hickoryreel_fleet::endpoint::Status;
 use hickoryreel_fleet::link::Cursor;
 use hickoryreel_fleet_control::directory::Directory;
+use yare::parameterized;
 
 fn announcement(incarnation: u64, sequence: u64, draining: bool) -> Announcement {
     Announcement {
@@ -100,3 +101,65 @@
     assert_eq!(directory.updates_since(cursor).len(), 1);
     assert_eq!(directory.updates_since(directory.cursor()).len(), 0);
 }
+
+/// Announces every interval until the directory accepts one. Returns whether it did in time.
+fn announce_until_accepted(directory: &mut Directory, incarnation: u64, draining: bool) -> bool {
+    (1..200).any(|sequence| {
+        std::thread::sleep(SHORT_INTERVAL);
+        directory.expire();
+        directory.announce(announcement(incarnation, sequence, draining)).is_some()
+    })
+}
+
+const SHORT_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Guards against one announcement with an odd order that shuts out all further ones of a sound
+/// endpoint with the same id.
+#[parameterized(
+    sequence = { announcement(10, u64::MAX, false) },
+    incarnation = { announcement(u64::MAX, 1, false) },
+    incarnation_and_sequence = { announcement(u64::MAX, u64::MAX, false) },
+)]
+fn sound_endpoint_comes_back_after_an_odd_announcement(odd: Announcement) {
+    let mut directory = Directory::new(SHORT_INTERVAL);
+    directory.announce(announcement(10, 5, false));
+    directory.announce(odd);
+    let cursor = directory.cursor();
+
+    assert!(announce_until_accepted(&mut directory, 10, true));
+
+    let update = directory.updates_since(cursor).pop().expect("entries need it");
+    assert_eq!((update.status, update.announcement.draining), (Status::Present, true));
+    assert_eq!(update.announcement.incarnation, 10);
+}
+
+/// Guards against a delayed announcement that brings back an earlier incarnation after the later one
+/// has become silent.
+#[test]
+fn delayed_announcements_do_not_replace_a_silent_incarnation() {
+    let mut directory = Directory::new(SHORT_INTERVAL);
+    directory.announce(announcement(20, 1, false));
+    std::thread::sleep(6 * SHORT_INTERVAL);
+    directory.expire();
+
+    for sequence in [6, 7, 7, 5, 8] {
+        assert_eq!(directory.announce(announcement(10, sequence, false)), None);
+    }
+    std::thread::sleep(10 * SHORT_INTERVAL);
+    assert_eq!(directory.announce(announcement(10, 9, false)), None);
+
+    assert_eq!(status(&directory), Some(Status::Silent));
+}
+
+/// Guards against an earlier incarnation that comes back while the later one announces itself.
+#[test]
+fn earlier_incarnation_does_not_replace_one_that_is_present() {
+    let mut directory = Directory::new(SHORT_INTERVAL);
+    for sequence in 1..20 {
+        std::thread::sleep(SHORT_INTERVAL / 2);
+        directory.announce(announcement(20, sequence, false));
+        directory.expire();
+
+        assert_eq!(directory.announce(announcement(10, sequence, false)), None);
+    }
+}
--- a/crates/fleet-entry/src/directory.rs
+++ b/crates/fleet-entry/src/directory.rs
@@ -40,17 +40,23 @@
 impl Directory {
     /// Applies an update from one replica.
     pub fn apply(&mut self, update: EndpointUpdate, replica: SocketAddr) -> Change {
-        let EndpointUpdate { announcement, status } = update;
+        let EndpointUpdate { mut announcement, status } = update;
         let departed = self.departed.get(&announcement.id).copied();
         if departed.is_some_and(|incarnation| announcement.incarnation <= incarnation) {
             return Change::None;
         }
-        let known = self.endpoints.get(&announcement.id);
-        let newer = known
-            .is_some_and(|known| known.announcement.borrow().order().0 > announcement.incarnation);
-        if newer {
-            // An update of an earlier incarnation does not apply to the current one.
-            return Change::None;
+        if let Some(known) = self.endpoints.get(&announcement.id)
+            && known.announcement.borrow().incarnation > announcement.incarnation
+        {
+            // An update of an earlier incarnation does not apply to the current one, unless only
+            // the earlier one is heard.
+            if status == Status::Present {
+                known.set_heard_by(replica, false);
+            }
+            if status != Status::Present || !known.is_silent() {
+                return Change::None;
+            }
+            self.remove(&announcement.id);
         }
         if status == Status::Gone {
             self.departed.insert(announcement.id.clone(), announcement.incarnation);
@@ -63,15 +69,19 @@
             return Change::New;
         };
         let (old, new) = (known.announcement.borrow().order(), announcement.order());
-        let moved = new > old && known.announcement.borrow().address != announcement.address;
+        // The sequence number in use is wrong if only announcements with lower ones are heard.
+        let outlived = new < old && hears && known.is_silent();
+        let applies = new > old || outlived;
+        announcement.draining |= outlived && known.announcement.borrow().draining;
+        let moved = applies && known.announcement.borrow().address != announcement.address;
         if new.0 > old.0 || moved {
             self.remove(&announcement.id);
             self.add(announcement).set_heard_by(replica, hears);
             return Change::New;
         }
         let silence_changed = known.set_heard_by(replica, hears);
-        let drains = new > old && announcement.draining && !known.announcement.borrow().draining;
-        if new > old {
+        let drains = applies && announcement.draining && !known.announcement.borrow().draining;
+        if applies {
             *known.announcement.borrow_mut() = announcement;
         }
         match (drains, silence_changed, hears) {
--- a/crates/fleet-entry/tests/state.rs
+++ b/crates/fleet-entry/tests/state.rs
@@ -18,6 +18,7 @@
 use hickoryreel_fleet_entry::directory::Change;
 use hickoryreel_fleet_entry::directory::Directory;
 use hickoryreel_fleet_entry::view::View;
+use yare::parameterized;
 
 /// Guards against an older configuration from another replica that replaces a newer one.
 #[test]
@@ -77,6 +78,48 @@
     assert_eq!(apply(3, 1, false, Status::Present), Change::New);
 }
 
+/// Guards against an odd order that shuts out the further updates of a sound endpoint although no
+/// replica hears the odd one any more.
+#[parameterized(
+    sequence = { 2, u64::MAX },
+    incarnation = { u64::MAX, 1 },
+    incarnation_and_sequence = { u64::MAX, u64::MAX },
+)]
+fn sound_endpoint_comes_back_after_an_odd_update(incarnation: u64, sequence: u64) {
+    let mut directory = Directory::default();
+    directory.apply(update(2, 5, false, Status::Present), replica(1));
+    for number in [1, 2] {
+        directory.apply(update(incarnation, sequence, false, Status::Present), replica(number));
+    }
+    for number in [1, 2] {
+        directory.apply(update(incarnation, sequence, false, Status::Silent), replica(number));
+    }
+
+    directory.apply(update(2, 9, false, Status::Present), replica(2));
+
+    let endpoint = directory.for_service("service")[0].clone();
+    assert!(endpoint.is_usable());
+    assert_eq!(endpoint.announcement.borrow().order(), (2, 9));
+    assert_eq!(directory.apply(update(2, 10, true, Status::Present), replica(1)), Change::Draining);
+    assert_eq!(directory.for_service("service").len(), 1);
+}
+
+/// Guards against a late update that replaces an endpoint that another replica hears, and against
+/// one that ends its draining.
+#[test]
+fn late_update_does_not_replace_an_endpoint() {
+    let mut directory = Directory::default();
+    directory.apply(update(2, 5, true, Status::Present), replica(1));
+    assert_eq!(directory.apply(update(1, 9, false, Status::Present), replica(2)), Change::None);
+
+    directory.apply(update(2, 5, true, Status::Silent), replica(1));
+    directory.apply(update(2, 4, false, Status::Present), replica(2));
+
+    let endpoint = &directory.for_service("service")[0];
+    assert!(endpoint.announcement.borrow().draining);
+    assert_eq!(endpoint.announcement.borrow().incarnation, 2);
+}
+
 /// Guards against removing an endpoint because a replica does not receive its announcements.
 #[test]
 fn silent_endpoint_stays_known() {
