List an endpoint for the service that it announced last

What callers saw: requests of a service at an endpoint that has announced another one since, for example after one announcement of another writer with its id. Cause: the announcement was replaced in place; the list by service was not. Ruled out: changes of the address and of the start, which add the endpoint anew. Evidence: fleet-entry/tests/state.rs. Conclusion: a changed service adds the endpoint anew.

--- a/crates/fleet-entry/src/directory.rs
+++ b/crates/fleet-entry/src/directory.rs
@@ -73,8 +73,11 @@
         let outlived = new < old && hears && known.is_silent();
         let applies = new > old || outlived;
         announcement.draining |= outlived && known.announcement.borrow().draining;
-        let moved = applies && known.announcement.borrow().address != announcement.address;
-        if new.0 > old.0 || moved {
+        let moved = {
+            let known = known.announcement.borrow();
+            known.address != announcement.address || known.service != announcement.service
+        };
+        if new.0 > old.0 || (applies && moved) {
             self.remove(&announcement.id);
             self.add(announcement).set_heard_by(replica, hears);
             return Change::New;
--- a/crates/fleet-entry/tests/state.rs
+++ b/crates/fleet-entry/tests/state.rs
@@ -104,6 +104,27 @@
     assert_eq!(directory.for_service("service").len(), 1);
 }
 
+/// Guards against requests of a service at an endpoint that has announced another one, and against an
+/// endpoint that is no longer found after it has announced its own service again.
+#[test]
+fn endpoint_belongs_to_the_service_that_it_announced_last() {
+    let mut directory = Directory::default();
+    directory.apply(update(1, 1, false, Status::Present), replica(1));
+    let mut odd = update(1, 2, false, Status::Present);
+    odd.announcement.service = "other".into();
+
+    directory.apply(odd, replica(1));
+    assert_eq!(directory.for_service("service").len(), 0);
+    assert_eq!(directory.for_service("other").len(), 1);
+
+    directory.apply(update(1, 3, false, Status::Present), replica(1));
+    assert_eq!(directory.for_service("other").len(), 0);
+    assert!(directory.for_service("service")[0].is_usable());
+
+    directory.apply(update(1, 3, false, Status::Gone), replica(1));
+    assert_eq!(directory.for_service("service").len(), 0);
+}
+
 /// Guards against a late update that replaces an endpoint that another replica hears, and against
 /// one that ends its draining.
 #[test]
