--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -247,7 +247,7 @@
     /// apart from the retry budget.
     fn obstacle(&self, runs: u32, accepts: impl Fn(&Endpoint) -> bool) -> Option<Obstacle> {
         let attempts = self.route.attempts.max(1);
-        if runs >= attempts || self.sends >= attempts + MAX_REFUSED_SENDS {
+        if runs >= attempts || self.sends >= attempts.saturating_add(MAX_REFUSED_SENDS) {
             Some(Obstacle::Attempts)
         } else if self.left_ms() <= MIN_SEND_TIME_MS {
             Some(Obstacle::Time)
--- a/crates/fleet-entry/tests/common/harness.rs
+++ b/crates/fleet-entry/tests/common/harness.rs
@@ -39,6 +39,9 @@
 /// Time limit for conditions that should hold at once; not a bound under test.
 pub(crate) const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
+/// A reset discards what the receiver has not read yet.
+const RESET_DELAY: Duration = Duration::from_millis(100);
+
 /// A dialect with only the headers that the tests need.
 struct TestDialect;
 
@@ -102,6 +105,8 @@
     Close,
     /// Ends the endpoint if the head has this line: closes its connections and accepts no others.
     CrashOn(&'static str),
+    /// Resets the connection after a pause in which the entry reads what was written.
+    Reset,
     /// Keeps the connection open without writing until the entry closes it.
     Hang,
     /// Waits before the next action.
@@ -183,6 +188,11 @@
                         return crash.cancel();
                     }
                 }
+                Action::Reset => {
+                    tokio::time::sleep(RESET_DELAY).await;
+                    stream.set_zero_linger().expect("loopback works");
+                    return;
+                }
                 Action::Pause(time) => tokio::time::sleep(*time).await,
                 Action::Repeat(bytes, pause) => {
                     while stream.write_all(bytes.as_bytes()).await.is_ok() {
