End a stream to a client only when its relay says that it is complete

Callers could have seen: a stream that looks complete before its last event. Cause: the body of a stream ended whenever its channel closed, so a relay task that ended in any unforeseen way (a panic, a later change that returns early) completed the answer of its client. A break had to be sent; completion was the default. Now completion is sent, and everything else interrupts the answer. Class: a failure that is reported only if the failing code still runs. Ruled out: the shutdown of the process, which drops tasks without polling the connections.

--- a/crates/fleet-entry/src/body.rs
+++ b/crates/fleet-entry/src/body.rs
@@ -18,12 +18,17 @@
 #[display("the stream was interrupted")]
 pub struct StreamInterrupted;
 
-/// A chunk of a stream, or its failure.
-pub type Chunk = Result<Bytes, StreamInterrupted>;
+/// A chunk of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Chunk {
+    Data(Bytes),
+    /// End of a complete stream.
+    End,
+}
 
 enum Source {
     Whole(Option<Bytes>),
-    /// A stream that ends when all senders have been dropped.
+    /// A stream that is interrupted if all senders are dropped before [`Chunk::End`].
     Chunks(mpsc::Receiver<Chunk>),
 }
 
@@ -63,9 +68,11 @@
             Source::Whole(bytes) => Poll::Ready(
                 bytes.take().filter(|bytes| !bytes.is_empty()).map(|bytes| Ok(Frame::data(bytes))),
             ),
-            Source::Chunks(chunks) => {
-                chunks.poll_recv(context).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
-            }
+            Source::Chunks(chunks) => chunks.poll_recv(context).map(|chunk| match chunk {
+                Some(Chunk::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(Chunk::End) => None,
+                None => Some(Err(StreamInterrupted)),
+            }),
         }
     }
 
--- a/crates/fleet-entry/src/relay.rs
+++ b/crates/fleet-entry/src/relay.rs
@@ -17,7 +17,6 @@
 
 use crate::body::Body;
 use crate::body::Chunk;
-use crate::body::StreamInterrupted;
 use crate::endpoint::Endpoint;
 use crate::exchange;
 use crate::exchange::Exchange;
@@ -161,10 +160,7 @@
                 Some(next) => source = next,
                 None => {
                     self.request.entry.metrics.broken_off.inc();
-                    self.request.log_end(200, "broken off");
-                    // Sending fails if the client has closed its connection.
-                    let _ = self.chunks.send(Err(StreamInterrupted)).await;
-                    return;
+                    return self.request.log_end(200, "broken off");
                 }
             }
         }
@@ -224,7 +220,7 @@
             let Some(batch) = batch else { continue };
             self.request.first_at.get_or_insert_with(boot_time);
             self.request.last_event = self.events.last_id();
-            if self.chunks.send(Ok(batch.bytes)).await.is_err() {
+            if self.chunks.send(Chunk::Data(batch.bytes)).await.is_err() {
                 return End::ClientGone;
             }
             if is_progress {
@@ -250,7 +246,10 @@
         if exchange::is_reusable(&mut connection).await {
             in_flight.return_connection(connection, keep_alive);
         }
+        drop(in_flight);
         self.request.log_end(200, "answered");
+        // Sending fails if the client has closed its connection.
+        let _ = self.chunks.send(Chunk::End).await;
     }
 
     /// Resumes the stream at another endpoint. Returns `None` if it can't be resumed.
