Take a status that is no final answer for a lost answer

Callers saw: with an endpoint that answers 101, a head of 101 and then a closed connection, without a final answer (LOST); with 999, a wait until the deadline. Cause: the HTTP client hands 101 out as an answer, and the entry forwarded any status. The server closes the client's connection after it. Now a status outside 200 to 599 counts as an unknown outcome: the request goes to another endpoint if it may run again, otherwise the client gets 502. Ruled out: 204, 304 and 205 with a body are forwarded without harm (tried by hand). Evidence: the test in tests/sends.rs fails on the code before (the client gets 101) and passes now.

--- a/crates/fleet-entry/src/send.rs
+++ b/crates/fleet-entry/src/send.rs
@@ -1,5 +1,6 @@
 //! One send of a request to an endpoint, until the head of the answer or all of it has arrived.
 
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -49,6 +50,9 @@
 /// another endpoint.
 const MAX_BODY_PAUSE: Duration = Duration::from_millis(2_500);
 
+/// Statuses of final answers.
+const FINAL_STATUSES: Range<u16> = 200..600;
+
 /// Bytes of an answer without events that count as progress.
 const MIN_BODY_PROGRESS: usize = 256;
 
@@ -160,6 +164,11 @@
             return Err(SendEnd::NotRun);
         }
         self.runs += 1;
+        // After 101 the connection speaks another protocol, which no request has asked for.
+        if !FINAL_STATUSES.contains(&status.as_u16()) {
+            self.record_endpoint_failure(&endpoint, "the answer has no final status");
+            return Err(SendEnd::Unknown);
+        }
         if reply.encoded {
             self.record_endpoint_failure(&endpoint, "the answer has a content encoding");
             return Err(SendEnd::Unknown);
--- a/crates/fleet-entry/tests/sends.rs
+++ b/crates/fleet-entry/tests/sends.rs
@@ -348,3 +348,16 @@
         })
         .await;
 }
+
+/// Guards against a connection that is closed after a status that is no final answer.
+#[tokio::test]
+async fn status_that_is_no_final_answer_is_not_forwarded() {
+    let heads = ["HTTP/1.1 101 Up\r\nid: {id}\r\n\r\n", "HTTP/1.1 999 No\r\nid: {id}\r\n\r\n"];
+    for head in heads {
+        let (safe, _, second) = run(vec![Action::Write(head)], SAFE).await;
+        let (once, first, _) = run(vec![Action::Write(head)], ONCE).await;
+
+        assert_eq!((status(&safe), second), (200, 1), "{safe}");
+        assert_eq!((status(&once), first), (502, 1), "{once}");
+    }
+}
