--- a/crates/fleet-entry/src/relay.rs
+++ b/crates/fleet-entry/src/relay.rs
@@ -17,7 +17,6 @@
 
 use crate::body::Body;
 use crate::body::Chunk;
-use crate::body::StreamInterrupted;
 use crate::endpoint::Endpoint;
 use crate::exchange;
 use crate::exchange::Exchange;
@@ -172,10 +171,7 @@
                 Some(next) => source = next,
                 None => {
                     self.request.entry.metrics.broken_off.inc();
-                    self.request.log_end(200, "broken off");
-                    // Sending fails if the client has closed its connection.
-                    let _ = self.chunks.send(Err(StreamInterrupted)).await;
-                    return;
+                    return self.request.log_end(200, "broken off");
                 }
             }
         }
@@ -239,7 +235,7 @@
                 let parts = self.request.shared_parts();
                 self.request.entry.quarantine.borrow_mut().record_answer(&parts, boot_time());
             }
-            if self.chunks.send(Ok(batch.bytes)).await.is_err() {
+            if self.chunks.send(Chunk::Data(batch.bytes)).await.is_err() {
                 return End::ClientGone;
             }
             if is_progress {
@@ -265,7 +261,10 @@
         if exchange::is_reusable(&mut connection).await {
             in_flight.return_connection(connection, keep_alive);
         }
+        drop(in_flight);
         self.request.log_end(200, "answered");
+        // Sending fails if the client has closed its connection.
+        let _ = self.chunks.send(Chunk::End).await;
     }
 
     /// Resumes the stream at another endpoint. Returns `None` if it can't be resumed.
--- a/crates/fleet-entry/src/send.rs
+++ b/crates/fleet-entry/src/send.rs
@@ -1,5 +1,6 @@
 //! One send of a request to an endpoint, until the head of the answer or all of it has arrived.
 
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -50,6 +51,9 @@
 /// another endpoint.
 const MAX_BODY_PAUSE: Duration = Duration::from_millis(2_500);
 
+/// Statuses of final answers.
+const FINAL_STATUSES: Range<u16> = 200..600;
+
 /// Bytes of an answer without events that count as progress.
 const MIN_BODY_PROGRESS: usize = 256;
 
@@ -176,6 +180,11 @@
             self.record_endpoint_failure(&endpoint, "a refusal does not state that nothing ran");
             return Err(SendEnd::Unknown);
         }
+        // After 101 the connection speaks another protocol, which no request has asked for.
+        if !FINAL_STATUSES.contains(&status.as_u16()) {
+            self.record_endpoint_failure(&endpoint, "the answer has no final status");
+            return Err(SendEnd::Unknown);
+        }
         if reply.encoded {
             self.record_endpoint_failure(&endpoint, "the answer has a content encoding");
             return Err(SendEnd::Unknown);
