Resume an unframed stream that ends without an event

Callers could have seen a complete stream without any event. Cause: the end of the connection is the only mark of the end of a stream without length and chunks, so an endpoint that crashes between the head and the first event looked like one that had finished. Ruled out: streams with chunks, whose missing last chunk is an error of the connection. Evidence: the new case of unframed.rs failed before and passes; sends.rs and endless.rs pass. Conclusion: such an end counts as a lost connection, unless the stream continues an earlier one, of which nothing may be left.

--- a/crates/fleet-entry/src/relay.rs
+++ b/crates/fleet-entry/src/relay.rs
@@ -9,6 +9,7 @@
 use bytes::BytesMut;
 use hickoryreel_base::time::boot_time;
 use http::Response;
+use http::header;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use memchr::memmem;
@@ -103,19 +104,15 @@
 /// Returns the response and starts a task that forwards the stream.
 pub fn start(request: ActiveRequest, sent: Sent) -> Response<Body> {
     let (chunks, body) = mpsc::channel(CHUNK_BUFFER);
-    let Sent { exchange, reply, in_flight } = sent;
-    let Exchange { connection, response } = exchange;
-    let (head, incoming) = response.into_parts();
     let mut response = Response::new(Body::chunks(body));
-    *response.status_mut() = head.status;
-    *response.headers_mut() = request.entry.dialect.response_headers(&head.headers);
-    response.headers_mut().remove(http::header::CONTENT_LENGTH);
+    let received = &sent.exchange.response;
+    *response.status_mut() = received.status();
+    *response.headers_mut() = request.entry.dialect.response_headers(received.headers());
+    response.headers_mut().remove(header::CONTENT_LENGTH);
     let time = boot_time().saturating_sub(request.arrived);
     request.entry.metrics.first_part.observe(time.as_secs_f64());
-    let source =
-        Source { connection, incoming, keep_alive: reply.keep_alive, in_flight, answered: false };
     let relay = Relay { request, chunks, events: Events::default() };
-    tokio::task::spawn_local(relay.run(source));
+    tokio::task::spawn_local(relay.run(Source::new(sent)));
     response
 }
 
@@ -124,10 +121,29 @@
     incoming: Incoming,
     keep_alive: Option<Duration>,
     in_flight: InFlight,
+    /// Whether nothing but the end of the connection marks the end of the stream.
+    is_unframed: bool,
     /// Whether it has sent a new event.
     answered: bool,
 }
 
+impl Source {
+    fn new(sent: Sent) -> Self {
+        let Sent { exchange: Exchange { connection, response }, reply, in_flight } = sent;
+        let headers = response.headers();
+        let is_unframed = !headers.contains_key(header::CONTENT_LENGTH)
+            && !headers.contains_key(header::TRANSFER_ENCODING);
+        Self {
+            connection,
+            incoming: response.into_body(),
+            keep_alive: reply.keep_alive,
+            in_flight,
+            is_unframed,
+            answered: false,
+        }
+    }
+}
+
 struct Relay {
     request: ActiveRequest,
     chunks: mpsc::Sender<Chunk>,
@@ -213,6 +229,9 @@
                 Ok(None) if self.events.is_partial() => {
                     return End::Lost("the stream ended within an event".to_owned());
                 }
+                Ok(None) if source.is_unframed && self.is_empty(source) => {
+                    return End::Lost("the stream ended without an event".to_owned());
+                }
                 Ok(None) => return End::Complete,
                 // The checks above decide what the end of the wait means.
                 Err(_) => continue,
@@ -246,6 +265,12 @@
         }
     }
 
+    /// Whether there was no event at all, neither from this source nor from one before it.
+    fn is_empty(&self, source: &Source) -> bool {
+        let resumes = self.events.last_id().or(self.request.metadata.after_event).is_some();
+        !resumes && !source.answered
+    }
+
     fn log_wait(&self, endpoint: &Endpoint, obstacle: Obstacle) {
         let request = &self.request;
         request.entry.metrics.waits.inc();
@@ -278,21 +303,11 @@
             }
             let after = self.events.last_id().or(self.request.metadata.after_event);
             match self.request.send(after).await {
-                Ok(Sent { exchange, reply, in_flight })
-                    if exchange.response.status().is_success() =>
-                {
+                Ok(sent) if sent.exchange.response.status().is_success() => {
                     self.request.entry.metrics.resumed.inc();
                     info!(self.request.entry.log, "stream resumed"; "request" => &self.request.metadata.id,
-                        "endpoint" => &*in_flight.endpoint.id(), "after_event" => after);
-                    let Exchange { connection, response } = exchange;
-                    let incoming = response.into_body();
-                    return Some(Source {
-                        connection,
-                        incoming,
-                        keep_alive: reply.keep_alive,
-                        in_flight,
-                        answered: false,
-                    });
+                        "endpoint" => &*sent.in_flight.endpoint.id(), "after_event" => after);
+                    return Some(Source::new(sent));
                 }
                 Ok(sent) => {
                     sent.in_flight.record_verdict(Verdict::Failure);
--- a/crates/fleet-entry/tests/unframed.rs
+++ b/crates/fleet-entry/tests/unframed.rs
@@ -108,6 +108,23 @@
         .await;
 }
 
+/// Guards against a crash before the first event that looks like a complete stream.
+#[tokio::test]
+async fn unframed_stream_without_an_event_is_not_complete() {
+    LocalSet::new()
+        .run_until(async {
+            let first = unframed(&[HEAD], Action::Close).await;
+            let second = unframed(&[HEAD, TWO_EVENTS], Action::Close).await;
+            let served = entry(&first, &second).await;
+
+            let answer = call(&served, STREAM, "r1").await;
+
+            assert_eq!(data_of(&answer), ["data: a", "data: b"], "{answer}");
+            assert!(is_complete(&answer), "{answer}");
+        })
+        .await;
+}
+
 /// Guards against a stream without framing that broke off and looks complete to the client, and
 /// against an event that is missing, incomplete or repeated after it is resumed.
 #[parameterized(
