Judge a new version by its requests under way and its share of slow ones

Cause: the comparison of latencies counted requests that had ended, by their mean until the end. At the slow version the streams of a trial of 3.6 s take 6 to 15 s, and the mean over sound and slow requests stayed below three times the old one. Then the roll-out completed without a verdict. Ruled out: a trial too short to tell. The time between events differs (27 and 232 ms) from the third event on.

Entries now report histograms of the time to the first part and of the time between events, with what is under way, counted since the trial and only for it. The controller compares shares of slow requests by route and over all routes, prolongs the trial while it has no verdict, and does not complete a suspect version before 94% of the time.

The seven cases of before are unchanged in strictness.

--- a/crates/fleet-control/src/roll_out.rs
+++ b/crates/fleet-control/src/roll_out.rs
@@ -10,12 +10,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use derive_more::Display;
 use hickoryreel_base::time::boot_time;
 use hickoryreel_consensus::core::Role;
 use hickoryreel_fleet::Name;
 use hickoryreel_fleet::roll_out::Phase;
 use hickoryreel_fleet::roll_out::RollOut;
 use hickoryreel_fleet::roll_out::Tally;
+use hickoryreel_fleet::roll_out::Timing;
 use slog::Logger;
 use slog::info;
 
@@ -33,19 +35,25 @@
 /// during the first half.
 const TRIAL_START_FRACTION: f64 = 0.51;
 
-/// Fraction of the planned duration at which the trial ends.
+/// Fraction of the planned duration at which the trial of a sound version ends.
 const TRIAL_END_FRACTION: f64 = 0.75;
 
-/// Fraction of the planned duration after which the roll-out completes in any case. The rest allows
-/// for lost acknowledgements.
+/// Fraction of the planned duration up to which the trial goes on without a verdict.
+const MAX_TRIAL_FRACTION: f64 = 0.84;
+
+/// Fraction of the planned duration after which the roll-out completes although requests are
+/// outstanding at the old version. The rest allows for lost acknowledgements.
 const COMPLETE_FRACTION: f64 = 0.90;
 
+/// Fraction of the planned duration up to which a suspect version does not replace the old one.
+const MAX_HOLD_FRACTION: f64 = 0.94;
+
 /// Minimum fraction of the planned duration for which all new requests go to the new version before
 /// it may replace the old one.
 const MIN_MOVING_FRACTION: f64 = 0.06;
 
-/// Minimum number of ended requests of a route at a version to compare the versions on that route.
-const MIN_ENDED: u64 = 5;
+/// Minimum number of requests of a route at a version to compare the versions on that route.
+const MIN_REQUESTS: u64 = 5;
 
 /// Minimum number of failed requests of a route at the new version to compare the failure rates.
 const MIN_FAILED: u64 = 3;
@@ -54,13 +62,29 @@
 /// count as a regression. A single endpoint that fails some of its requests stays below it.
 const FAILURE_RATE_MARGIN: f64 = 0.2;
 
-/// Ratio of the mean times to the first part of an answer above which the new version counts as
-/// slow. Faulty versions are several times slower.
-const SLOW_RATIO: f64 = 3.0;
+/// Ratio to the median at the old version above which a time to the first part of an answer counts
+/// as slow.
+const FIRST_RATIO: f64 = 2.5;
+
+/// Margin above that: the prefill of a prompt that the old version has in its caches.
+const FIRST_MARGIN_MS: f64 = 100.0;
+
+/// Ratio to the median at the old version above which the mean time between the events of a stream
+/// counts as slow. It varies less between requests than the time to the first part.
+const GAP_RATIO: f64 = 2.0;
+
+/// Margin above that.
+const GAP_MARGIN_MS: f64 = 10.0;
 
-/// Margin above `SLOW_RATIO` times the mean of the old version up to which the new version does not
-/// count as slow.
-const SLOW_MARGIN_MS: f64 = 150.0;
+/// Margins during the trial.
+const TRIAL_MARGINS: Margins = Margins { regression: 0.2, suspicion: 0.1 };
+
+/// Margins once all new requests go to the new version. Its caches are cold for most of them, and it
+/// is compared with the old version at another time.
+const MOVING_MARGINS: Margins = Margins { regression: 0.5, suspicion: 0.3 };
+
+/// Minimum number of slow requests for a suspicion.
+const MIN_SLOW: u64 = 5;
 
 /// Age at which the report of an entry is dropped.
 const REPORT_MAX_AGE: Duration = Duration::from_secs(6);
@@ -78,7 +102,7 @@
 }
 
 /// Totals of one route at the new version and at all others.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Comparison {
     pub new: Total,
     /// All other versions together.
@@ -86,47 +110,198 @@
 }
 
 /// Request totals of one route.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Total {
     /// Requests that succeeded or failed.
     pub ended: u64,
     /// Requests that failed at the endpoint.
     pub bad: u64,
-    /// Sum of the times to the first part of an answer, over the requests that succeeded.
-    pub time_ms: u64,
+    /// Times to the first part of an answer.
+    pub first: Timing,
+    /// Mean times between the events of a stream.
+    pub gap: Timing,
 }
 
 impl Total {
-    fn failure_rate(self) -> f64 {
+    fn add(&mut self, tally: &Tally) {
+        self.ended += tally.succeeded + tally.failed;
+        self.bad += tally.failed;
+        self.first.merge(&tally.first);
+        self.gap.merge(&tally.gap);
+    }
+
+    fn failure_rate(&self) -> f64 {
         self.bad as f64 / self.ended.max(1) as f64
     }
+}
+
+/// Margins by which the share of slow requests of the new version must exceed twice that of the old
+/// one.
+#[derive(Clone, Copy, Debug)]
+struct Margins {
+    /// To count as worse.
+    regression: f64,
+    /// To count as suspect.
+    suspicion: f64,
+}
+
+impl Margins {
+    fn of(phase: Phase) -> Self {
+        if phase == Phase::Moving { MOVING_MARGINS } else { TRIAL_MARGINS }
+    }
+}
+
+/// Requests of which it is known whether they are slow.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct Speed {
+    slow: u64,
+    known: u64,
+}
+
+impl Speed {
+    /// A request that is under way counts once it is slow.
+    fn of(timing: &Timing, limit_ms: f64) -> Self {
+        let pending = timing.at_least.count_from(limit_ms);
+        Self {
+            slow: timing.measured.count_from(limit_ms) + pending,
+            known: timing.measured.count() + pending,
+        }
+    }
+
+    fn add(&mut self, other: Self) {
+        self.slow += other.slow;
+        self.known += other.known;
+    }
+
+    fn share(self) -> f64 {
+        self.slow as f64 / self.known.max(1) as f64
+    }
+}
+
+/// Slow requests at both versions, over one route or several.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq)]
+#[display("{} of {}, at the old version {} of {}", new.slow, new.known, old.slow, old.known)]
+struct Slowdown {
+    new: Speed,
+    old: Speed,
+}
+
+impl Slowdown {
+    /// Compares durations of one route. Without a median of the old version nothing is known.
+    fn of(new: &Timing, old: &Timing, limit_ms: impl Fn(f64) -> f64) -> Self {
+        let median_ms = old.measured.median_ms();
+        let Some(median_ms) = median_ms.filter(|_| old.measured.count() >= MIN_REQUESTS) else {
+            return Self::default();
+        };
+        let limit_ms = limit_ms(median_ms);
+        Self { new: Speed::of(new, limit_ms), old: Speed::of(old, limit_ms) }
+    }
+
+    fn add(&mut self, other: Self) {
+        self.new.add(other.new);
+        self.old.add(other.old);
+    }
+
+    /// Whether the share of slow requests exceeds twice that of the old version by more than a margin
+    /// and chance.
+    fn exceeds(self, margin: f64) -> bool {
+        // The largest standard error of a share among so many requests.
+        let error = 0.5 / (self.new.known.max(1) as f64).sqrt();
+        let excess = self.new.share() - 2.0 * self.old.share();
+        self.new.known >= MIN_REQUESTS && excess > margin + error
+    }
+
+    fn is_regression(self, margins: Margins) -> bool {
+        self.exceeds(margins.regression)
+    }
 
-    fn mean_latency_ms(self) -> f64 {
-        let succeeded = self.ended.saturating_sub(self.bad);
-        self.time_ms as f64 / succeeded.max(1) as f64
+    fn is_suspect(self, margins: Margins) -> bool {
+        self.new.slow >= MIN_SLOW && self.exceeds(margins.suspicion)
+    }
+
+    /// Compares the times to the first part and the times between events, over all routes.
+    fn of_routes(routes: &HashMap<Name, Comparison>) -> (Self, Self) {
+        let (mut first, mut gap) = (Self::default(), Self::default());
+        for comparison in routes.values() {
+            first.add(comparison.first());
+            gap.add(comparison.gap());
+        }
+        (first, gap)
     }
 }
 
 impl Comparison {
+    fn first(&self) -> Slowdown {
+        let limit_ms = |median_ms| FIRST_RATIO * median_ms + FIRST_MARGIN_MS;
+        Slowdown::of(&self.new.first, &self.old.first, limit_ms)
+    }
+
+    fn gap(&self) -> Slowdown {
+        let limit_ms = |median_ms| GAP_RATIO * median_ms + GAP_MARGIN_MS;
+        Slowdown::of(&self.new.gap, &self.old.gap, limit_ms)
+    }
+
     /// Returns why the new version is worse than the old one on this route, if it is.
-    pub fn regression(&self) -> Option<String> {
-        let Self { new, old } = *self;
-        if new.ended < MIN_ENDED {
-            return None;
-        }
-        if new.bad >= MIN_FAILED
+    pub fn regression(&self, phase: Phase) -> Option<String> {
+        let Self { new, old } = self;
+        if new.ended >= MIN_REQUESTS
+            && new.bad >= MIN_FAILED
             && new.failure_rate() > 2.0 * old.failure_rate() + FAILURE_RATE_MARGIN
         {
             return Some(format!("{} of {} requests failed", new.bad, new.ended));
         }
-        let slow = new.mean_latency_ms() > SLOW_RATIO * old.mean_latency_ms() + SLOW_MARGIN_MS;
-        (slow && old.ended >= MIN_ENDED).then(|| {
-            format!(
-                "{:.0} ms to the answer, {:.0} ms before",
-                new.mean_latency_ms(),
-                old.mean_latency_ms()
-            )
-        })
+        let margins = Margins::of(phase);
+        slow_reason(self.first(), self.gap(), |slowdown| slowdown.is_regression(margins))
+    }
+}
+
+/// Returns which durations are slow at the new version by `test`, if any.
+fn slow_reason(first: Slowdown, gap: Slowdown, test: impl Fn(Slowdown) -> bool) -> Option<String> {
+    if test(first) {
+        return Some(format!("first part of the answer slow: {first}"));
+    }
+    test(gap).then(|| format!("events of the stream slow: {gap}"))
+}
+
+/// Verdict on a new version.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Verdict {
+    /// Worse than the old version, with the reason.
+    #[display("worse: {_0}")]
+    Worse(String),
+    /// Possibly worse.
+    #[display("suspect: {_0}")]
+    Suspect(String),
+    /// Too few requests.
+    #[display("unknown")]
+    Unknown,
+    #[display("sound")]
+    Sound,
+}
+
+impl Verdict {
+    /// Compares the versions on each route, and over all routes together for those with few
+    /// requests.
+    pub fn of(routes: &HashMap<Name, Comparison>, phase: Phase) -> Self {
+        let margins = Margins::of(phase);
+        let mut suspicion = None;
+        for (route, comparison) in routes {
+            if let Some(reason) = comparison.regression(phase) {
+                return Self::Worse(format!("route {route}: {reason}"));
+            }
+            let (first, gap) = (comparison.first(), comparison.gap());
+            let reason = slow_reason(first, gap, |slowdown| slowdown.is_suspect(margins));
+            suspicion = reason.map(|reason| format!("route {route}: {reason}")).or(suspicion);
+        }
+        let (first, gap) = Slowdown::of_routes(routes);
+        if let Some(reason) = slow_reason(first, gap, |slowdown| slowdown.is_regression(margins)) {
+            return Self::Worse(format!("all routes: {reason}"));
+        }
+        match suspicion {
+            Some(suspicion) => Self::Suspect(suspicion),
+            None if first.new.known < MIN_REQUESTS => Self::Unknown,
+            None => Self::Sound,
+        }
     }
 }
 
@@ -143,15 +318,18 @@
         }
     }
 
-    /// Returns the totals of each route of a service.
-    pub fn compare(&self, service: &str, target: &str) -> HashMap<Name, Comparison> {
+    /// Returns the totals of each route of a service since the start of the trial. Entries that have
+    /// not learned of it are left out.
+    pub fn compare(&self, roll_out: &RollOut) -> HashMap<Name, Comparison> {
         let mut routes: HashMap<Name, Comparison> = HashMap::new();
-        self.for_each_tally(service, |tally| {
+        self.for_each_tally(&roll_out.service, |tally| {
+            if tally.serial != roll_out.serial {
+                return;
+            }
             let route = routes.entry(tally.route.clone()).or_default();
-            let total = if &*tally.version == target { &mut route.new } else { &mut route.old };
-            total.ended += tally.succeeded + tally.failed;
-            total.bad += tally.failed;
-            total.time_ms += tally.latency_sum_ms;
+            let is_new = tally.version == roll_out.target;
+            let total = if is_new { &mut route.new } else { &mut route.old };
+            total.add(tally);
         });
         routes
     }
@@ -181,6 +359,8 @@
     started_at: Duration,
     /// When the elapsed time was last written to the replicated log, or the timer was started.
     recorded_at: Duration,
+    /// When this replica saw that all new requests go to the new version.
+    moving_since: Option<Duration>,
 }
 
 impl Timer {
@@ -203,7 +383,7 @@
             let logged = Duration::from_millis(roll_out.elapsed_ms);
             let timer = self.0.iter().position(|timer| timer.serial == roll_out.serial);
             let timer = timer.map(|index| self.0.swap_remove(index));
-            kept.push(match timer {
+            let mut timer = match timer {
                 // The timer is behind the log if another replica has measured for longer, for
                 // example because this one has restarted.
                 Some(timer) if timer.elapsed(now) >= logged => timer,
@@ -212,8 +392,13 @@
                     initial: logged,
                     started_at: now,
                     recorded_at: now,
+                    moving_since: None,
                 },
-            });
+            };
+            if roll_out.phase == Phase::Moving {
+                timer.moving_since.get_or_insert(now);
+            }
+            kept.push(timer);
         }
         self.0 = kept;
     }
@@ -224,6 +409,14 @@
         u64::try_from(timer.elapsed(now).as_millis()).ok()
     }
 
+    /// Returns the time for which all new requests have gone to the new version, as far as this
+    /// replica has seen.
+    pub fn moving_ms(&self, serial: u64, now: Duration) -> u64 {
+        let timer = self.0.iter().find(|timer| timer.serial == serial);
+        let since = timer.and_then(|timer| timer.moving_since).unwrap_or(now);
+        u64::try_from(now.saturating_sub(since).as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Whether the elapsed time is due to be written to the replicated log. If so, it is next due
     /// after another interval.
     fn take_due(&mut self, serial: u64, now: Duration) -> bool {
@@ -241,6 +434,7 @@
 /// Advances the roll-outs while this replica is the leader.
 pub async fn run_controller(log_handle: LogHandle, tallies: Rc<Tallies>, log: Logger) {
     let mut progress = Progress::default();
+    let mut verdicts = HashMap::new();
     loop {
         tokio::time::sleep(PERIOD).await;
         tallies.drop_expired();
@@ -251,13 +445,38 @@
         if state.role != Role::Leader {
             continue;
         }
+        verdicts.retain(|serial, _| progress.elapsed_ms(*serial, now).is_some());
         for roll_out in roll_outs.newest.iter().filter(|roll_out| roll_out.phase.is_running()) {
             let elapsed_ms =
                 progress.elapsed_ms(roll_out.serial, now).unwrap_or(roll_out.elapsed_ms);
-            let phase = next_phase(roll_out, elapsed_ms, &tallies, &log);
+            let routes = tallies.compare(roll_out);
+            let verdict = Verdict::of(&routes, roll_out.phase);
+            let kind = std::mem::discriminant(&verdict);
+            if verdicts.insert(roll_out.serial, kind) != Some(kind) {
+                info!(log, "roll-out verdict"; "service" => &*roll_out.service,
+                    "target" => &*roll_out.target, "phase" => ?roll_out.phase,
+                    "verdict" => %verdict, "elapsed_ms" => elapsed_ms);
+            }
+            let phase = next_phase(&Stage {
+                roll_out,
+                elapsed_ms,
+                moving_ms: progress.moving_ms(roll_out.serial, now),
+                drained: tallies.outstanding_elsewhere(&roll_out.service, &roll_out.target) == 0,
+                verdict: &verdict,
+            });
             if phase.is_none() && !progress.take_due(roll_out.serial, now) {
                 continue;
             }
+            if roll_out.phase > Phase::Pending {
+                let (first, gap) = Slowdown::of_routes(&routes);
+                info!(log, "versions compared"; "service" => &*roll_out.service,
+                    "first" => %first, "gap" => %gap, "verdict" => %verdict);
+            }
+            if phase == Some(Phase::RolledBack) {
+                info!(log, "new version is worse than the old one; rolling back";
+                    "service" => &*roll_out.service, "target" => &*roll_out.target,
+                    "reason" => %verdict);
+            }
             let next = phase.unwrap_or(roll_out.phase);
             let command =
                 Command::UpdateRollOut { serial: roll_out.serial, phase: next, elapsed_ms };
@@ -265,38 +484,51 @@
             if phase.is_some() {
                 info!(log, "roll-out step"; "service" => &*roll_out.service,
                     "target" => &*roll_out.target, "phase" => ?next, "elapsed_ms" => elapsed_ms,
-                    "outcome" => ?reply);
+                    "verdict" => %verdict, "outcome" => ?reply);
             }
         }
     }
 }
 
+/// State of a roll-out that decides on its next phase.
+pub struct Stage<'a> {
+    pub roll_out: &'a RollOut,
+    /// Time since the operator ordered the roll-out.
+    pub elapsed_ms: u64,
+    /// Time for which all new requests have gone to the new version.
+    pub moving_ms: u64,
+    /// Whether no request is outstanding at the old version.
+    pub drained: bool,
+    pub verdict: &'a Verdict,
+}
+
 /// Returns the phase that follows now, or `None` if the roll-out stays in its phase.
-fn next_phase(
-    roll_out: &RollOut,
-    elapsed_ms: u64,
-    tallies: &Tallies,
-    log: &Logger,
-) -> Option<Phase> {
-    for (route, comparison) in tallies.compare(&roll_out.service, &roll_out.target) {
-        if let Some(reason) = comparison.regression() {
-            info!(log, "new version is worse than the old one; rolling back";
-                "service" => &*roll_out.service, "target" => &*roll_out.target,
-                "route" => &*route, "reason" => reason, "counts" => ?comparison);
-            return Some(Phase::RolledBack);
-        }
+///
+/// A version that is suspect at the end of the longest trial is rolled back: the old version still
+/// serves most requests. Later the comparison is with the load of an earlier time, so only a
+/// regression counts.
+pub fn next_phase(stage: &Stage<'_>) -> Option<Phase> {
+    if matches!(stage.verdict, Verdict::Worse(_)) {
+        return Some(Phase::RolledBack);
     }
-    let fraction = elapsed_ms as f64 / roll_out.length_ms.max(1) as f64;
-    let drained = tallies.outstanding_elsewhere(&roll_out.service, &roll_out.target) == 0;
-    match roll_out.phase {
-        Phase::Pending if fraction >= TRIAL_START_FRACTION => Some(Phase::Trial),
-        Phase::Trial if fraction >= TRIAL_END_FRACTION => Some(Phase::Moving),
-        Phase::Moving
-            if fraction >= COMPLETE_FRACTION
-                || (drained && fraction >= TRIAL_END_FRACTION + MIN_MOVING_FRACTION) =>
-        {
-            Some(Phase::Complete)
+    let length_ms = stage.roll_out.length_ms.max(1) as f64;
+    let fraction = stage.elapsed_ms as f64 / length_ms;
+    let moved = stage.moving_ms as f64 / length_ms >= MIN_MOVING_FRACTION;
+    let suspect = matches!(stage.verdict, Verdict::Suspect(_));
+    match stage.roll_out.phase {
+        Phase::Pending => (fraction >= TRIAL_START_FRACTION).then_some(Phase::Trial),
+        Phase::Trial if fraction >= MAX_TRIAL_FRACTION => {
+            Some(if suspect { Phase::RolledBack } else { Phase::Moving })
+        }
+        Phase::Trial => {
+            let sound = *stage.verdict == Verdict::Sound;
+            (sound && fraction >= TRIAL_END_FRACTION).then_some(Phase::Moving)
+        }
+        Phase::Moving => {
+            let ended = stage.drained || fraction >= COMPLETE_FRACTION;
+            let replaces = moved && ended && !suspect;
+            (replaces || fraction >= MAX_HOLD_FRACTION).then_some(Phase::Complete)
         }
-        _ => None,
+        Phase::Complete | Phase::RolledBack => None,
     }
 }
--- a/crates/fleet-control/tests/regression.rs
+++ b/crates/fleet-control/tests/regression.rs
@@ -1,11 +1,51 @@
 //! Detection of a new version that is worse than the old one.
 
+use std::collections::HashMap;
+use std::time::Duration;
+
+use hickoryreel_fleet::Name;
+use hickoryreel_fleet::histogram::Histogram;
+use hickoryreel_fleet::roll_out::Phase;
+use hickoryreel_fleet::roll_out::Timing;
 use hickoryreel_fleet_control::roll_out::Comparison;
 use hickoryreel_fleet_control::roll_out::Total;
+use hickoryreel_fleet_control::roll_out::Verdict;
 use yare::parameterized;
 
-fn total(ended: u64, bad: u64, mean_ms: u64) -> Total {
-    Total { ended, bad, time_ms: (ended - bad) * mean_ms }
+fn histogram(count: u64, time_ms: u64) -> Histogram {
+    let mut histogram = Histogram::default();
+    (0..count).for_each(|_| histogram.record(Duration::from_millis(time_ms)));
+    histogram
+}
+
+fn measured(count: u64, time_ms: u64) -> Timing {
+    Timing { measured: histogram(count, time_ms), ..Timing::default() }
+}
+
+fn pending(count: u64, age_ms: u64) -> Timing {
+    Timing { at_least: histogram(count, age_ms), ..Timing::default() }
+}
+
+fn sum(parts: &[Timing]) -> Timing {
+    let mut sum = Timing::default();
+    parts.iter().for_each(|part| sum.merge(part));
+    sum
+}
+
+fn total(ended: u64, bad: u64, first_ms: u64) -> Total {
+    Total { ended, bad, first: measured(ended - bad, first_ms), ..Total::default() }
+}
+
+fn stream(gap: Timing) -> Total {
+    Total { first: measured(gap.measured.count(), 20), gap, ..Total::default() }
+}
+
+fn verdict(routes: &[(Total, Total)], phase: Phase) -> Verdict {
+    let comparisons = routes.iter().enumerate().map(|(number, (new, old))| {
+        let comparison = Comparison { new: new.clone(), old: old.clone() };
+        (Name::from(format!("r{number}")), comparison)
+    });
+    Verdict::of(&comparisons.collect::<HashMap<_, _>>(), phase)
 }
 
 /// Guards against a faulty version that is not detected, and against a good one that is rolled back
@@ -21,5 +61,58 @@
     too_few_requests_at_the_old_version = { total(8, 0, 900), total(2, 0, 100), false },
 )]
 fn regression(new: Total, old: Total, expected: bool) {
-    assert_eq!(Comparison { new, old }.regression().is_some(), expected);
+    let comparison = Comparison { new, old };
+
+    assert_eq!(comparison.regression(Phase::Trial).is_some(), expected);
+}
+
+/// Guards against a slow version that is kept because its slow answers have not ended, because their
+/// first part comes in time, or because only a share of them is slow; and against the roll-back of
+/// a sound one that is somewhat slower, starts with cold caches or has a few slow answers.
+#[parameterized(
+    no_first_part_yet = { Total { first: pending(8, 900), ..total(2, 0, 100) }, total(100, 0, 100), true },
+    just_sent = { Total { first: pending(8, 90), ..Total::default() }, total(100, 0, 100), false },
+    slow_events = { stream(measured(8, 220)), stream(measured(100, 27)), true },
+    half_of_the_streams_slow = { stream(sum(&[measured(20, 25), measured(20, 110)])), stream(measured(100, 27)), true },
+    stalled_streams = { stream(sum(&[measured(4, 25), pending(8, 500)])), stream(measured(100, 27)), true },
+    twice_as_slow = { stream(measured(60, 52)), stream(measured(100, 27)), false },
+    one_slow_stream_of_ten = { stream(sum(&[measured(27, 25), measured(3, 300)])), stream(measured(100, 27)), false },
+    cold_caches = { total(40, 0, 150), total(200, 0, 60), false },
+    as_many_slow_as_at_the_old_version = { stream(sum(&[measured(14, 25), measured(6, 200)])), stream(sum(&[measured(70, 27), measured(30, 220)])), false },
+)]
+fn slow_version(new: Total, old: Total, expected: bool) {
+    let comparison = Comparison { new, old };
+
+    assert_eq!(comparison.regression(Phase::Trial).is_some(), expected);
+}
+
+/// Guards against a slow version that is kept because no route has enough requests by itself.
+#[test]
+fn few_requests_of_each_route_are_compared_together() {
+    let route = (stream(measured(3, 220)), stream(measured(10, 27)));
+
+    let verdict = verdict(&[route.clone(), route.clone(), route], Phase::Trial);
+
+    assert!(matches!(verdict, Verdict::Worse(_)), "{verdict}");
+}
+
+/// Guards against one slow route that the sound ones outweigh.
+#[test]
+fn one_slow_route_is_a_regression() {
+    let sound = (stream(measured(90, 27)), stream(measured(300, 27)));
+    let slow = (stream(measured(10, 220)), stream(measured(30, 27)));
+
+    let verdict = verdict(&[sound, slow], Phase::Trial);
+
+    assert!(matches!(verdict, Verdict::Worse(_)), "{verdict}");
+}
+
+/// Guards against the roll-back of a sound version that fills its caches when all requests move.
+#[test]
+fn cold_caches_of_all_requests_are_no_regression() {
+    let new = stream(sum(&[measured(60, 45), measured(40, 90)]));
+
+    let verdict = verdict(&[(new, stream(measured(100, 27)))], Phase::Moving);
+
+    assert!(!matches!(verdict, Verdict::Worse(_)), "{verdict}");
 }
--- a/crates/fleet-entry/src/control_poll.rs
+++ b/crates/fleet-entry/src/control_poll.rs
@@ -125,7 +125,7 @@
         revision: view.revision,
         cursor,
         wait_ms: u64::try_from(POLL_WAIT.as_millis()).unwrap_or(u64::MAX),
-        tallies: entry.tallies.borrow().for_services(&services),
+        tallies: entry.tallies.borrow().for_services(&services, boot_time()),
     }
 }
 
@@ -154,6 +154,7 @@
         let newest = confirmed.number;
         let changed = entry.view.borrow_mut().confirm(asked_at, confirmed);
         let view = entry.view.borrow();
+        entry.tallies.borrow_mut().track(&view.roll_outs, boot_time());
         polled.sources.borrow_mut().record_numbers(newest, view.number(), boot_time());
         if changed {
             entry.metrics.configuration.set(i64::try_from(view.number()).unwrap_or(i64::MAX));
--- a/crates/fleet-entry/src/in_flight.rs
+++ b/crates/fleet-entry/src/in_flight.rs
@@ -10,20 +10,22 @@
 use crate::entry::Entry;
 use crate::exchange::Connection;
 use crate::prefill::PrefillPermit;
+use crate::tally::Key;
 use crate::tally::Verdict;
+use crate::tally::Watch;
 
 /// Counts a send at its endpoint until it is dropped.
 pub struct InFlight {
     entry: Rc<Entry>,
     pub endpoint: Rc<Endpoint>,
-    service: Name,
-    version: Name,
-    route: Name,
+    key: Key,
     rank: u8,
     prefill_ms: f64,
     permit: Option<PrefillPermit>,
     /// Start of the send.
     pub began: Duration,
+    /// Times of the answer.
+    pub watch: Rc<Watch>,
 }
 
 impl InFlight {
@@ -35,13 +37,13 @@
         (rank, prefill_ms): (u8, f64),
         permit: Option<PrefillPermit>,
     ) -> Self {
-        let version = endpoint.version();
+        let key = Key { service, version: endpoint.version(), route };
         endpoint.record_send();
         endpoint.add_prefill(rank, prefill_ms);
-        entry.tallies.borrow_mut().record_send(&service, &version, &route);
-        entry.metrics.sends.inc();
         let began = boot_time();
-        Self { entry, endpoint, service, version, route, rank, prefill_ms, permit, began }
+        let watch = entry.tallies.borrow_mut().record_send(&key, began);
+        entry.metrics.sends.inc();
+        Self { entry, endpoint, key, rank, prefill_ms, permit, began, watch }
     }
 
     /// Records that the endpoint has finished the prefill: it has sent the head of its answer.
@@ -53,14 +55,14 @@
 
     /// Returns the connection to the pool after a complete exchange.
     pub fn return_connection(&self, connection: Connection, keep_alive: Option<Duration>) {
-        let max_idle = self.entry.max_idle_connections(&self.service);
+        let max_idle = self.entry.max_idle_connections(&self.key.service);
         self.endpoint.pool.put(connection, keep_alive, max_idle);
     }
 
     /// Records the verdict of the send on the endpoint's version.
     pub fn record_verdict(&self, verdict: Verdict) {
         let mut tallies = self.entry.tallies.borrow_mut();
-        tallies.record_verdict(&self.service, &self.version, &self.route, verdict);
+        tallies.record_verdict(&self.key, &self.watch, verdict);
     }
 }
 
@@ -69,6 +71,6 @@
         self.prefill_done();
         self.endpoint.outstanding.set(self.endpoint.outstanding.get().saturating_sub(1));
         let mut tallies = self.entry.tallies.borrow_mut();
-        tallies.record_end(&self.service, &self.version, &self.route);
+        tallies.record_end(&self.key, &self.watch, boot_time());
     }
 }
--- a/crates/fleet-entry/src/relay.rs
+++ b/crates/fleet-entry/src/relay.rs
@@ -3,6 +3,7 @@
 //! Only whole events are forwarded, so that a stream can be resumed after the last one. The client
 //! gets the head, with the receipt, of the first endpoint.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -56,9 +57,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Batch {
     pub bytes: Bytes,
-    /// Whether an event is new: it has a higher id than the ones before, or data if the events have
-    /// no ids. Comments and empty events are not.
-    pub is_progress: bool,
+    /// Number of new events: those with a higher id than the ones before, or with data if the events
+    /// have no ids. Comments and empty events are not.
+    pub progress: u64,
 }
 
 impl Events {
@@ -70,17 +71,22 @@
         let end = memmem::rfind(&self.partial[unread..], EVENT_END)? + unread + EVENT_END.len();
         let whole = self.partial.split_to(end).freeze();
         let field = |field: &'static [u8]| {
-            let lines = whole.split(|byte| *byte == b'\n').rev();
+            let lines = whole.split(|byte| *byte == b'\n');
             lines.filter_map(move |line| line.strip_prefix(field))
         };
-        let id = field(ID_FIELD)
-            .find_map(|value| std::str::from_utf8(value).ok()?.trim().parse::<u64>().ok());
-        let is_progress = match id.or(self.last_id) {
-            Some(_) => id > self.last_id,
-            None => field(DATA_FIELD).any(|data| !data.trim_ascii().is_empty()),
+        let ids = || {
+            let values = field(ID_FIELD).filter_map(|value| std::str::from_utf8(value).ok());
+            values.filter_map(|value| value.trim().parse::<u64>().ok())
+        };
+        let id = ids().next_back();
+        let is_new = |id| Some(id) > self.last_id;
+        let progress = match id.or(self.last_id) {
+            Some(_) if id > self.last_id => ids().filter(|id| is_new(*id)).count(),
+            Some(_) => 0,
+            None => field(DATA_FIELD).filter(|data| !data.trim_ascii().is_empty()).count(),
         };
         self.last_id = id.or(self.last_id);
-        Some(Batch { bytes: whole, is_progress })
+        Some(Batch { bytes: whole, progress: progress as u64 })
     }
 
     /// Id of the last whole event.
@@ -172,6 +178,7 @@
         let max_gap = Duration::from_millis(self.request.route.target_gap_ms) * MAX_TARGET_GAPS;
         let max_gap = max_gap.max(MIN_RESUME_GAP);
         let mut progress = Progress::new(boot_time());
+        let watch = Rc::clone(&source.in_flight.watch);
         loop {
             let (now, deadline) = (boot_time(), self.request.deadline);
             if now >= deadline {
@@ -183,6 +190,7 @@
                 return End::Failed(SendEnd::Unknown, "the stream pauses".to_owned());
             }
             let until = stalls_at.map_or(deadline, |at| at.min(deadline));
+            watch.begin_wait(now);
             let frame = tokio::select! {
                 frame = tokio::time::timeout(until - now, source.incoming.frame()) => frame,
                 () = self.chunks.closed() => return End::ClientGone,
@@ -205,7 +213,11 @@
             let max_bytes = self.request.entry.settings.max_event_bytes;
             let received = progress.receive(data.len());
             let batch = self.events.push(&data);
-            let is_progress = batch.as_ref().is_some_and(|batch| batch.is_progress);
+            let events = batch.as_ref().map_or(0, |batch| batch.progress);
+            if events > 0 {
+                watch.record_events(boot_time(), events);
+            }
+            let is_progress = events > 0;
             if !is_progress && received > max_bytes {
                 let cause = format!("{received} bytes without an event");
                 return End::Failed(SendEnd::Unknown, cause);
@@ -225,7 +237,7 @@
 
     async fn complete(self, source: Source) {
         let Source { mut connection, keep_alive, in_flight, .. } = source;
-        in_flight.record_verdict(Verdict::Success(boot_time().saturating_sub(in_flight.began)));
+        in_flight.record_verdict(Verdict::Success);
         in_flight.endpoint.record_success();
         if exchange::is_reusable(&mut connection).await {
             in_flight.return_connection(connection, keep_alive);
--- a/crates/fleet-entry/src/send.rs
+++ b/crates/fleet-entry/src/send.rs
@@ -333,7 +333,8 @@
             in_flight.record_verdict(Verdict::Failure);
             self.record_endpoint_failure(&in_flight.endpoint, "the endpoint failed");
         } else {
-            in_flight.record_verdict(Verdict::Success(boot_time().saturating_sub(in_flight.began)));
+            in_flight.watch.record_first(boot_time());
+            in_flight.record_verdict(Verdict::Success);
             in_flight.endpoint.record_success();
         }
         let mut response = Response::new(Body::whole(read));
--- a/crates/fleet-entry/src/tally.rs
+++ b/crates/fleet-entry/src/tally.rs
@@ -1,73 +1,210 @@
 //! Request counts by service, version and route, for the decisions on roll-outs.
 
+use std::cell::Cell;
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use hickoryreel_fleet::Name;
+use hickoryreel_fleet::roll_out::Phase;
+use hickoryreel_fleet::roll_out::RollOuts;
 use hickoryreel_fleet::roll_out::Tally;
+use hickoryreel_fleet::roll_out::Timing;
 
-/// Request counts since the start of this entry.
-#[derive(Debug, Default)]
-pub struct Tallies {
-    counts: HashMap<(Name, Name, Name), Tally>,
-}
+/// Minimum number of gaps between the events of a stream from which their mean counts.
+const MIN_GAPS: u64 = 2;
 
 /// Verdict of a send on the endpoint's version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
-    /// The endpoint answered without a server error; the time to the end of the answer.
-    Success(Duration),
+    /// The endpoint answered without a server error.
+    Success,
     /// The endpoint answered with an error.
     Failure,
     /// The send failed for another reason, such as a lost connection.
     Neutral,
 }
 
+/// Service, version and route of a send.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Key {
+    pub service: Name,
+    pub version: Name,
+    pub route: Name,
+}
+
+/// Times of one send.
+#[derive(Debug)]
+pub struct Watch {
+    began: Duration,
+    /// Time to the first event, or to the end of an answer without events.
+    first: Cell<Option<Duration>>,
+    /// Start of the wait for the next event, while the entry waits.
+    waiting_since: Cell<Option<Duration>>,
+    /// Total time of the waits for the events after the first one.
+    waited: Cell<Duration>,
+    /// Number of events after the first one.
+    gaps: Cell<u64>,
+}
+
+impl Watch {
+    fn new(began: Duration) -> Self {
+        Self {
+            began,
+            first: Cell::new(None),
+            waiting_since: Cell::new(None),
+            waited: Cell::new(Duration::ZERO),
+            gaps: Cell::new(0),
+        }
+    }
+
+    /// Records the first event, or the end of an answer without events.
+    pub fn record_first(&self, now: Duration) {
+        if self.first.get().is_none() {
+            self.first.set(Some(now.saturating_sub(self.began)));
+        }
+    }
+
+    /// Begins the wait for the next event, unless it has begun. The time that a slow client takes is
+    /// not counted.
+    pub fn begin_wait(&self, now: Duration) {
+        self.waiting_since.set(self.waiting_since.get().or(Some(now)));
+    }
+
+    /// Ends the wait with some new events.
+    pub fn record_events(&self, now: Duration, events: u64) {
+        let since = self.waiting_since.take().unwrap_or(now);
+        if self.first.get().is_none() {
+            self.record_first(now);
+            self.gaps.set(events.saturating_sub(1));
+        } else {
+            self.waited.set(self.waited.get() + now.saturating_sub(since));
+            self.gaps.set(self.gaps.get() + events);
+        }
+    }
+
+    /// Adds the times so far.
+    fn add_to(&self, first: &mut Timing, gap: &mut Timing, now: Duration) {
+        let Some(time) = self.first.get() else {
+            first.at_least.record(now.saturating_sub(self.began));
+            return;
+        };
+        first.measured.record(time);
+        let pause = self.waiting_since.get().map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        let gaps = self.gaps.get();
+        if gaps >= MIN_GAPS {
+            let mean = self.waited.get() / u32::try_from(gaps).unwrap_or(u32::MAX);
+            // A stream that stalls is not as fast as it was before.
+            gap.measured.record(mean.max(pause));
+        } else if !pause.is_zero() {
+            gap.at_least.record(pause);
+        }
+    }
+}
+
+/// Counts of one key.
+#[derive(Debug, Default)]
+struct Count {
+    succeeded: u64,
+    failed: u64,
+    first: Timing,
+    gap: Timing,
+    /// Sends that have not ended.
+    open: Vec<Rc<Watch>>,
+}
+
+/// Trial of a roll-out.
+#[derive(Clone, Copy, Debug)]
+struct Trial {
+    serial: u64,
+    /// When this entry learned of it.
+    since: Duration,
+}
+
+/// Request counts since the start of this entry, and for services with a roll-out since this entry
+/// learned of its trial.
+#[derive(Debug, Default)]
+pub struct Tallies {
+    counts: HashMap<Key, Count>,
+    trials: HashMap<Name, Trial>,
+}
+
 impl Tallies {
-    fn tally_mut(&mut self, service: &Name, version: &Name, route: &Name) -> &mut Tally {
-        let key = (service.clone(), version.clone(), route.clone());
-        self.counts.entry(key).or_insert_with(|| Tally {
-            service: service.clone(),
-            version: version.clone(),
-            route: route.clone(),
-            ..Tally::default()
-        })
+    /// Restarts the counts of the services whose trial is new to this entry, so that both versions
+    /// are compared over the same time.
+    pub fn track(&mut self, roll_outs: &RollOuts, now: Duration) {
+        let tested = |phase| matches!(phase, Phase::Trial | Phase::Moving);
+        for roll_out in roll_outs.newest.iter().filter(|roll_out| tested(roll_out.phase)) {
+            let known = self.trials.get(&roll_out.service);
+            if known.is_some_and(|trial| trial.serial == roll_out.serial) {
+                continue;
+            }
+            let trial = Trial { serial: roll_out.serial, since: now };
+            self.trials.insert(roll_out.service.clone(), trial);
+            self.counts.retain(|key, count| {
+                if key.service == roll_out.service {
+                    *count = Count { open: std::mem::take(&mut count.open), ..Count::default() };
+                }
+                key.service != roll_out.service || !count.open.is_empty()
+            });
+        }
+    }
+
+    fn began_in_trial(&self, key: &Key, watch: &Watch) -> bool {
+        self.trials.get(&key.service).is_none_or(|trial| watch.began >= trial.since)
     }
 
     /// Records the start of a send.
-    pub fn record_send(&mut self, service: &Name, version: &Name, route: &Name) {
-        let tally = self.tally_mut(service, version, route);
-        tally.sent += 1;
-        tally.outstanding += 1;
+    pub fn record_send(&mut self, key: &Key, now: Duration) -> Rc<Watch> {
+        let watch = Rc::new(Watch::new(now));
+        self.counts.entry(key.clone()).or_default().open.push(Rc::clone(&watch));
+        watch
     }
 
-    pub fn record_verdict(
-        &mut self,
-        service: &Name,
-        version: &Name,
-        route: &Name,
-        verdict: Verdict,
-    ) {
-        let tally = self.tally_mut(service, version, route);
+    /// Records the verdict of a send.
+    pub fn record_verdict(&mut self, key: &Key, watch: &Watch, verdict: Verdict) {
+        if !self.began_in_trial(key, watch) {
+            return;
+        }
+        let count = self.counts.entry(key.clone()).or_default();
         match verdict {
-            Verdict::Success(time) => {
-                tally.succeeded += 1;
-                tally.latency_sum_ms += u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-            }
-            Verdict::Failure => tally.failed += 1,
+            Verdict::Success => count.succeeded += 1,
+            Verdict::Failure => count.failed += 1,
             Verdict::Neutral => {}
         }
     }
 
     /// Records the end of a send.
-    pub fn record_end(&mut self, service: &Name, version: &Name, route: &Name) {
-        let tally = self.tally_mut(service, version, route);
-        tally.outstanding = tally.outstanding.saturating_sub(1);
+    pub fn record_end(&mut self, key: &Key, watch: &Rc<Watch>, now: Duration) {
+        let counts = self.began_in_trial(key, watch);
+        let count = self.counts.entry(key.clone()).or_default();
+        count.open.retain(|open| !Rc::ptr_eq(open, watch));
+        if counts {
+            watch.add_to(&mut count.first, &mut count.gap, now);
+        }
     }
 
     /// Returns the counts of some services.
-    pub fn for_services(&self, services: &[Name]) -> Vec<Tally> {
-        let wanted = self.counts.values().filter(|tally| services.contains(&tally.service));
-        wanted.cloned().collect()
+    pub fn for_services(&self, services: &[Name], now: Duration) -> Vec<Tally> {
+        let wanted = self.counts.iter().filter(|(key, _)| services.contains(&key.service));
+        wanted.map(|(key, count)| self.tally(key, count, now)).collect()
+    }
+
+    fn tally(&self, key: &Key, count: &Count, now: Duration) -> Tally {
+        let (mut first, mut gap) = (count.first.clone(), count.gap.clone());
+        for watch in count.open.iter().filter(|watch| self.began_in_trial(key, watch)) {
+            watch.add_to(&mut first, &mut gap, now);
+        }
+        Tally {
+            service: key.service.clone(),
+            version: key.version.clone(),
+            route: key.route.clone(),
+            serial: self.trials.get(&key.service).map_or(0, |trial| trial.serial),
+            succeeded: count.succeeded,
+            failed: count.failed,
+            first,
+            gap,
+            outstanding: count.open.len() as u64,
+        }
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod configuration;
 pub mod endpoint;
+pub mod histogram;
 pub mod link;
 pub mod load;
 pub mod roll_out;
--- a/crates/fleet/src/roll_out.rs
+++ b/crates/fleet/src/roll_out.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use crate::Name;
+use crate::histogram::Histogram;
 
 /// Phase of a roll-out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -45,22 +46,43 @@
     pub elapsed_ms: u64,
 }
 
-/// Request counts of one route at one version, since the start of the entry that reports them.
+/// Durations of one kind, of the sends of one route to one version.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Timing {
+    /// Durations that were measured.
+    pub measured: Histogram,
+    /// Lower bounds of the durations that have not ended or were cut short. Without them, the
+    /// slowest sends of a version would be the last ones to count.
+    pub at_least: Histogram,
+}
+
+impl Timing {
+    /// Adds the durations of another entry.
+    pub fn merge(&mut self, other: &Self) {
+        self.measured.merge(&other.measured);
+        self.at_least.merge(&other.at_least);
+    }
+}
+
+/// Request counts of one route at one version, since the entry that reports them learned of the
+/// trial.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Tally {
     pub service: Name,
     pub version: Name,
     /// Name of the route.
     pub route: Name,
-    /// Requests sent.
-    pub sent: u64,
+    /// Number of the roll-out whose trial the counts cover; 0 if the entry knows of none.
+    pub serial: u64,
     /// Requests that succeeded.
     pub succeeded: u64,
     /// Requests that the endpoint answered with an error.
     pub failed: u64,
-    /// Sum of the latencies of the requests that succeeded.
-    pub latency_sum_ms: u64,
-    /// Requests sent and not finished.
+    /// Times to the first event of a stream, or to the end of an answer without events.
+    pub first: Timing,
+    /// Mean times between the events of a stream.
+    pub gap: Timing,
+    /// Requests sent and not finished, of any age.
     pub outstanding: u64,
 }
 
