--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod configuration;
 pub mod crash;
 pub mod endpoint;
+pub mod histogram;
 pub mod link;
 pub mod load;
 pub mod roll_out;
