Leave a paused stream only with a lease, and resume it where it paused if it must

Callers saw streams broken off although their endpoint only paused, with seconds left. Cause: two obstacles were still found after the connection had been closed. An expired lease ended the resume before a send, and each turn of the loop took a retry from the budget of all entries. And if the only other endpoint refused, the one that paused had been tried and was not asked again. A client that left while its stream was being resumed was noticed only after the send. Ruled out: waiting for the refusing endpoint alone, which the bound on sends ends. Evidence: two new cases of pauses.rs fail on the code before and pass now, six runs of the file. The departure of a client during a resume has no test of its own. Conclusion: the lease is an obstacle; of the endpoints that were tried only the one that has just refused is left out. Not mended: a request that waits for a head at the end of the grace time is cut off without an answer.

--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -57,6 +57,8 @@
     Attempts,
     /// The deadline is too close.
     Time,
+    /// The lease under which the request's key is accepted has expired.
+    Lease,
     /// A part of the prompt is blocked because it crashes endpoints.
     Block,
     /// No other endpoint can take the request.
@@ -251,6 +253,8 @@
             Some(Obstacle::Attempts)
         } else if self.left_ms() <= MIN_SEND_TIME_MS {
             Some(Obstacle::Time)
+        } else if !self.has_lease() {
+            Some(Obstacle::Lease)
         } else if self.block_left().is_some() {
             Some(Obstacle::Block)
         } else if !self.pick().is_some_and(|endpoint| accepts(&endpoint)) {
@@ -455,6 +459,7 @@
         let (rank, target_ms) = (self.route.rank, self.route.target_ms);
         let allowed = self.runs < self.route.attempts
             && self.route.is_repeatable()
+            && self.has_lease()
             && estimate
                 .is_some_and(|estimate| estimate.is_in_time(rank, target_ms, self.left_ms()))
             && self.entry.has_spare_budget(&self.service)
--- a/crates/fleet-entry/src/relay.rs
+++ b/crates/fleet-entry/src/relay.rs
@@ -48,6 +48,9 @@
 /// Minimum gap between events after which a stream is resumed at another endpoint.
 const MIN_RESUME_GAP: Duration = Duration::from_millis(1_300);
 
+/// Delay before a stream that an endpoint refused to resume is sent to another one.
+const REFUSED_RESUME_DELAY: Duration = Duration::from_millis(200);
+
 /// Splits a stream into whole events.
 #[derive(Debug, Default)]
 pub struct Events {
@@ -191,6 +194,9 @@
             self.events.drop_partial();
             match self.resume(ended).await {
                 Some(next) => source = next,
+                None if self.chunks.is_closed() => {
+                    return self.request.log_end(499, "client left");
+                }
                 None => {
                     self.request.entry.metrics.broken_off.inc();
                     return self.request.log_end(200, "broken off");
@@ -308,13 +314,23 @@
     async fn resume(&mut self, ended: SendEnd) -> Option<Source> {
         let mut ended = ended;
         loop {
+            if ended == SendEnd::NotRun {
+                // Those before the one that has just refused may take the request again by now.
+                let latest = self.request.tried.len().saturating_sub(1);
+                self.request.tried.drain(..latest);
+                tokio::time::sleep(REFUSED_RESUME_DELAY).await;
+            }
             if self.request.retry_or_end(ended, Delivered::Partial).is_some()
                 || self.chunks.is_closed()
             {
                 return None;
             }
             let after = self.events.last_id().or(self.request.metadata.after_event);
-            match self.request.send(after).await {
+            let sent = tokio::select! {
+                sent = self.request.send(after) => sent,
+                () = self.chunks.closed() => return None,
+            };
+            match sent {
                 Ok(sent) if sent.exchange.response.status().is_success() => {
                     self.request.entry.metrics.resumed.inc();
                     info!(self.request.entry.log, "stream resumed"; "request" => &self.request.metadata.id,
--- a/crates/fleet-entry/src/send.rs
+++ b/crates/fleet-entry/src/send.rs
@@ -201,7 +201,7 @@
     }
 
     /// Whether the request's key may be relied on; requests without a key need no lease.
-    fn has_lease(&self) -> bool {
+    pub fn has_lease(&self) -> bool {
         let lease = self.entry.settings.lease;
         self.workspace.is_none() || self.entry.view.borrow().has_lease(lease)
     }
--- a/crates/fleet-entry/tests/pauses.rs
+++ b/crates/fleet-entry/tests/pauses.rs
@@ -9,6 +9,8 @@
 
 use common::SAFE;
 use common::STREAM;
+use common::configuration;
+use common::confirmed;
 use harness::Action;
 use harness::Endpoint;
 use harness::TestEntry;
@@ -20,6 +22,7 @@
 use harness::serve_without_configuration;
 use harness::status;
 use harness::wait_until;
+use hickoryreel_base::time::boot_time;
 use hickoryreel_fleet::Name;
 use hickoryreel_fleet_entry::server;
 use tokio::net::TcpListener;
@@ -30,6 +33,7 @@
 const STREAM_HEAD: &str =
     "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: one\r\ntransfer-encoding: chunked\r\n\r\n";
 const FIRST_EVENT: &str = "f\r\nid: 1\ndata: a\n\n\r\n";
+const NOT_RUN: &str = "HTTP/1.1 503 Full\r\nid: {id}\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
 const LAST_EVENT: &str = "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
 const PLAIN_HEAD: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ncontent-length: 4\r\n\r\n";
 
@@ -38,6 +42,9 @@
 const HEAD_PAUSE: Duration = Duration::from_millis(1_500);
 const BODY_PAUSE: Duration = Duration::from_millis(2_900);
 
+/// Ends before the pause of a stream does.
+const LEASE_LEFT: Duration = Duration::from_millis(1_000);
+
 /// What prevents another send.
 #[derive(Clone, Copy)]
 enum Obstacle {
@@ -156,3 +163,45 @@
         })
         .await;
 }
+
+/// Guards against a stream that is broken off because it was left for an endpoint that refuses it.
+#[tokio::test]
+async fn stream_that_no_other_endpoint_resumes_goes_on_at_the_paused_one() {
+    LocalSet::new()
+        .run_until(async {
+            let begin = vec![Action::Write(STREAM_HEAD), Action::Write(FIRST_EVENT), Action::Hang];
+            let resume = vec![Action::Write(STREAM_HEAD), Action::Write(LAST_EVENT)];
+            let paused = Endpoint::start(vec![begin, resume]).await;
+            let full = Endpoint::start(vec![vec![Action::Write(NOT_RUN)]]).await;
+            let served = serve_with_state(&[&paused, &full]).await.0;
+
+            let answer = call(&served, STREAM, "r1").await;
+
+            assert!(answer.contains("data: b") && answer.ends_with("0\r\n\r\n"), "{answer}");
+            assert_eq!(paused.count(), 2);
+        })
+        .await;
+}
+
+/// Guards against a stream that is given up while the lease for its key has expired, and against
+/// retries that are taken from the budget without a send.
+#[tokio::test]
+async fn paused_stream_without_a_lease_is_awaited() {
+    LocalSet::new()
+        .run_until(async {
+            let paused = Endpoint::start(vec![paused_stream()]).await;
+            let other = Endpoint::start(vec![paused_stream()]).await;
+            let (served, entry) = serve_without_configuration(&[&paused, &other]).await;
+            let mut configuration = configuration(1);
+            configuration.routes.iter_mut().for_each(|route| route.public = false);
+            let ends_soon = boot_time() + LEASE_LEFT - entry.settings.lease;
+            entry.view.borrow_mut().confirm(ends_soon, confirmed(configuration));
+
+            let answer = call(&served, STREAM, "r1").await;
+
+            assert!(answer.contains("data: b") && answer.ends_with("0\r\n\r\n"), "{answer}");
+            assert_eq!((paused.count(), other.count()), (1, 0));
+            assert_eq!(entry.metrics.second_sends.get(), 0);
+        })
+        .await;
+}
