Take the end of an unframed stream without events for a break also after a resume

A resumed source that ends between its head and its first event looked complete, which would be a false end; a break is none. Found by the review; the cases of unframed.rs pass, and the resumed case has no test of its own.

--- a/crates/fleet-entry/src/relay.rs
+++ b/crates/fleet-entry/src/relay.rs
@@ -243,7 +243,7 @@
                 Ok(None) if self.events.is_partial() => {
                     return End::Lost("the stream ended within an event".to_owned());
                 }
-                Ok(None) if source.is_unframed && self.is_empty(source) => {
+                Ok(None) if source.is_unframed && !source.answered => {
                     return End::Lost("the stream ended without an event".to_owned());
                 }
                 Ok(None) => return End::Complete,
@@ -283,12 +283,6 @@
         }
     }
 
-    /// Whether there was no event at all, neither from this source nor from one before it.
-    fn is_empty(&self, source: &Source) -> bool {
-        let resumes = self.events.last_id().or(self.request.metadata.after_event).is_some();
-        !resumes && !source.answered
-    }
-
     fn log_wait(&self, endpoint: &Endpoint, obstacle: Obstacle) {
         let request = &self.request;
         request.entry.metrics.waits.inc();
