Judge crashes at a bounded cost and count each endpoint's crash once

Found by the review of the containment, by reading: - The replica collected the evidence twice for each of over a thousand reports a second of the largest deployment, and compared all pairs of parts. Now it judges every 100 ms, looks for rivals of parts with enough crashes only, and drops what can't be evidence any more. - A crash was known by its endpoint and time, so a report that was delayed by a frozen replica made two of it. Now by the endpoint's incarnation. - A block that entry and replica told each other was postponed by a round trip a time. - Answers without events neither cleared a prompt nor spoke against it. - An answer with low confidence was dropped for a larger model although its prompt was suspect, which hides the crash that follows. - Prompts may have thousands of parts; 32 of them are reported and logged. - An entry that regained a replica forgot what it had blocked alone. Evidence: three new cases of crash.rs; the simulation of quarantine.rs passes. The cost was not measured. Not mended: a part that crashes endpoints after the first event of an answer is not found.

--- a/crates/fleet-control/src/control.rs
+++ b/crates/fleet-control/src/control.rs
@@ -12,7 +12,7 @@
 use hickoryreel_fleet::Name;
 use hickoryreel_fleet::configuration::Configuration;
 use hickoryreel_fleet::crash;
-use hickoryreel_fleet::crash::Ledger;
+use hickoryreel_fleet::crash::Judge;
 use hickoryreel_fleet::endpoint::Announcement;
 use hickoryreel_fleet::link::Answer;
 use hickoryreel_fleet::link::Handler;
@@ -71,7 +71,7 @@
     /// Sends of all entries to each service.
     pub send_totals: RefCell<SendTotals>,
     /// Crashes of endpoints, and the prompt parts that are blocked for them.
-    pub crash_ledger: RefCell<Ledger>,
+    pub crash_judge: RefCell<Judge>,
     /// Request counts of services with a running roll-out.
     pub tallies: Rc<Tallies>,
     pub metrics: Metrics,
@@ -215,16 +215,15 @@
 
     /// Adds what an entry knows about crashes and returns what it should know.
     fn add_crashes(&self, entry: &Name, report: &crash::Report, now: Duration) -> crash::Verdict {
-        let mut ledger = self.crash_ledger.borrow_mut();
-        ledger.add_report(report, now);
-        for finding in ledger.judge(now) {
+        let (verdict, findings) = self.crash_judge.borrow_mut().answer(report, now);
+        for finding in findings {
             self.metrics.blocked_parts.inc();
             info!(self.log, "prompt part crashes endpoints and is blocked";
                 "part" => format!("{:x}", finding.part), "crashes" => finding.crashes,
                 "ambiguous" => finding.ambiguous, "reported_by" => &**entry,
                 "block_s" => crash::BLOCK_TIME.as_secs());
         }
-        ledger.verdict(now)
+        verdict
     }
 
     /// Answers a request of an entry or another replica.
--- a/crates/fleet-control/src/run.rs
+++ b/crates/fleet-control/src/run.rs
@@ -73,7 +73,7 @@
         polling_entries: RefCell::new(PollingEntries::default()),
         load_totals: RefCell::default(),
         send_totals: RefCell::new(SendTotals::new(settings.retry_window)),
-        crash_ledger: RefCell::default(),
+        crash_judge: RefCell::default(),
         tallies: Rc::new(Tallies::default()),
         metrics: Metrics::default(),
         log: log.clone(),
--- a/crates/fleet-entry/src/endpoint.rs
+++ b/crates/fleet-entry/src/endpoint.rs
@@ -174,6 +174,12 @@
         self.key
     }
 
+    /// Hash of its id and incarnation, for reports of crashes.
+    pub fn incarnation_key(&self) -> EndpointKey {
+        let announcement = self.announcement.borrow();
+        EndpointKey::of(&format!("{} {}", announcement.id, announcement.incarnation))
+    }
+
     /// Returns the load of this entry for a report and resets the counts of ended sends. `None` if
     /// there is nothing to report.
     pub fn take_report(&self) -> Option<EndpointLoad> {
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -302,10 +302,13 @@
         refusal.response()
     }
 
-    /// Ids of the parts of the prompt that other requests may share.
+    /// Ids of the parts of the prompt that other requests may share, without the middle ones of a
+    /// prompt with very many.
     pub fn shared_parts(&self) -> Prefix {
         let shared = self.metadata.parts.split_last().map_or(&[][..], |(_, shared)| shared);
-        shared.iter().map(|part| part.id).collect()
+        let first = shared.len().min(quarantine::MAX_PARTS / 2);
+        let deepest = shared.len().saturating_sub(quarantine::MAX_PARTS / 2).max(first);
+        shared[..first].iter().chain(&shared[deepest..]).map(|part| part.id).collect()
     }
 
     /// Time until the request may be sent, if a part of its prompt is blocked.
@@ -325,7 +328,7 @@
         if parts.is_empty() {
             return;
         }
-        let key = endpoint.key();
+        let key = endpoint.incarnation_key();
         self.lost.borrow_mut().push(key);
         let is_first = self.entry.quarantine.borrow_mut().record_loss(key, parts, boot_time());
         if !is_first {
@@ -460,6 +463,7 @@
         let allowed = self.runs < self.route.attempts
             && self.route.is_repeatable()
             && self.has_lease()
+            && !self.entry.quarantine.borrow().is_suspect(&self.shared_parts())
             && estimate
                 .is_some_and(|estimate| estimate.is_in_time(rank, target_ms, self.left_ms()))
             && self.entry.has_spare_budget(&self.service)
--- a/crates/fleet-entry/src/quarantine.rs
+++ b/crates/fleet-entry/src/quarantine.rs
@@ -36,6 +36,9 @@
 /// verdict.
 pub const VERDICT_TIME: Duration = Duration::from_millis(1_000);
 
+/// Parts of a prompt that are considered, half of them the first and half the deepest ones.
+pub const MAX_PARTS: usize = 32;
+
 /// Ids of the prompt parts of a request that others may share, in order.
 pub type Prefix = SmallVec<[u64; 4]>;
 
@@ -142,6 +145,11 @@
             || self.losses.iter().any(|loss| loss.endpoint == endpoint)
     }
 
+    /// Whether one of these parts may crash endpoints.
+    pub fn is_suspect(&self, parts: &[u64]) -> bool {
+        parts.iter().any(|part| self.suspects.contains(part))
+    }
+
     /// Returns the first of these parts that is blocked, and the end of its block.
     pub fn blocked(&self, parts: &[u64], now: Duration) -> Option<(u64, Duration)> {
         let until = |part: u64| {
@@ -195,7 +203,7 @@
     ) -> Vec<u64> {
         if !self.has_verdict(now) {
             // The replica judges the losses of all entries from now on.
-            self.own = Ledger::default();
+            self.own.forget_crashes();
         }
         self.acknowledged = Some((replica, number));
         self.judged_at = Some(now);
--- a/crates/fleet-entry/src/send.rs
+++ b/crates/fleet-entry/src/send.rs
@@ -72,6 +72,8 @@
     NoMemory,
     /// The endpoint's fault, with the cause for the log.
     Broken(String),
+    /// The connection broke, with the cause for the log.
+    Lost(String),
 }
 
 /// Reason to send a repeatable request to another endpoint before this one has answered.
@@ -370,6 +372,11 @@
                     "used_bytes" => self.entry.answer_memory.used());
                 return Err(SendEnd::Unknown);
             }
+            Err(BodyFailure::Lost(cause)) => {
+                self.record_loss(&in_flight.endpoint);
+                self.record_endpoint_failure(&in_flight.endpoint, &cause);
+                return Err(SendEnd::Unknown);
+            }
             Err(BodyFailure::Broken(cause)) => {
                 self.record_endpoint_failure(&in_flight.endpoint, &cause);
                 return Err(SendEnd::Unknown);
@@ -384,6 +391,8 @@
         } else {
             in_flight.watch.record_first(boot_time());
             in_flight.record_verdict(Verdict::Success);
+            let parts = self.shared_parts();
+            self.entry.quarantine.borrow_mut().record_answer(&parts, boot_time());
             in_flight.endpoint.record_success();
         }
         let mut response = Response::new(Body::whole(read));
@@ -414,7 +423,7 @@
             let until = self.next_check(now, stalls_at);
             let frame = match tokio::time::timeout(until - now, body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(cause))) => return Err(BodyFailure::Broken(cause.to_string())),
+                Ok(Some(Err(cause))) => return Err(BodyFailure::Lost(cause.to_string())),
                 Ok(None) => break,
                 // The checks above decide what the end of the wait means.
                 Err(_) => continue,
--- a/crates/fleet/src/crash.rs
+++ b/crates/fleet/src/crash.rs
@@ -33,9 +33,6 @@
 /// Time for which a crash counts as evidence.
 const CRASH_MAX_AGE: Duration = Duration::from_secs(600);
 
-/// Losses at one endpoint within this time belong to the same crash.
-const CRASH_WINDOW: Duration = Duration::from_millis(1_000);
-
 /// Time after a crash in which the reports of the other entries, and of answers to retries, arrive.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
 
@@ -67,6 +64,7 @@
 /// A request that waited for the first part of its answer when its endpoint crashed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Loss {
+    /// The endpoint in its incarnation, which can crash only once.
     pub endpoint: EndpointKey,
     /// Time since the loss.
     pub age_ms: u32,
@@ -182,17 +180,15 @@
         }
         for block in &report.blocks {
             let left = Duration::from_millis(block.left_ms.into()).min(BLOCK_TIME);
-            let until = self.blocks.entry(block.part).or_default();
-            *until = (now + left).max(*until);
+            // The end of a known block stays, so that reports can't postpone it by their delay.
+            self.blocks.entry(block.part).or_insert(now + left);
         }
         self.expire(now);
     }
 
     fn add_loss(&mut self, loss: &Loss, now: Duration) {
         let at = now.saturating_sub(Duration::from_millis(loss.age_ms.into()));
-        let same = |crash: &&mut Crash| {
-            crash.endpoint == loss.endpoint && crash.at.abs_diff(at) < CRASH_WINDOW
-        };
+        let same = |crash: &&mut Crash| crash.endpoint == loss.endpoint;
         let crash = match self.crashes.iter_mut().find(same) {
             Some(crash) => crash,
             None => {
@@ -213,6 +209,26 @@
         }
     }
 
+    /// Forgets the crashes and answers, but not the blocks.
+    pub fn forget_crashes(&mut self) {
+        self.crashes.clear();
+        self.answered.clear();
+    }
+
+    /// Drops what can no longer be evidence: parts that had an answer since a crash, and the other
+    /// parts of a crash that a blocked one explains.
+    fn drop_cleared(&mut self) {
+        for crash in &mut self.crashes {
+            let is_explanation =
+                |part: &u64| self.blocks.get(part).is_some_and(|end| crash.at < *end);
+            let explained = crash.parts.keys().any(is_explanation);
+            crash.parts.retain(|part, _| {
+                let cleared = self.answered.get(part).is_some_and(|at| crash.at < *at);
+                is_explanation(part) || (!explained && !cleared)
+            });
+        }
+    }
+
     fn expire(&mut self, now: Duration) {
         self.crashes.retain(|crash| now < crash.at + CRASH_MAX_AGE);
         self.blocks.retain(|_, until| now < *until + RELAPSE_TIME);
@@ -255,6 +271,7 @@
             self.blocks.insert(finding.part, now + BLOCK_TIME);
             findings.push(finding);
         }
+        self.drop_cleared();
         findings
     }
 
@@ -265,11 +282,15 @@
         let evidence = self.evidence(now.saturating_sub(SETTLE_TIME));
         let unanswered = |part: &u64| !self.answered.contains_key(part);
         let finding = |part: &u64, found: &Evidence| {
+            let relapsed = self.blocks.contains_key(part);
+            if !relapsed && found.crashes < MIN_CRASHES {
+                return None;
+            }
             let rival = |(other, theirs): (&u64, &Evidence)| {
-                other != part && unanswered(other) && theirs.explains_all_of(found)
+                other != part && theirs.explains_all_of(found) && unanswered(other)
             };
-            let ambiguous = evidence.iter().any(|(other, theirs)| rival((other, theirs)));
-            let needed = match (self.blocks.contains_key(part), unanswered(part), ambiguous) {
+            let ambiguous = evidence.iter().any(rival);
+            let needed = match (relapsed, unanswered(part), ambiguous) {
                 (true, ..) => 1,
                 (false, true, false) => MIN_CRASHES,
                 (false, true, true) => MIN_AMBIGUOUS_CRASHES,
@@ -304,3 +325,29 @@
         Verdict { suspects, blocks }
     }
 }
+
+/// Interval at which a [`Judge`] looks at the evidence anew.
+const JUDGE_PERIOD: Duration = Duration::from_millis(100);
+
+/// A ledger whose verdict answers the reports of many entries.
+#[derive(Default)]
+pub struct Judge {
+    ledger: Ledger,
+    verdict: Verdict,
+    judged_at: Option<Duration>,
+}
+
+impl Judge {
+    /// Adds the report of an entry. Returns what the entry should know, and the parts that were
+    /// blocked just now.
+    pub fn answer(&mut self, report: &Report, now: Duration) -> (Verdict, SmallVec<[Finding; 1]>) {
+        self.ledger.add_report(report, now);
+        if self.judged_at.is_some_and(|at| now < at + JUDGE_PERIOD) {
+            return (self.verdict.clone(), SmallVec::new());
+        }
+        self.judged_at = Some(now);
+        let findings = self.ledger.judge(now);
+        self.verdict = self.ledger.verdict(now);
+        (self.verdict.clone(), findings)
+    }
+}
--- a/crates/fleet/tests/crash.rs
+++ b/crates/fleet/tests/crash.rs
@@ -4,6 +4,7 @@
 
 use hickoryreel_fleet::crash::Answered;
 use hickoryreel_fleet::crash::BLOCK_TIME;
+use hickoryreel_fleet::crash::Judge;
 use hickoryreel_fleet::crash::Ledger;
 use hickoryreel_fleet::crash::Loss;
 use hickoryreel_fleet::crash::Report;
@@ -202,3 +203,45 @@
     found.sort_unstable();
     assert_eq!(found, [DEADLY, SUBJECT]);
 }
+
+/// Guards against a crash that counts twice because a report of it was delayed.
+#[test]
+fn late_report_of_a_crash_is_no_new_crash() {
+    let mut ledger = Ledger::default();
+    for number in 0..2 {
+        let report = losses(&format!("e{number}"), &[&[SUBJECT]]);
+        ledger.add_report(&report, at(f64::from(number)));
+        ledger.add_report(&report, at(f64::from(number) + 5.0));
+    }
+
+    assert_eq!(blocked(&mut ledger, at(6.0) + SETTLED), [] as [u64; 0]);
+}
+
+/// Guards against a block that never ends because entry and replica report it to each other.
+#[test]
+fn reported_block_keeps_its_end() {
+    let (mut ledger, now) = ledger(3, &[&[DEADLY]]);
+    blocked(&mut ledger, now);
+    let end = ledger.blocked_until(DEADLY, now);
+
+    let report = Report { blocks: ledger.verdict(now).blocks, ..Report::default() };
+    ledger.add_report(&report, now + Duration::from_secs(60));
+
+    assert_eq!(ledger.blocked_until(DEADLY, now), end);
+}
+
+/// Guards against a part that is not blocked because the judge looks only from time to time.
+#[test]
+fn judge_blocks_a_part_with_one_of_the_next_reports() {
+    let mut judge = Judge::default();
+    for number in 0..3 {
+        judge.answer(&losses(&format!("e{number}"), &[&[DEADLY]]), at(f64::from(number)));
+    }
+
+    let (verdict, findings) = judge.answer(&Report::default(), at(2.0) + SETTLED);
+    let (repeated, none) = judge.answer(&Report::default(), at(2.001) + SETTLED);
+
+    assert_eq!(findings.len(), 1);
+    assert_eq!(verdict.blocks.len(), 1);
+    assert_eq!((repeated, none.len()), (verdict, 0));
+}
