Don't believe a refusal on a kept connection in the product's path

What callers saw: "not run" for a request that its endpoint had just received, and a second send of it, if the endpoint wrote an earlier refusal once more. Cause: refusals of the product's endpoints name no request; any refusal on a kept connection was taken for the answer to the request written last. Ruled out: run-once calls, which use new connections, and streams, whose events name their run. Conclusion: an engine is asked again on a new connection, where the request joins its run; otherwise the outcome is unknown. No process test writes such a copy.

--- a/crates/entry/src/connection_pool.rs
+++ b/crates/entry/src/connection_pool.rs
@@ -75,6 +75,8 @@
     address: SocketAddr,
     sender: http1::SendRequest<Full<Bytes>>,
     gate: Arc<Gate>,
+    /// Whether it has carried a request before the current one.
+    reused: bool,
 }
 
 impl ConnectionPool {
@@ -122,7 +124,8 @@
     }
 
     /// Returns a connection to the pool after its response was read completely.
-    pub fn put_idle(&self, connection: Connection) {
+    pub fn put_idle(&self, mut connection: Connection) {
+        connection.reused = true;
         let mut idle = self.idle.lock();
         let connections = idle.entry(connection.address).or_default();
         // The oldest connections are at the front, because the most recent one is used first.
@@ -168,11 +171,12 @@
             http1::handshake(TokioIo::new(gated_stream)).await.map_err(|cause| failed(&cause))?;
         // Errors of the connection are reported by the exchange on it.
         tokio::spawn(driver);
-        Ok(Connection { address, sender, gate })
+        Ok(Connection { address, sender, gate, reused: false })
     }
 }
 
-fn clone_request(request: &Request<Full<Bytes>>) -> Request<Full<Bytes>> {
+/// Copies a request, so that it can be sent again.
+pub fn clone_request(request: &Request<Full<Bytes>>) -> Request<Full<Bytes>> {
     let mut copy = Request::new(request.body().clone());
     *copy.method_mut() = request.method().clone();
     *copy.uri_mut() = request.uri().clone();
@@ -181,6 +185,12 @@
 }
 
 impl Connection {
+    /// Whether it has carried a request before the current one. A response to that one may arrive
+    /// late, or twice.
+    pub fn is_reused(&self) -> bool {
+        self.reused
+    }
+
     async fn exchange(
         &mut self,
         request: Request<Full<Bytes>>,
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Dispatch of a completion to an engine, up to the first events of the response.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -15,8 +16,11 @@
 use hyper::Response;
 use hyper::body::Incoming;
 
+use crate::connection_pool;
 use crate::connection_pool::Connection;
+use crate::connection_pool::ConnectionPool;
 use crate::connection_pool::Failure;
+use crate::connection_pool::SendCheck;
 use crate::run::App;
 use crate::run_stream;
 use crate::run_stream::RunStream;
@@ -62,18 +66,20 @@
             return (DispatchResult::NotRun(Error::new(Kind::Internal, cause.to_string())), false);
         }
     };
-    let blackboard = Arc::clone(&app.blackboard);
-    let check = Box::new(move || {
-        let now = Instant::now();
-        if now >= deadline {
-            return Err(Error::new(Kind::DeadlineUnmet, "the dispatch deadline has passed"));
-        }
-        blackboard.check_version(&version)
-    });
+    let check = || -> SendCheck {
+        let (blackboard, version) = (Arc::clone(&app.blackboard), version.clone());
+        Box::new(move || {
+            let now = Instant::now();
+            if now >= deadline {
+                return Err(Error::new(Kind::DeadlineUnmet, "the dispatch deadline has passed"));
+            }
+            blackboard.check_version(&version)
+        })
+    };
     let timeout = app.settings.first_event_timeout;
-    let source = match app.connection_pool.send(run.address, request, false, timeout, check).await {
-        Ok((response, _)) if !response.status().is_success() => {
-            return (refused(&run, &response), false);
+    let source = match exchange(&app.connection_pool, run.address, request, timeout, check).await {
+        Ok((response, connection)) if !response.status().is_success() => {
+            return (refused(&run, &response, &connection), false);
         }
         Ok(source) => Some(source),
         Err(Failure::NotSent(error)) => return (DispatchResult::NotRun(error), false),
@@ -102,16 +108,46 @@
     (result, joined)
 }
 
-fn refused(run: &run_stream::Run, response: &Response<Incoming>) -> DispatchResult {
+/// Sends a request that joins its run if the run exists. A refusal on a reused connection may be a
+/// late copy of the refusal of another request, so the request is sent again on a new connection.
+pub async fn exchange(
+    connection_pool: &ConnectionPool,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    timeout: Duration,
+    check: impl Fn() -> SendCheck,
+) -> Result<(Response<Incoming>, Connection), Failure> {
+    let copy = connection_pool::clone_request(&request);
+    let (response, connection) =
+        connection_pool.send(address, request, false, timeout, check()).await?;
+    if !states_not_run(&response) || !connection.is_reused() {
+        return Ok((response, connection));
+    }
+    drop(connection);
+    let resent = connection_pool.send(address, copy, true, timeout, check()).await;
+    // The engine may have started the run, whatever happens to the second request.
+    resent.map_err(|failure| Failure::Sent(failure.into_error()))
+}
+
+fn refused(
+    run: &run_stream::Run,
+    response: &Response<Incoming>,
+    connection: &Connection,
+) -> DispatchResult {
     let message = format!("engine {} responded with status {}", run.endpoint, response.status());
-    if confirms_not_run(response) {
+    if confirms_not_run(response, connection) {
         return DispatchResult::NotRun(Error::new(Kind::EndpointUnavailable, message));
     }
     DispatchResult::Failed(Error::new(Kind::EndpointFailed, message))
 }
 
-/// Whether the endpoint's error response confirms that the request did not run.
-pub fn confirms_not_run(response: &Response<Incoming>) -> bool {
+/// Whether the endpoint's error response confirms that the request did not run. Responses name no
+/// request, so that on a reused connection it may belong to an earlier one.
+pub fn confirms_not_run(response: &Response<Incoming>, connection: &Connection) -> bool {
+    states_not_run(response) && !connection.is_reused()
+}
+
+fn states_not_run(response: &Response<Incoming>) -> bool {
     response.headers().get(engine::RAN_HEADER).is_some_and(|value| value == "no")
 }
 
--- a/crates/entry/src/service.rs
+++ b/crates/entry/src/service.rs
@@ -72,7 +72,7 @@
     let status = response.status();
     if status.is_server_error() || status.is_informational() {
         let message = format!("the service responded with status {status}");
-        if confirms_not_run(&response) {
+        if confirms_not_run(&response, &connection) {
             return Attempt::NotRun(Error::new(Kind::EndpointUnavailable, message));
         }
         return Attempt::Failed(Error::new(Kind::EndpointFailed, message));
