Compare both versions under the same load before all requests move

Cause: during the trial the new version has a third of the old one's load, and after the move all of it with cold caches, at a time at which the old one serves nothing. A share of slow requests among five to ten says little. Ruled out: a lower limit for slow times alone; the sound version exceeds it after the move as well.

A version that is sound at 63% of the time now gets half of the sessions, if the exposure limit leaves room for it; all requests move after 9% of the time under even shares. After the move the margin is 0.4. A regression must exceed its margin by two standard errors and five slow requests, and a version that is suspect at 94% of the time is rolled back instead of completed.

Tests: phases.rs (shares, the end of the trial, a suspect version at the deadline), machine.rs (the share is never lowered), regression.rs (few requests with cold caches). Neither the share nor the command existed before; the last case failed with one standard error, by its arithmetic (0.5 against 0.38), not by a run.

--- a/crates/fleet-control/src/machine.rs
+++ b/crates/fleet-control/src/machine.rs
@@ -35,6 +35,13 @@
         /// Time since the operator ordered the roll-out.
         elapsed_ms: u64,
     },
+    /// Raises the share of the requests that go to the new version during the trial.
+    RaiseShare {
+        /// Number of the roll-out.
+        serial: u64,
+        /// In thousandths.
+        share: u32,
+    },
 }
 
 impl Command {
@@ -52,7 +59,7 @@
     /// The configuration as the operator sent it.
     pub source: Bytes,
     pub roll_outs: Arc<RollOuts>,
-    /// Increases with each new roll-out and each change of a phase.
+    /// Increases with each new roll-out and each change of a phase or a share.
     pub revision: u64,
     /// Number of the newest roll-out.
     last_serial: u64,
@@ -73,6 +80,7 @@
             Command::UpdateRollOut { serial, phase, elapsed_ms } => {
                 self.update_roll_out(serial, phase, elapsed_ms)
             }
+            Command::RaiseShare { serial, share } => self.raise_share(serial, share),
         }
     }
 
@@ -122,6 +130,18 @@
         self.revision += 1;
     }
 
+    /// Raises the share of a trial. A share that has moved sessions to the new version is never lowered,
+    /// because they must stay there.
+    fn raise_share(&mut self, serial: u64, share: u32) {
+        let roll_outs = Arc::make_mut(&mut self.roll_outs);
+        let raised = |roll_out: &&mut RollOut| {
+            roll_out.serial == serial && roll_out.phase == Phase::Trial && roll_out.share < share
+        };
+        let Some(roll_out) = roll_outs.newest.iter_mut().find(raised) else { return };
+        roll_out.share = share;
+        self.revision += 1;
+    }
+
     /// Encodes the state for a snapshot.
     pub fn snapshot(&self) -> Vec<u8> {
         postcard::to_stdvec(self).expect("the state can always be serialized")
--- a/crates/fleet-control/src/roll_out.rs
+++ b/crates/fleet-control/src/roll_out.rs
@@ -35,6 +35,20 @@
 /// during the first half.
 const TRIAL_START_FRACTION: f64 = 0.51;
 
+/// Fraction of the planned duration at which the share of a sound version becomes [`EVEN_SHARE`].
+const EVEN_START_FRACTION: f64 = 0.63;
+
+/// Minimum fraction of the planned duration for which the versions are compared with even shares.
+const MIN_EVEN_FRACTION: f64 = 0.09;
+
+/// Share of the requests, in thousandths, with which both versions have the same load, if they have
+/// as many endpoints. A version that is slower only under its full load shows it.
+const EVEN_SHARE: u32 = 500;
+
+/// Maximum ratio of [`EVEN_SHARE`] to the share of the trial. With a smaller share, the exposure limit
+/// leaves no room for even shares.
+const MAX_SHARE_RATIO: u32 = 3;
+
 /// Fraction of the planned duration at which the trial of a sound version ends.
 const TRIAL_END_FRACTION: f64 = 0.75;
 
@@ -45,7 +59,8 @@
 /// outstanding at the old version. The rest allows for lost acknowledgements.
 const COMPLETE_FRACTION: f64 = 0.90;
 
-/// Fraction of the planned duration up to which a suspect version does not replace the old one.
+/// Fraction of the planned duration after which a suspect version is rolled back although all new
+/// requests go to it.
 const MAX_HOLD_FRACTION: f64 = 0.94;
 
 /// Minimum fraction of the planned duration for which all new requests go to the new version before
@@ -81,11 +96,17 @@
 
 /// Margins once all new requests go to the new version. Its caches are cold for most of them, and it
 /// is compared with the old version at another time.
-const MOVING_MARGINS: Margins = Margins { regression: 0.5, suspicion: 0.3 };
+const MOVING_MARGINS: Margins = Margins { regression: 0.4, suspicion: 0.25 };
 
-/// Minimum number of slow requests for a suspicion.
+/// Minimum number of slow requests for a regression or a suspicion.
 const MIN_SLOW: u64 = 5;
 
+/// Standard errors that the share of slow requests must exceed a margin by to count as a regression.
+const REGRESSION_ERRORS: f64 = 2.0;
+
+/// The same for a suspicion.
+const SUSPICION_ERRORS: f64 = 1.0;
+
 /// Age at which the report of an entry is dropped.
 const REPORT_MAX_AGE: Duration = Duration::from_secs(6);
 
@@ -203,20 +224,20 @@
     }
 
     /// Whether the share of slow requests exceeds twice that of the old version by more than a margin
-    /// and chance.
-    fn exceeds(self, margin: f64) -> bool {
+    /// and a number of standard errors.
+    fn exceeds(self, margin: f64, errors: f64) -> bool {
         // The largest standard error of a share among so many requests.
         let error = 0.5 / (self.new.known.max(1) as f64).sqrt();
         let excess = self.new.share() - 2.0 * self.old.share();
-        self.new.known >= MIN_REQUESTS && excess > margin + error
+        self.new.slow >= MIN_SLOW && excess > margin + errors * error
     }
 
     fn is_regression(self, margins: Margins) -> bool {
-        self.exceeds(margins.regression)
+        self.exceeds(margins.regression, REGRESSION_ERRORS)
     }
 
     fn is_suspect(self, margins: Margins) -> bool {
-        self.new.slow >= MIN_SLOW && self.exceeds(margins.suspicion)
+        self.exceeds(margins.suspicion, SUSPICION_ERRORS)
     }
 
     /// Compares the times to the first part and the times between events, over all routes.
@@ -359,6 +380,8 @@
     started_at: Duration,
     /// When the elapsed time was last written to the replicated log, or the timer was started.
     recorded_at: Duration,
+    /// When this replica saw that the shares of the versions are even.
+    even_since: Option<Duration>,
     /// When this replica saw that all new requests go to the new version.
     moving_since: Option<Duration>,
 }
@@ -392,9 +415,13 @@
                     initial: logged,
                     started_at: now,
                     recorded_at: now,
+                    even_since: None,
                     moving_since: None,
                 },
             };
+            if roll_out.phase == Phase::Trial && roll_out.share >= EVEN_SHARE {
+                timer.even_since.get_or_insert(now);
+            }
             if roll_out.phase == Phase::Moving {
                 timer.moving_since.get_or_insert(now);
             }
@@ -409,12 +436,22 @@
         u64::try_from(timer.elapsed(now).as_millis()).ok()
     }
 
+    fn since(&self, serial: u64, at: impl Fn(&Timer) -> Option<Duration>, now: Duration) -> u64 {
+        let timer = self.0.iter().find(|timer| timer.serial == serial);
+        let since = timer.and_then(at).unwrap_or(now);
+        u64::try_from(now.saturating_sub(since).as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Returns the time for which the shares of the versions have been even, as far as this replica
+    /// has seen.
+    pub fn even_ms(&self, serial: u64, now: Duration) -> u64 {
+        self.since(serial, |timer| timer.even_since, now)
+    }
+
     /// Returns the time for which all new requests have gone to the new version, as far as this
     /// replica has seen.
     pub fn moving_ms(&self, serial: u64, now: Duration) -> u64 {
-        let timer = self.0.iter().find(|timer| timer.serial == serial);
-        let since = timer.and_then(|timer| timer.moving_since).unwrap_or(now);
-        u64::try_from(now.saturating_sub(since).as_millis()).unwrap_or(u64::MAX)
+        self.since(serial, |timer| timer.moving_since, now)
     }
 
     /// Whether the elapsed time is due to be written to the replicated log. If so, it is next due
@@ -457,13 +494,23 @@
                     "target" => &*roll_out.target, "phase" => ?roll_out.phase,
                     "verdict" => %verdict, "elapsed_ms" => elapsed_ms);
             }
-            let phase = next_phase(&Stage {
+            let stage = Stage {
                 roll_out,
                 elapsed_ms,
+                even_ms: progress.even_ms(roll_out.serial, now),
                 moving_ms: progress.moving_ms(roll_out.serial, now),
                 drained: tallies.outstanding_elsewhere(&roll_out.service, &roll_out.target) == 0,
                 verdict: &verdict,
-            });
+            };
+            if raises_share(&stage) {
+                let command = Command::RaiseShare { serial: roll_out.serial, share: EVEN_SHARE };
+                let reply = log_handle.propose(command.encode()).await;
+                info!(log, "roll-out share raised"; "service" => &*roll_out.service,
+                    "target" => &*roll_out.target, "share" => EVEN_SHARE,
+                    "elapsed_ms" => elapsed_ms, "verdict" => %verdict, "outcome" => ?reply);
+                continue;
+            }
+            let phase = next_phase(&stage);
             if phase.is_none() && !progress.take_due(roll_out.serial, now) {
                 continue;
             }
@@ -495,6 +542,8 @@
     pub roll_out: &'a RollOut,
     /// Time since the operator ordered the roll-out.
     pub elapsed_ms: u64,
+    /// Time for which the shares of the versions have been even.
+    pub even_ms: u64,
     /// Time for which all new requests have gone to the new version.
     pub moving_ms: u64,
     /// Whether no request is outstanding at the old version.
@@ -502,18 +551,38 @@
     pub verdict: &'a Verdict,
 }
 
+impl Stage<'_> {
+    /// Fraction of the planned duration.
+    fn fraction(&self, time_ms: u64) -> f64 {
+        time_ms as f64 / self.roll_out.length_ms.max(1) as f64
+    }
+
+    /// Whether the exposure limit leaves room for even shares that are not in force yet.
+    fn may_raise_share(&self) -> bool {
+        let share = self.roll_out.share;
+        share < EVEN_SHARE && share * MAX_SHARE_RATIO >= EVEN_SHARE
+    }
+}
+
+/// Whether the shares of both versions become even now.
+pub fn raises_share(stage: &Stage<'_>) -> bool {
+    let fraction = stage.fraction(stage.elapsed_ms);
+    stage.roll_out.phase == Phase::Trial
+        && *stage.verdict == Verdict::Sound
+        && stage.may_raise_share()
+        && (EVEN_START_FRACTION..MAX_TRIAL_FRACTION).contains(&fraction)
+}
+
 /// Returns the phase that follows now, or `None` if the roll-out stays in its phase.
 ///
-/// A version that is suspect at the end of the longest trial is rolled back: the old version still
-/// serves most requests. Later the comparison is with the load of an earlier time, so only a
-/// regression counts.
+/// A version that is suspect at the end of the trial or after the move does not replace the old one:
+/// that can't be undone.
 pub fn next_phase(stage: &Stage<'_>) -> Option<Phase> {
     if matches!(stage.verdict, Verdict::Worse(_)) {
         return Some(Phase::RolledBack);
     }
-    let length_ms = stage.roll_out.length_ms.max(1) as f64;
-    let fraction = stage.elapsed_ms as f64 / length_ms;
-    let moved = stage.moving_ms as f64 / length_ms >= MIN_MOVING_FRACTION;
+    let fraction = stage.fraction(stage.elapsed_ms);
+    let moved = stage.fraction(stage.moving_ms) >= MIN_MOVING_FRACTION;
     let suspect = matches!(stage.verdict, Verdict::Suspect(_));
     match stage.roll_out.phase {
         Phase::Pending => (fraction >= TRIAL_START_FRACTION).then_some(Phase::Trial),
@@ -521,13 +590,19 @@
             Some(if suspect { Phase::RolledBack } else { Phase::Moving })
         }
         Phase::Trial => {
+            let even = stage.fraction(stage.even_ms) >= MIN_EVEN_FRACTION;
+            let compared = even || stage.roll_out.share * MAX_SHARE_RATIO < EVEN_SHARE;
             let sound = *stage.verdict == Verdict::Sound;
-            (sound && fraction >= TRIAL_END_FRACTION).then_some(Phase::Moving)
+            (sound && compared && fraction >= TRIAL_END_FRACTION).then_some(Phase::Moving)
         }
         Phase::Moving => {
             let ended = stage.drained || fraction >= COMPLETE_FRACTION;
-            let replaces = moved && ended && !suspect;
-            (replaces || fraction >= MAX_HOLD_FRACTION).then_some(Phase::Complete)
+            match suspect {
+                true => (fraction >= MAX_HOLD_FRACTION).then_some(Phase::RolledBack),
+                false => {
+                    (moved && ended || fraction >= MAX_HOLD_FRACTION).then_some(Phase::Complete)
+                }
+            }
         }
         Phase::Complete | Phase::RolledBack => None,
     }
--- a/crates/fleet-control/tests/machine.rs
+++ b/crates/fleet-control/tests/machine.rs
@@ -82,6 +82,21 @@
     assert!(!machine.roll_outs.is_withdrawn("drafts", "v2"));
 }
 
+/// Guards against sessions that go back to the old version because a late command lowers the share.
+#[test]
+fn share_of_a_trial_is_never_lowered() {
+    let mut machine = Machine::default();
+    machine.apply(start_roll_out("v2"));
+    machine.apply(Command::UpdateRollOut { serial: 1, phase: Phase::Trial, elapsed_ms: 12_000 });
+    let revision = machine.revision;
+
+    machine.apply(Command::RaiseShare { serial: 1, share: 500 });
+    machine.apply(Command::RaiseShare { serial: 1, share: 300 });
+
+    let share = machine.roll_outs.for_service("drafts").map(|roll_out| roll_out.share);
+    assert_eq!((share, machine.revision), (Some(500), revision + 1));
+}
+
 /// Guards against a snapshot that omits part of the state.
 #[test]
 fn snapshot_restores_the_state() {
--- a/crates/fleet-control/tests/phases.rs
+++ b/crates/fleet-control/tests/phases.rs
@@ -5,34 +5,31 @@
 use hickoryreel_fleet_control::roll_out::Stage;
 use hickoryreel_fleet_control::roll_out::Verdict;
 use hickoryreel_fleet_control::roll_out::next_phase;
+use hickoryreel_fleet_control::roll_out::raises_share;
 use yare::parameterized;
 
 const LENGTH_MS: u64 = 15_000;
 
-fn next(
-    phase: Phase,
-    elapsed: f64,
-    moving: f64,
-    drained: bool,
-    verdict: &Verdict,
-) -> Option<Phase> {
-    let part = |fraction: f64| (LENGTH_MS as f64 * fraction) as u64;
-    let roll_out = RollOut {
+fn part(fraction: f64) -> u64 {
+    (LENGTH_MS as f64 * fraction) as u64
+}
+
+fn roll_out(phase: Phase, share: u32) -> RollOut {
+    RollOut {
         serial: 1,
         service: "service".into(),
         target: "v2".into(),
         length_ms: LENGTH_MS,
         phase,
-        share: 270,
+        share,
         elapsed_ms: 0,
-    };
-    next_phase(&Stage {
-        roll_out: &roll_out,
-        elapsed_ms: part(elapsed),
-        moving_ms: part(moving),
-        drained,
-        verdict,
-    })
+    }
+}
+
+/// State after a time with even shares.
+fn stage<'a>(roll_out: &'a RollOut, elapsed: f64, verdict: &'a Verdict) -> Stage<'a> {
+    let even_ms = part(0.1);
+    Stage { roll_out, elapsed_ms: part(elapsed), even_ms, moving_ms: 0, drained: false, verdict }
 }
 
 fn worse() -> Verdict {
@@ -58,7 +55,8 @@
     not_drained = { Phase::Moving, 0.85, 0.1, false, Verdict::Sound, None },
     never_drained = { Phase::Moving, 0.91, 0.07, false, Verdict::Sound, Some(Phase::Complete) },
     suspect_is_held = { Phase::Moving, 0.91, 0.1, true, suspect(), None },
-    deadline = { Phase::Moving, 0.95, 0.01, false, suspect(), Some(Phase::Complete) },
+    suspect_at_the_deadline = { Phase::Moving, 0.95, 0.1, true, suspect(), Some(Phase::RolledBack) },
+    deadline = { Phase::Moving, 0.95, 0.01, false, Verdict::Sound, Some(Phase::Complete) },
 )]
 fn phase_follows(
     phase: Phase,
@@ -68,7 +66,45 @@
     verdict: Verdict,
     expected: Option<Phase>,
 ) {
-    let next = next(phase, elapsed, moving, drained, &verdict);
+    let roll_out = roll_out(phase, 500);
+    let stage = stage(&roll_out, elapsed, &verdict);
+
+    let next = next_phase(&Stage { moving_ms: part(moving), drained, ..stage });
+
+    assert_eq!(next, expected);
+}
+
+/// Guards against a move to a new version that was compared only under a part of its load, and
+/// against a trial without end where the exposure limit allows no more.
+#[parameterized(
+    not_compared_with_even_shares = { 500, 0.05, None },
+    compared_with_even_shares = { 500, 0.1, Some(Phase::Moving) },
+    share_not_raised_yet = { 270, 0.0, None },
+    low_exposure_limit = { 90, 0.0, Some(Phase::Moving) },
+)]
+fn move_follows_even_shares(share: u32, even: f64, expected: Option<Phase>) {
+    let roll_out = roll_out(Phase::Trial, share);
+    let stage = stage(&roll_out, 0.76, &Verdict::Sound);
+
+    let next = next_phase(&Stage { even_ms: part(even), ..stage });
 
     assert_eq!(next, expected);
 }
+
+/// Guards against a share that is raised without a verdict, too early, beyond the exposure limit or
+/// again.
+#[parameterized(
+    sound = { 270, 0.65, Verdict::Sound, true },
+    no_verdict = { 270, 0.65, Verdict::Unknown, false },
+    suspicion = { 270, 0.65, suspect(), false },
+    early = { 270, 0.6, Verdict::Sound, false },
+    low_exposure_limit = { 90, 0.65, Verdict::Sound, false },
+    raised = { 500, 0.65, Verdict::Sound, false },
+)]
+fn share_of_a_sound_version_is_raised(share: u32, elapsed: f64, verdict: Verdict, expected: bool) {
+    let roll_out = roll_out(Phase::Trial, share);
+
+    let raised = raises_share(&stage(&roll_out, elapsed, &verdict));
+
+    assert_eq!(raised, expected);
+}
--- a/crates/fleet-control/tests/regression.rs
+++ b/crates/fleet-control/tests/regression.rs
@@ -77,6 +77,7 @@
     stalled_streams = { stream(sum(&[measured(4, 25), pending(8, 500)])), stream(measured(100, 27)), true },
     twice_as_slow = { stream(measured(60, 52)), stream(measured(100, 27)), false },
     one_slow_stream_of_ten = { stream(sum(&[measured(27, 25), measured(3, 300)])), stream(measured(100, 27)), false },
+    few_requests_with_cold_caches = { Total { first: sum(&[measured(4, 60), measured(4, 600)]), ..Total::default() }, total(100, 0, 60), false },
     cold_caches = { total(40, 0, 150), total(200, 0, 60), false },
     as_many_slow_as_at_the_old_version = { stream(sum(&[measured(14, 25), measured(6, 200)])), stream(sum(&[measured(70, 27), measured(30, 220)])), false },
 )]
