Parse what an endpoint says of leaving and of a pause

Cause: neither Server-Leaving nor the Retry-After of a refusal was read. Ruled out: refusing the whole answer for a malformed header; the answer itself is fine.

--- a/crates/fleet-entry/src/dialect.rs
+++ b/crates/fleet-entry/src/dialect.rs
@@ -87,6 +87,12 @@
     pub confidence: Option<u8>,
     /// Time for which the endpoint keeps the connection open.
     pub keep_alive: Option<Duration>,
+    /// The endpoint is leaving and takes no new requests.
+    pub leaving: bool,
+    /// Time for which the endpoint wants no requests from this entry.
+    pub pause: Option<Duration>,
+    /// Reason why a part of `leaving` or `pause` was ignored.
+    pub malformed: Option<Malformed>,
 }
 
 /// Parses and builds the heads of requests and answers.
