Send nothing to endpoints that say that they are leaving

Callers saw refusals and broken requests at endpoints that were about to exit, at entries that had not learned from control that they drain. Cause: nobody read what the answers say of it. The mark belongs to one incarnation and holds from the head of the answer on, whatever its status, also if the endpoint announces another address. It is read with each choice and again right before the write; a send that was withdrawn there reached nobody, so it is chosen anew without using up attempts or the retry budget. Work at the endpoint is finished there. If all endpoints leave, the request is refused at once. Ruled out: marks by address (a restarted endpoint would stay unused, and a late answer would mark it); marks by the answer to another request or by a 421, which another endpoint may have sent; telling other entries, whose own answers tell them. Not done: a mixture of leaving and announced draining endpoints waits as before if any endpoint may still come.

--- a/crates/fleet-entry/src/directory.rs
+++ b/crates/fleet-entry/src/directory.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 
 use hickoryreel_fleet::Name;
-use hickoryreel_fleet::endpoint::Announcement;
 use hickoryreel_fleet::endpoint::EndpointUpdate;
 use hickoryreel_fleet::endpoint::Status;
 
@@ -59,14 +58,18 @@
         }
         let hears = status == Status::Present;
         let Some(known) = self.endpoints.get(&announcement.id) else {
-            self.add(announcement).set_heard_by(replica, hears);
+            self.add(Endpoint::new(announcement)).set_heard_by(replica, hears);
             return Change::New;
         };
         let (old, new) = (known.announcement.borrow().order(), announcement.order());
         let moved = new > old && known.announcement.borrow().address != announcement.address;
         if new.0 > old.0 || moved {
-            self.remove(&announcement.id);
-            self.add(announcement).set_heard_by(replica, hears);
+            let endpoint = match new.0 > old.0 {
+                true => Endpoint::new(announcement),
+                false => known.moved(announcement),
+            };
+            self.remove(&endpoint.id());
+            self.add(endpoint).set_heard_by(replica, hears);
             return Change::New;
         }
         let silence_changed = known.set_heard_by(replica, hears);
@@ -82,7 +85,8 @@
         }
     }
 
-    fn add(&mut self, announcement: Announcement) -> Rc<Endpoint> {
+    fn add(&mut self, endpoint: Endpoint) -> Rc<Endpoint> {
+        let announcement = endpoint.announcement.borrow().clone();
         let (id, service) = (announcement.id.clone(), announcement.service.clone());
         // A later endpoint gets an address only after the earlier one at that address has ended.
         for other in self.at_address(announcement.address) {
@@ -90,7 +94,7 @@
                 other.mark_displaced();
             }
         }
-        let endpoint = Rc::new(Endpoint::new(announcement));
+        let endpoint = Rc::new(endpoint);
         self.endpoints.insert(id, Rc::clone(&endpoint));
         self.services.entry(service).or_default().push(Rc::clone(&endpoint));
         endpoint
--- a/crates/fleet-entry/src/endpoint.rs
+++ b/crates/fleet-entry/src/endpoint.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use hickoryreel_base::time::boot_time;
@@ -13,6 +14,7 @@
 use hickoryreel_fleet::load::RANKS;
 use smallvec::SmallVec;
 
+use crate::availability::Availability;
 use crate::dialect::Load;
 use crate::exchange::Pool;
 
@@ -76,6 +78,8 @@
     consecutive_failures: Cell<u32>,
     failure_share: Cell<f64>,
     ejected_until: Cell<Duration>,
+    /// Shared by all addresses of the incarnation.
+    availability: Rc<Cell<Availability>>,
     /// Time at which this entry last received data from the endpoint.
     pub last_activity: Cell<Option<Duration>>,
 }
@@ -116,10 +120,16 @@
             consecutive_failures: Cell::new(0),
             failure_share: Cell::new(0.0),
             ejected_until: Cell::new(Duration::ZERO),
+            availability: Rc::default(),
             last_activity: Cell::new(None),
         }
     }
 
+    /// Creates an endpoint that is the same incarnation at another address.
+    pub fn moved(&self, announcement: Announcement) -> Self {
+        Self { availability: Rc::clone(&self.availability), ..Self::new(announcement) }
+    }
+
     pub fn id(&self) -> Name {
         self.announcement.borrow().id.clone()
     }
@@ -138,6 +148,25 @@
             && now >= self.ejected_until.get()
             && (!self.is_silent() || recently_active)
             && !self.is_suspect()
+            && self.is_available(now)
+    }
+
+    /// Its availability according to its answers.
+    pub fn availability(&self) -> Availability {
+        self.availability.get()
+    }
+
+    /// Whether it may get a request at time `now`, according to its answers.
+    pub fn is_available(&self, now: Duration) -> bool {
+        self.availability().is_available(now)
+    }
+
+    /// Records that it is leaving. Returns whether this is new.
+    pub fn record_leaving(&self) -> bool {
+        let mut availability = self.availability();
+        let is_new = availability.leave();
+        self.availability.set(availability);
+        is_new
     }
 
     /// Whether no replica receives its announcements.
@@ -166,6 +195,11 @@
 
     /// Whether it may get new requests if no endpoint is usable.
     pub fn is_last_resort(&self) -> bool {
+        self.is_present() && self.is_available(boot_time())
+    }
+
+    /// Whether it has neither deregistered nor announced that it drains.
+    pub fn is_present(&self) -> bool {
         !self.gone.get() && !self.announcement.borrow().draining
     }
 
--- a/crates/fleet-entry/src/entry.rs
+++ b/crates/fleet-entry/src/entry.rs
@@ -180,6 +180,14 @@
         usize::try_from(part.max(1)).unwrap_or(1)
     }
 
+    /// Encodes all metrics in the Prometheus text format.
+    pub fn metrics_text(&self) -> String {
+        let directory = self.directory.borrow();
+        let leaving = directory.all().filter(|endpoint| endpoint.availability().is_leaving());
+        self.metrics.leaving.set(i64::try_from(leaving.count()).unwrap_or(i64::MAX));
+        self.metrics.text()
+    }
+
     /// Whether a zone is in this entry's region.
     pub fn is_in_region(&self, zone: &str) -> bool {
         self.settings.region(zone) == self.settings.region(&self.settings.zone)
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -18,6 +18,7 @@
 use smallvec::SmallVec;
 
 use crate::answer::Refusal;
+use crate::availability::Outlook;
 use crate::body::Body;
 use crate::cascade::AnswerEstimate;
 use crate::cascade::Cascade;
@@ -32,6 +33,7 @@
 use crate::outcome::SendEnd;
 use crate::pick;
 use crate::pick::Choice;
+use crate::pick::PickContext;
 use crate::prefill;
 use crate::prefill::PrefillPermit;
 use crate::prepare::MAX_STATE_WAIT;
@@ -65,6 +67,8 @@
     pub tried: SmallVec<[Name; 4]>,
     /// Number of sends.
     pub sends: u32,
+    /// Number of sends that were withdrawn before they were written.
+    pub withdrawn: u32,
     /// Number of sends that the endpoint may have run.
     pub runs: u32,
     /// Whether an endpoint may have run the request, so that a refusal must not deny it.
@@ -146,6 +150,7 @@
             deadline,
             tried: SmallVec::new(),
             sends: 0,
+            withdrawn: 0,
             runs: 0,
             may_have_run: false,
             model_index: 0,
@@ -204,11 +209,13 @@
             Next::End(fallback) => Some(fallback),
             Next::Retry(fallback) => {
                 let attempts = self.route.attempts.max(1);
-                let allowed = self.runs < attempts
-                    && self.sends < attempts + MAX_REFUSED_SENDS
-                    && self.left_ms() > MIN_SEND_TIME_MS
-                    && self.has_endpoint()
-                    && self.entry.take_second_send(&self.service);
+                // A send that reached no endpoint uses up neither attempts nor the retry budget.
+                let allowed = ended == SendEnd::NotSent
+                    || self.runs < attempts
+                        && self.sends - self.withdrawn < attempts + MAX_REFUSED_SENDS
+                        && self.left_ms() > MIN_SEND_TIME_MS
+                        && self.has_endpoint()
+                        && self.entry.take_second_send(&self.service);
                 (!allowed).then_some(fallback)
             }
         }
@@ -242,15 +249,19 @@
         self.pick().is_some()
     }
 
-    /// Picks an endpoint. Before the first send it waits for one to announce itself if there is none.
+    /// Picks an endpoint. Before the first send it waits for one to announce itself if there is none,
+    /// unless all are leaving.
     pub async fn wait_for_endpoint(&self) -> Option<Rc<Endpoint>> {
         let until = boot_time() + Duration::from_millis(self.left_ms() / 3).min(MAX_STATE_WAIT);
         loop {
             let state_changed = self.entry.state_changed.notified();
             let picked = self.pick();
-            if picked.is_some() || self.sends > 0 {
+            if picked.is_some() || self.sends > self.withdrawn {
                 return picked;
             }
+            if self.with_context(&self.tried, None, pick::outlook) == Outlook::Leaving {
+                return None;
+            }
             let left = until.saturating_sub(boot_time());
             if tokio::time::timeout(left, state_changed).await.is_err() {
                 return None;
@@ -263,10 +274,20 @@
     }
 
     fn choose(&self, tried: &[Name], token_ms: Option<f64>) -> Option<Choice> {
+        self.with_context(tried, token_ms, pick::choose)
+    }
+
+    /// Calls a function of [`pick`] with the endpoints of the service.
+    fn with_context<T>(
+        &self,
+        tried: &[Name],
+        token_ms: Option<f64>,
+        function: impl Fn(&PickContext<'_>, &[Rc<Endpoint>]) -> T,
+    ) -> T {
         let view = self.entry.view.borrow();
         let directory = self.entry.directory.borrow();
         let is_in_region = |zone: &str| self.entry.is_in_region(zone);
-        let context = pick::PickContext {
+        let context = PickContext {
             route: &self.route,
             metadata: &self.metadata,
             service: &self.service,
@@ -276,7 +297,7 @@
             token_ms,
             is_in_region: &is_in_region,
         };
-        pick::choose(&context, directory.for_service(&self.service))
+        function(&context, directory.for_service(&self.service))
     }
 
     /// Returns the model of the next send, or `None` if the client chose it.
--- a/crates/fleet-entry/src/lib.rs
+++ b/crates/fleet-entry/src/lib.rs
@@ -4,12 +4,14 @@
 //! reads its metadata with the [`dialect`] and finds its route and workspace in the [`view`],
 //! [`cascade`] chooses the model, [`prefill`] limits concurrent long prompts, [`pick`] chooses the
 //! endpoint, [`send`] sends the request over an [`exchange`], [`outcome`] decides what follows from
-//! the way in which a send ended, and [`relay`] forwards a stream event by event. What an endpoint may
+//! the way in which a send ended, and [`relay`] forwards a stream event by event. What endpoints say
+//! of themselves is kept in [`availability`]. What an endpoint may
 //! send is bounded by [`head_limit`], [`memory`] and [`progress`]. [`control_poll`]
 //! keeps the view and the [`directory`] of [`endpoint`]s current over links to the control replicas,
 //! of which [`source`] chooses one to send configurations, and [`load_report`] exchanges the load of the endpoints with the other entries.
 
 pub mod answer;
+pub mod availability;
 pub mod body;
 pub mod budget;
 pub mod cascade;
--- a/crates/fleet-entry/src/metrics.rs
+++ b/crates/fleet-entry/src/metrics.rs
@@ -28,6 +28,10 @@
     pub connections: Counter,
     /// Ejections of endpoints after failures.
     pub paused: Counter,
+    /// Sends that were withdrawn because the endpoint became unavailable.
+    pub withdrawn: Counter,
+    /// Endpoints that say that they are leaving.
+    pub leaving: Gauge,
     /// Outstanding requests.
     pub open: Gauge,
     /// Number of the configuration in force.
@@ -55,12 +59,17 @@
         let resumed = counter("resumed", "Streams continued at another endpoint");
         let connections = counter("connections", "New connections to endpoints");
         let paused = counter("paused", "Endpoints that got a pause after failures");
+        let withdrawn = counter(
+            "withdrawn_sends",
+            "Sends withdrawn before they were written as the endpoint left or paused",
+        );
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
             gauge
         };
         let open = gauge("open", "Requests under way");
+        let leaving = gauge("leaving_endpoints", "Endpoints that say that they are leaving");
         let configuration = gauge("configuration", "Number of the configuration in force");
         let mut histogram = |name: &str, help: &str| {
             // From 5 ms to 20 s.
@@ -79,6 +88,8 @@
             resumed,
             connections,
             paused,
+            withdrawn,
+            leaving,
             open,
             configuration,
             first_part,
--- a/crates/fleet-entry/src/outcome.rs
+++ b/crates/fleet-entry/src/outcome.rs
@@ -8,6 +8,8 @@
 pub enum SendEnd {
     /// The endpoint states that the request did not run, or nothing was sent to it.
     NotRun,
+    /// The endpoint became unavailable before the request was written.
+    NotSent,
     /// The endpoint answered with an error.
     EndpointFailed,
     /// The answer is lost or belongs to another request; the request may have run.
@@ -64,18 +66,18 @@
             Next::End(Fallback::Refuse(Refusal::TimedOut))
         }
         (
-            SendEnd::NotRun | SendEnd::Unknown | SendEnd::EndpointFailed,
+            SendEnd::NotRun | SendEnd::NotSent | SendEnd::Unknown | SendEnd::EndpointFailed,
             Runs::Repeatable,
             Delivered::Partial,
         ) => Next::Retry(Fallback::Abort),
         (_, Runs::Once, Delivered::Partial) => Next::End(Fallback::Abort),
-        (SendEnd::NotRun, Runs::Repeatable, Delivered::Nothing) => {
+        (SendEnd::NotRun | SendEnd::NotSent, Runs::Repeatable, Delivered::Nothing) => {
             Next::Retry(refuse(Refusal::Overloaded, Refusal::Unknown))
         }
-        (SendEnd::NotRun, Runs::Once, Delivered::Nothing) if may_have_run => {
+        (SendEnd::NotRun | SendEnd::NotSent, Runs::Once, Delivered::Nothing) if may_have_run => {
             Next::End(Fallback::Refuse(Refusal::Unknown))
         }
-        (SendEnd::NotRun, Runs::Once, Delivered::Nothing) => {
+        (SendEnd::NotRun | SendEnd::NotSent, Runs::Once, Delivered::Nothing) => {
             Next::Retry(Fallback::Refuse(Refusal::Overloaded))
         }
         (SendEnd::EndpointFailed, Runs::Repeatable, Delivered::Nothing) => {
--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -18,6 +18,7 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::availability::Outlook;
 use crate::dialect::RequestMetadata;
 use crate::endpoint::Endpoint;
 use crate::spread;
@@ -183,6 +184,13 @@
     Some(Choice { endpoint, wait_ms, prefill_ms })
 }
 
+/// Returns the reason why [`choose`] finds no endpoint.
+pub fn outlook(context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]) -> Outlook {
+    let allowed = allowed_endpoints(context, endpoints);
+    let present = allowed.iter().filter(|endpoint| endpoint.is_present());
+    Outlook::new(present.map(|endpoint| endpoint.availability()))
+}
+
 /// Load that is expected to arrive at an endpoint of the region before the totals show it.
 fn unseen_ms(context: &PickContext<'_>) -> f64 {
     if context.token_ms.is_some() { UNSEEN_MS } else { PLAIN_UNSEEN_MS }
--- a/crates/fleet-entry/src/send.rs
+++ b/crates/fleet-entry/src/send.rs
@@ -116,11 +116,15 @@
             (self.route.rank, self.prefill_ms()),
             permit,
         );
-        let build = || self.permitted_request(&id, after_event);
+        let build = || self.permitted_request(&endpoint, after_event);
         let exchange = match self.exchange(&endpoint, build, in_flight.began).await {
             Ok(exchange) => exchange,
             Err(ended) => {
-                self.runs += u32::from(ended != SendEnd::NotRun);
+                if ended == SendEnd::NotSent {
+                    self.withdrawn += 1;
+                    self.tried.pop();
+                }
+                self.runs += u32::from(!matches!(ended, SendEnd::NotRun | SendEnd::NotSent));
                 return Err(ended);
             }
         };
@@ -153,6 +157,7 @@
             }
             return Err(SendEnd::NotRun);
         }
+        self.record_availability(&endpoint, &reply);
         if reply.not_run {
             info!(self.entry.log, "endpoint refused"; "request" => &self.metadata.id,
                 "endpoint" => &*endpoint.id(), "status" => status.as_u16(),
@@ -175,6 +180,18 @@
         Ok(Sent { exchange, reply, in_flight })
     }
 
+    /// Records what an answer says of the availability of its endpoint.
+    fn record_availability(&self, endpoint: &Endpoint, reply: &Reply) {
+        if let Some(malformed) = reply.malformed {
+            info!(self.entry.log, "header of an answer is ignored"; "endpoint" => &*endpoint.id(),
+                "request" => &self.metadata.id, "reason" => malformed.0);
+        }
+        if reply.leaving && endpoint.record_leaving() {
+            info!(self.entry.log, "endpoint says that it is leaving"; "endpoint" => &*endpoint.id(),
+                "request" => &self.metadata.id);
+        }
+    }
+
     /// Whether the request's key may be relied on; requests without a key need no lease.
     fn has_lease(&self) -> bool {
         let lease = self.entry.settings.lease;
@@ -184,11 +201,13 @@
     /// Builds the request right before it is written. Returns `None` if it may not be sent any more.
     fn permitted_request(
         &self,
-        endpoint: &str,
+        endpoint: &Endpoint,
         after: Option<u64>,
     ) -> Option<Request<Full<Bytes>>> {
         let left = self.left_ms();
-        (left > MIN_SEND_TIME_MS && self.has_lease()).then(|| self.request(endpoint, left, after))
+        let permitted =
+            left > MIN_SEND_TIME_MS && self.has_lease() && endpoint.is_available(boot_time());
+        permitted.then(|| self.request(&endpoint.id(), left, after))
     }
 
     fn request(&self, endpoint: &str, left: u64, after: Option<u64>) -> Request<Full<Bytes>> {
@@ -271,6 +290,12 @@
                     "cause" => cause, "pause_ms" => ejection.as_millis() as u64);
                 Err(SendEnd::NotRun)
             }
+            Err(Failure::Withdrawn) if !endpoint.is_available(boot_time()) => {
+                self.entry.metrics.withdrawn.inc();
+                info!(self.entry.log, "request is sent elsewhere"; "endpoint" => &*endpoint.id(),
+                    "request" => &self.metadata.id, "availability" => ?endpoint.availability());
+                Err(SendEnd::NotSent)
+            }
             Err(Failure::Withdrawn) => {
                 info!(self.entry.log, "request is not sent any more";
                     "endpoint" => &*endpoint.id(), "request" => &self.metadata.id,
--- a/crates/fleet-entry/tests/common/harness.rs
+++ b/crates/fleet-entry/tests/common/harness.rs
@@ -64,10 +64,13 @@
         headers
     }
 
-    fn parse_response(&self, _status: StatusCode, headers: &HeaderMap, id: &str) -> Reply {
+    fn parse_response(&self, status: StatusCode, headers: &HeaderMap, id: &str) -> Reply {
         let echoed = headers.get("id").and_then(|value| value.to_str().ok());
         Reply {
             not_run: headers.contains_key("not-run"),
+            wrong_endpoint: status == StatusCode::MISDIRECTED_REQUEST,
+            leaving: headers.contains_key("leaving"),
+            pause: number(headers, "pause").map(Duration::from_millis),
             matches: echoed.map(|echoed| echoed == id),
             ..Reply::default()
         }
--- a/crates/fleet-entry/tests/outcome.rs
+++ b/crates/fleet-entry/tests/outcome.rs
@@ -12,6 +12,7 @@
 fn ended() -> impl Strategy<Value = SendEnd> {
     prop_oneof![
         Just(SendEnd::NotRun),
+        Just(SendEnd::NotSent),
         Just(SendEnd::EndpointFailed),
         Just(SendEnd::Unknown),
         Just(SendEnd::DeadlineExceeded),
@@ -36,7 +37,7 @@
         let mut ran = false;
         for (turn, ended) in ends.into_iter().enumerate() {
             let delivered = if turn >= passed_at { Delivered::Partial } else { Delivered::Nothing };
-            let may_have_run = ended != SendEnd::NotRun;
+            let may_have_run = !matches!(ended, SendEnd::NotRun | SendEnd::NotSent);
             ran |= may_have_run;
             let (again, fallback) = match decide(ended, runs, delivered, ran) {
                 Next::Retry(fallback) => (true, fallback),
--- a/crates/fleet-entry/tests/pick.rs
+++ b/crates/fleet-entry/tests/pick.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
@@ -62,6 +63,15 @@
 
 /// Number of requests that each endpoint gets from the entries before they learn of new loads.
 fn choices(directory: &Directory, prompt: &[PromptPart], token_ms: f64) -> HashMap<Name, u32> {
+    let mut counts = HashMap::new();
+    for _ in 0..ENTRIES {
+        *counts.entry(choice(directory, prompt, token_ms)).or_insert(0) += 1;
+    }
+    counts
+}
+
+/// The endpoint that a request gets.
+fn choice(directory: &Directory, prompt: &[PromptPart], token_ms: f64) -> Name {
     let (route, service, roll_outs) = (route(), Name::from("service"), RollOuts::default());
     let metadata = RequestMetadata {
         prompt_tokens: 12_000,
@@ -78,13 +88,8 @@
         token_ms: Some(token_ms),
         is_in_region: &|zone| zone == "near",
     };
-    let mut counts = HashMap::new();
-    for _ in 0..ENTRIES {
-        let choice =
-            pick::choose(&context, directory.for_service("service")).expect("one is usable");
-        *counts.entry(choice.endpoint.id()).or_insert(0) += 1;
-    }
-    counts
+    let choice = pick::choose(&context, directory.for_service("service")).expect("one is usable");
+    choice.endpoint.id()
 }
 
 /// Guards against entries that all send to the endpoint that was idle at the latest update, and
@@ -123,3 +128,24 @@
     assert_eq!(*count, ENTRIES, "{idle:?}");
     assert!(!loaded.contains_key(preferred), "{loaded:?}");
 }
+
+/// Guards against one neighbour that gets all sessions and prompts of an endpoint that leaves.
+#[test]
+fn prompts_of_a_leaving_endpoint_move_to_many_others() {
+    let directory = directory(40);
+    apply_loads(&directory, |_| 50);
+    let prompt =
+        |id| [PromptPart { id, tokens: 5_400 }, PromptPart { id: u64::MAX, tokens: 6_600 }];
+    let preferred = |id| choice(&directory, &prompt(id), 0.08);
+    let leaving = preferred(0);
+    let moved: Vec<u64> = (0..2_000).filter(|id| preferred(*id) == leaving).take(20).collect();
+
+    let endpoints = directory.all();
+    endpoints.filter(|endpoint| endpoint.id() == leaving).for_each(|endpoint| {
+        endpoint.record_leaving();
+    });
+
+    let neighbours: HashSet<Name> = moved.iter().map(|id| preferred(*id)).collect();
+    assert_eq!(moved.len(), 20);
+    assert!(neighbours.len() >= 6 && !neighbours.contains(&leaving), "{neighbours:?}");
+}
