Keep to the pauses that endpoints ask for

Callers saw refusals: an entry went on sending to an endpoint that had asked for time with 503, and after three of these sent everything that waited when its own ejection ended. Cause: nobody read the Retry-After of a refusal. Now an incarnation gets nothing until the latest end, on the boot clock, not as the last resort either. A later pause revokes sends that were chosen before it; they are withdrawn right before the write and chosen anew. After the end two requests may be unanswered, doubled with each accepted one up to 16. A refusal with a pause counts as a send, not as a failure. If nobody else can serve, the request waits for an end before half of its target, else it is refused at once with Retry-After from the earliest end, spread by rank and at random, as the pause is for this entry only and the client may come back through another one. Ruled out: waiting until the deadline; counting the refusals towards an ejection, which ends by itself at another time; a limit on outstanding requests after a pause, as streams from before it would use it up.

--- a/crates/fleet-entry/src/answer.rs
+++ b/crates/fleet-entry/src/answer.rs
@@ -66,7 +66,13 @@
     }
 
     pub fn response(self) -> Response<Body> {
+        self.response_after(None)
+    }
+
+    /// Returns the response with another delay for `Retry-After`, if there is one.
+    pub fn response_after(self, delay: Option<Duration>) -> Response<Body> {
         let (status, retry_after) = self.answer();
+        let retry_after = delay.or(retry_after);
         let mut response = Response::new(Body::whole(Bytes::new()));
         *response.status_mut() = status;
         if let Some(pause) = retry_after {
--- a/crates/fleet-entry/src/endpoint.rs
+++ b/crates/fleet-entry/src/endpoint.rs
@@ -14,6 +14,7 @@
 use hickoryreel_fleet::load::RANKS;
 use smallvec::SmallVec;
 
+use crate::availability::Admission;
 use crate::availability::Availability;
 use crate::dialect::Load;
 use crate::exchange::Pool;
@@ -161,12 +162,28 @@
         self.availability().is_available(now)
     }
 
-    /// Records that it is leaving. Returns whether this is new.
-    pub fn record_leaving(&self) -> bool {
+    fn change_availability<T>(&self, change: impl FnOnce(&mut Availability) -> T) -> T {
         let mut availability = self.availability();
-        let is_new = availability.leave();
+        let result = change(&mut availability);
         self.availability.set(availability);
-        is_new
+        result
+    }
+
+    /// Records that it is leaving. Returns whether this is new.
+    pub fn record_leaving(&self) -> bool {
+        self.change_availability(Availability::leave)
+    }
+
+    /// Records that it wants no requests for a time. Returns whether this changes the end of its
+    /// pause.
+    pub fn record_pause(&self, length: Duration) -> bool {
+        self.change_availability(|availability| availability.pause(boot_time(), length))
+    }
+
+    /// Records that the answer of a request began, or that the request ended without one. Returns
+    /// whether this may have made the endpoint available.
+    pub fn record_end(&self, admission: Admission, accepted: bool) -> bool {
+        self.change_availability(|availability| availability.record_end(admission, accepted))
     }
 
     /// Whether no replica receives its announcements.
@@ -279,9 +296,10 @@
         sum.sum::<f64>() + unknown
     }
 
-    pub fn record_send(&self) {
+    pub fn record_send(&self) -> Admission {
         self.outstanding.set(self.outstanding.get() + 1);
         self.sent_since_load.set(self.sent_since_load.get() + 1);
+        self.change_availability(Availability::admit)
     }
 
     pub fn record_load(&self, load: Load) {
--- a/crates/fleet-entry/src/entry.rs
+++ b/crates/fleet-entry/src/entry.rs
@@ -12,6 +12,7 @@
 use slog::Logger;
 use tokio::sync::Notify;
 
+use crate::availability::Availability;
 use crate::budget::Counts;
 use crate::budget::Limits;
 use crate::budget::RetryBudget;
@@ -183,8 +184,13 @@
     /// Encodes all metrics in the Prometheus text format.
     pub fn metrics_text(&self) -> String {
         let directory = self.directory.borrow();
-        let leaving = directory.all().filter(|endpoint| endpoint.availability().is_leaving());
-        self.metrics.leaving.set(i64::try_from(leaving.count()).unwrap_or(i64::MAX));
+        let count = |matches: &dyn Fn(Availability) -> bool| {
+            let endpoints = directory.all().filter(|endpoint| matches(endpoint.availability()));
+            i64::try_from(endpoints.count()).unwrap_or(i64::MAX)
+        };
+        let now = boot_time();
+        self.metrics.leaving.set(count(&|availability| availability.is_leaving()));
+        self.metrics.asked_pauses.set(count(&|availability| availability.is_paused(now)));
         self.metrics.text()
     }
 
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -14,6 +14,7 @@
 use http::Response;
 use http::request::Parts;
 use hyper::body::Incoming;
+use rand::RngExt;
 use slog::info;
 use smallvec::SmallVec;
 
@@ -45,6 +46,9 @@
 /// Minimum time before the deadline at which a request is still sent.
 pub const MIN_SEND_TIME_MS: u64 = 30;
 
+/// Interval at which a request that waits for an endpoint on trial looks for another one.
+const TRIAL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Additional sends of a request that endpoints refuse without running it.
 const MAX_REFUSED_SENDS: u32 = 2;
 
@@ -237,7 +241,10 @@
             other => other,
         };
         self.log_end(refusal.answer().0.as_u16(), &format!("{refusal:?}"));
-        refusal.response()
+        match refusal {
+            Refusal::Overloaded => refusal.response_after(self.retry_after()),
+            _ => refusal.response(),
+        }
     }
 
     /// Milliseconds until the deadline.
@@ -249,8 +256,8 @@
         self.pick().is_some()
     }
 
-    /// Picks an endpoint. Before the first send it waits for one to announce itself if there is none,
-    /// unless all are leaving.
+    /// Picks an endpoint. Before the first send it waits for one to announce itself if there is none.
+    /// If all are leaving or have asked for pauses, it waits only for a pause that ends in time.
     pub async fn wait_for_endpoint(&self) -> Option<Rc<Endpoint>> {
         let until = boot_time() + Duration::from_millis(self.left_ms() / 3).min(MAX_STATE_WAIT);
         loop {
@@ -259,16 +266,40 @@
             if picked.is_some() || self.sends > self.withdrawn {
                 return picked;
             }
-            if self.with_context(&self.tried, None, pick::outlook) == Outlook::Leaving {
-                return None;
-            }
-            let left = until.saturating_sub(boot_time());
-            if tokio::time::timeout(left, state_changed).await.is_err() {
+            let now = boot_time();
+            let (until, wake_at) = match self.outlook(now) {
+                Outlook::Unknown => (until, until),
+                Outlook::Leaving => return None,
+                Outlook::Paused(end) => (self.latest_start(), end.max(now + TRIAL_CHECK_INTERVAL)),
+            };
+            if now >= until || wake_at > until {
                 return None;
             }
+            // The end of the wait is checked above.
+            let _ = tokio::time::timeout(wake_at - now, state_changed).await;
         }
     }
 
+    /// Latest time at which the answer of an endpoint whose pause ends is expected in time. Until then
+    /// waiting is faster than a refusal, after which the client may come back through another entry.
+    fn latest_start(&self) -> Duration {
+        let target = self.arrived + Duration::from_millis(self.route.target_ms) / 2;
+        target.min(self.deadline.saturating_sub(Duration::from_millis(MIN_SEND_TIME_MS)))
+    }
+
+    fn outlook(&self, now: Duration) -> Outlook {
+        let outlook = |context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]| {
+            pick::outlook(context, endpoints, now)
+        };
+        self.with_context(&[], None, outlook)
+    }
+
+    /// Delay until the client may repeat a refused request, if the endpoints have asked for pauses.
+    fn retry_after(&self) -> Option<Duration> {
+        let now = boot_time();
+        self.outlook(now).retry_after(now, self.route.rank, rand::rng().random())
+    }
+
     fn pick(&self) -> Option<Rc<Endpoint>> {
         Some(self.choose(&self.tried, self.token_ms())?.endpoint)
     }
--- a/crates/fleet-entry/src/in_flight.rs
+++ b/crates/fleet-entry/src/in_flight.rs
@@ -6,6 +6,7 @@
 use hickoryreel_base::time::boot_time;
 use hickoryreel_fleet::Name;
 
+use crate::availability::Admission;
 use crate::endpoint::Endpoint;
 use crate::entry::Entry;
 use crate::exchange::Connection;
@@ -22,6 +23,8 @@
     rank: u8,
     prefill_ms: f64,
     permit: Option<PrefillPermit>,
+    /// Present until the answer begins.
+    admission: Option<Admission>,
     /// Start of the send.
     pub began: Duration,
 }
@@ -36,12 +39,38 @@
         permit: Option<PrefillPermit>,
     ) -> Self {
         let version = endpoint.version();
-        endpoint.record_send();
+        let admission = Some(endpoint.record_send());
         endpoint.add_prefill(rank, prefill_ms);
         entry.tallies.borrow_mut().record_send(&service, &version, &route);
         entry.metrics.sends.inc();
         let began = boot_time();
-        Self { entry, endpoint, service, version, route, rank, prefill_ms, permit, began }
+        Self {
+            entry,
+            endpoint,
+            service,
+            version,
+            route,
+            rank,
+            prefill_ms,
+            permit,
+            admission,
+            began,
+        }
+    }
+
+    /// Whether the request may still be written.
+    pub fn is_permitted(&self) -> bool {
+        let availability = self.endpoint.availability();
+        self.admission.is_some_and(|admission| availability.permits(admission))
+    }
+
+    /// Records whether the endpoint accepted the request, according to the head of its answer.
+    pub fn record_head(&mut self, accepted: bool) {
+        if let Some(admission) = self.admission.take()
+            && self.endpoint.record_end(admission, accepted)
+        {
+            self.entry.state_changed.notify_waiters();
+        }
     }
 
     /// Records that the endpoint has finished the prefill: it has sent the head of its answer.
@@ -67,6 +96,7 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.prefill_done();
+        self.record_head(false);
         self.endpoint.outstanding.set(self.endpoint.outstanding.get().saturating_sub(1));
         let mut tallies = self.entry.tallies.borrow_mut();
         tallies.record_end(&self.service, &self.version, &self.route);
--- a/crates/fleet-entry/src/metrics.rs
+++ b/crates/fleet-entry/src/metrics.rs
@@ -32,6 +32,8 @@
     pub withdrawn: Counter,
     /// Endpoints that say that they are leaving.
     pub leaving: Gauge,
+    /// Pauses in force that endpoints asked for.
+    pub asked_pauses: Gauge,
     /// Outstanding requests.
     pub open: Gauge,
     /// Number of the configuration in force.
@@ -70,6 +72,7 @@
         };
         let open = gauge("open", "Requests under way");
         let leaving = gauge("leaving_endpoints", "Endpoints that say that they are leaving");
+        let asked_pauses = gauge("asked_pauses", "Pauses in force that endpoints asked for");
         let configuration = gauge("configuration", "Number of the configuration in force");
         let mut histogram = |name: &str, help: &str| {
             // From 5 ms to 20 s.
@@ -90,6 +93,7 @@
             paused,
             withdrawn,
             leaving,
+            asked_pauses,
             open,
             configuration,
             first_part,
--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -9,6 +9,7 @@
 //! This answers a burst of long prompts at hundreds of entries, each with a few requests a second.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use hickoryreel_fleet::Name;
 use hickoryreel_fleet::configuration::Route;
@@ -184,11 +185,12 @@
     Some(Choice { endpoint, wait_ms, prefill_ms })
 }
 
-/// Returns the reason why [`choose`] finds no endpoint.
-pub fn outlook(context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]) -> Outlook {
+/// Returns when the endpoints that may get the request take one again, if none of them does at time
+/// `now`.
+pub fn outlook(context: &PickContext<'_>, endpoints: &[Rc<Endpoint>], now: Duration) -> Outlook {
     let allowed = allowed_endpoints(context, endpoints);
     let present = allowed.iter().filter(|endpoint| endpoint.is_present());
-    Outlook::new(present.map(|endpoint| endpoint.availability()))
+    Outlook::new(present.map(|endpoint| endpoint.availability()), now)
 }
 
 /// Load that is expected to arrive at an endpoint of the region before the totals show it.
--- a/crates/fleet-entry/src/send.rs
+++ b/crates/fleet-entry/src/send.rs
@@ -116,7 +116,7 @@
             (self.route.rank, self.prefill_ms()),
             permit,
         );
-        let build = || self.permitted_request(&endpoint, after_event);
+        let build = || self.permitted_request(&in_flight, after_event);
         let exchange = match self.exchange(&endpoint, build, in_flight.began).await {
             Ok(exchange) => exchange,
             Err(ended) => {
@@ -158,6 +158,7 @@
             return Err(SendEnd::NotRun);
         }
         self.record_availability(&endpoint, &reply);
+        in_flight.record_head(!reply.not_run && reply.pause.is_none());
         if reply.not_run {
             info!(self.entry.log, "endpoint refused"; "request" => &self.metadata.id,
                 "endpoint" => &*endpoint.id(), "status" => status.as_u16(),
@@ -190,6 +191,12 @@
             info!(self.entry.log, "endpoint says that it is leaving"; "endpoint" => &*endpoint.id(),
                 "request" => &self.metadata.id);
         }
+        if let Some(pause) = reply.pause
+            && endpoint.record_pause(pause)
+        {
+            info!(self.entry.log, "endpoint asks for a pause"; "endpoint" => &*endpoint.id(),
+                "request" => &self.metadata.id, "pause_ms" => pause.as_millis() as u64);
+        }
     }
 
     /// Whether the request's key may be relied on; requests without a key need no lease.
@@ -201,13 +208,12 @@
     /// Builds the request right before it is written. Returns `None` if it may not be sent any more.
     fn permitted_request(
         &self,
-        endpoint: &Endpoint,
+        in_flight: &InFlight,
         after: Option<u64>,
     ) -> Option<Request<Full<Bytes>>> {
         let left = self.left_ms();
-        let permitted =
-            left > MIN_SEND_TIME_MS && self.has_lease() && endpoint.is_available(boot_time());
-        permitted.then(|| self.request(&endpoint.id(), left, after))
+        let permitted = left > MIN_SEND_TIME_MS && self.has_lease() && in_flight.is_permitted();
+        permitted.then(|| self.request(&in_flight.endpoint.id(), left, after))
     }
 
     fn request(&self, endpoint: &str, left: u64, after: Option<u64>) -> Request<Full<Bytes>> {
@@ -290,7 +296,7 @@
                     "cause" => cause, "pause_ms" => ejection.as_millis() as u64);
                 Err(SendEnd::NotRun)
             }
-            Err(Failure::Withdrawn) if !endpoint.is_available(boot_time()) => {
+            Err(Failure::Withdrawn) if self.left_ms() > MIN_SEND_TIME_MS && self.has_lease() => {
                 self.entry.metrics.withdrawn.inc();
                 info!(self.entry.log, "request is sent elsewhere"; "endpoint" => &*endpoint.id(),
                     "request" => &self.metadata.id, "availability" => ?endpoint.availability());
