--- a/crates/fleet-entry/src/entry.rs
+++ b/crates/fleet-entry/src/entry.rs
@@ -12,6 +12,7 @@
 use slog::Logger;
 use tokio::sync::Notify;
 
+use crate::availability::Availability;
 use crate::budget::Counts;
 use crate::budget::Limits;
 use crate::budget::RetryBudget;
@@ -190,6 +191,19 @@
         usize::try_from(part.max(1)).unwrap_or(1)
     }
 
+    /// Encodes all metrics in the Prometheus text format.
+    pub fn metrics_text(&self) -> String {
+        let directory = self.directory.borrow();
+        let count = |matches: &dyn Fn(Availability) -> bool| {
+            let endpoints = directory.all().filter(|endpoint| matches(endpoint.availability()));
+            i64::try_from(endpoints.count()).unwrap_or(i64::MAX)
+        };
+        let now = boot_time();
+        self.metrics.leaving.set(count(&|availability| availability.is_leaving()));
+        self.metrics.asked_pauses.set(count(&|availability| availability.is_paused(now)));
+        self.metrics.text()
+    }
+
     /// Whether a zone is in this entry's region.
     pub fn is_in_region(&self, zone: &str) -> bool {
         self.settings.region(zone) == self.settings.region(&self.settings.zone)
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -16,10 +16,12 @@
 use http::Response;
 use http::request::Parts;
 use hyper::body::Incoming;
+use rand::RngExt;
 use slog::info;
 use smallvec::SmallVec;
 
 use crate::answer::Refusal;
+use crate::availability::Outlook;
 use crate::body::Body;
 use crate::cascade::AnswerEstimate;
 use crate::cascade::Cascade;
@@ -34,6 +36,7 @@
 use crate::outcome::SendEnd;
 use crate::pick;
 use crate::pick::Choice;
+use crate::pick::PickContext;
 use crate::prefill;
 use crate::prefill::PrefillPermit;
 use crate::prepare::MAX_STATE_WAIT;
@@ -47,6 +50,9 @@
 /// Minimum time before the deadline at which a request is still sent.
 pub const MIN_SEND_TIME_MS: u64 = 30;
 
+/// Interval at which a request that waits for an endpoint on trial looks for another one.
+const TRIAL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Additional sends of a request that endpoints refuse without running it.
 const MAX_REFUSED_SENDS: u32 = 2;
 
@@ -89,6 +95,8 @@
     pub tried: SmallVec<[Name; 4]>,
     /// Number of sends.
     pub sends: u32,
+    /// Number of sends that were withdrawn before they were written.
+    pub withdrawn: u32,
     /// Number of sends that the endpoint may have run.
     pub runs: u32,
     /// Endpoints that ended before any part of an answer arrived from them.
@@ -172,6 +180,7 @@
             deadline,
             tried: SmallVec::new(),
             sends: 0,
+            withdrawn: 0,
             runs: 0,
             lost: RefCell::default(),
             may_have_run: false,
@@ -233,8 +242,9 @@
         match outcome::decide(ended, runs, delivered, self.may_have_run) {
             Next::End(fallback) => Some(fallback),
             Next::Retry(fallback) => {
-                let obstacle = self.obstacle(self.runs, |_| true).or_else(|| {
-                    let taken = self.entry.take_second_send(&self.service);
+                let obstacle = self.obstacle_to_retry(ended).or_else(|| {
+                    let taken =
+                        ended == SendEnd::NotSent || self.entry.take_second_send(&self.service);
                     (!taken).then_some(Obstacle::Budget)
                 })?;
                 info!(self.entry.log, "request is not sent again"; "request" => &self.metadata.id,
@@ -245,11 +255,22 @@
         }
     }
 
+    /// Returns what prevents another send after one that ended so, apart from the retry budget. A send
+    /// that reached no endpoint uses up neither attempts nor the budget.
+    fn obstacle_to_retry(&self, ended: SendEnd) -> Option<Obstacle> {
+        let obstacle = self.obstacle(self.runs, |_| true);
+        let excused = ended == SendEnd::NotSent
+            && matches!(obstacle, Some(Obstacle::Attempts | Obstacle::Endpoint));
+        if excused { None } else { obstacle }
+    }
+
     /// Returns what prevents another send after `runs` runs to an endpoint that `accepts` holds for,
     /// apart from the retry budget.
     fn obstacle(&self, runs: u32, accepts: impl Fn(&Endpoint) -> bool) -> Option<Obstacle> {
         let attempts = self.route.attempts.max(1);
-        if runs >= attempts || self.sends >= attempts.saturating_add(MAX_REFUSED_SENDS) {
+        if runs >= attempts
+            || self.sends - self.withdrawn >= attempts.saturating_add(MAX_REFUSED_SENDS)
+        {
             Some(Obstacle::Attempts)
         } else if self.left_ms() <= MIN_SEND_TIME_MS {
             Some(Obstacle::Time)
@@ -299,7 +320,10 @@
             other => other,
         };
         self.log_end(refusal.answer().0.as_u16(), &format!("{refusal:?}"));
-        refusal.response()
+        match refusal {
+            Refusal::Overloaded => refusal.response_after(self.retry_after()),
+            _ => refusal.response(),
+        }
     }
 
     /// Ids of the parts of the prompt that other requests may share, without the middle ones of a
@@ -362,30 +386,68 @@
     }
 
     /// Picks an endpoint. Before the first send it waits for one to announce itself if there is none.
+    /// If all are leaving or have asked for pauses, it waits only for a pause that ends in time.
     pub async fn wait_for_endpoint(&self) -> Option<Rc<Endpoint>> {
         let until = boot_time() + Duration::from_millis(self.left_ms() / 3).min(MAX_STATE_WAIT);
         loop {
             let state_changed = self.entry.state_changed.notified();
             let picked = self.pick();
-            if picked.is_some() || self.sends > 0 {
+            if picked.is_some() || self.sends > self.withdrawn {
                 return picked;
             }
-            let left = until.saturating_sub(boot_time());
-            if tokio::time::timeout(left, state_changed).await.is_err() {
+            let now = boot_time();
+            let (until, wake_at) = match self.outlook(now) {
+                Outlook::Unknown => (until, until),
+                Outlook::Leaving => return None,
+                Outlook::Paused(end) => (self.latest_start(), end.max(now + TRIAL_CHECK_INTERVAL)),
+            };
+            if now >= until || wake_at > until {
                 return None;
             }
+            // The end of the wait is checked above.
+            let _ = tokio::time::timeout(wake_at - now, state_changed).await;
         }
     }
 
+    /// Latest time at which the answer of an endpoint whose pause ends is expected in time. Until then
+    /// waiting is faster than a refusal, after which the client may come back through another entry.
+    fn latest_start(&self) -> Duration {
+        let target = self.arrived + Duration::from_millis(self.route.target_ms) / 2;
+        target.min(self.deadline.saturating_sub(Duration::from_millis(MIN_SEND_TIME_MS)))
+    }
+
+    fn outlook(&self, now: Duration) -> Outlook {
+        let outlook = |context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]| {
+            pick::outlook(context, endpoints, now)
+        };
+        self.with_context(&[], None, outlook)
+    }
+
+    /// Delay until the client may repeat a refused request, if the endpoints have asked for pauses.
+    fn retry_after(&self) -> Option<Duration> {
+        let now = boot_time();
+        self.outlook(now).retry_after(now, self.route.rank, rand::rng().random())
+    }
+
     fn pick(&self) -> Option<Rc<Endpoint>> {
         Some(self.choose(&self.tried, self.token_ms())?.endpoint)
     }
 
     fn choose(&self, tried: &[Name], token_ms: Option<f64>) -> Option<Choice> {
+        self.with_context(tried, token_ms, pick::choose)
+    }
+
+    /// Calls a function of [`pick`] with the endpoints of the service.
+    fn with_context<T>(
+        &self,
+        tried: &[Name],
+        token_ms: Option<f64>,
+        function: impl Fn(&PickContext<'_>, &[Rc<Endpoint>]) -> T,
+    ) -> T {
         let view = self.entry.view.borrow();
         let directory = self.entry.directory.borrow();
         let is_in_region = |zone: &str| self.entry.is_in_region(zone);
-        let context = pick::PickContext {
+        let context = PickContext {
             route: &self.route,
             metadata: &self.metadata,
             service: &self.service,
@@ -395,7 +457,7 @@
             token_ms,
             is_in_region: &is_in_region,
         };
-        pick::choose(&context, directory.for_service(&self.service))
+        function(&context, directory.for_service(&self.service))
     }
 
     /// Returns the model of the next send, or `None` if the client chose it.
--- a/crates/fleet-entry/src/metrics.rs
+++ b/crates/fleet-entry/src/metrics.rs
@@ -36,6 +36,12 @@
     pub blocked: Counter,
     /// Prompt parts that are blocked.
     pub blocked_parts: Gauge,
+    /// Sends that were withdrawn because the endpoint became unavailable.
+    pub withdrawn: Counter,
+    /// Endpoints that say that they are leaving.
+    pub leaving: Gauge,
+    /// Pauses in force that endpoints asked for.
+    pub asked_pauses: Gauge,
     /// Outstanding requests.
     pub open: Gauge,
     /// Number of the configuration in force.
@@ -67,6 +73,10 @@
         let paused = counter("paused", "Endpoints that got a pause after failures");
         let blocked =
             counter("blocked", "Requests refused because a part of their prompt crashes endpoints");
+        let withdrawn = counter(
+            "withdrawn_sends",
+            "Sends withdrawn before they were written as the endpoint left or paused",
+        );
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
@@ -74,6 +84,8 @@
         };
         let open = gauge("open", "Requests under way");
         let blocked_parts = gauge("blocked_parts", "Prompt parts that are blocked");
+        let leaving = gauge("leaving_endpoints", "Endpoints that say that they are leaving");
+        let asked_pauses = gauge("asked_pauses", "Pauses in force that endpoints asked for");
         let configuration = gauge("configuration", "Number of the configuration in force");
         let mut histogram = |name: &str, help: &str| {
             // From 5 ms to 20 s.
@@ -96,6 +108,9 @@
             paused,
             blocked,
             blocked_parts,
+            withdrawn,
+            leaving,
+            asked_pauses,
             open,
             configuration,
             first_part,
--- a/crates/fleet-entry/src/send.rs
+++ b/crates/fleet-entry/src/send.rs
@@ -132,11 +132,15 @@
             (self.route.rank, self.prefill_ms()),
             permit,
         );
-        let build = || self.permitted_request(&id, after_event);
+        let build = || self.permitted_request(&in_flight, after_event);
         let exchange = match self.exchange(&endpoint, build, in_flight.began).await {
             Ok(exchange) => exchange,
             Err(ended) => {
-                self.runs += u32::from(ended != SendEnd::NotRun);
+                if ended == SendEnd::NotSent {
+                    self.withdrawn += 1;
+                    self.tried.pop();
+                }
+                self.runs += u32::from(!matches!(ended, SendEnd::NotRun | SendEnd::NotSent));
                 return Err(ended);
             }
         };
@@ -169,6 +173,8 @@
             }
             return Err(SendEnd::NotRun);
         }
+        self.record_availability(&endpoint, &reply);
+        in_flight.record_head(!reply.not_run && reply.pause.is_none());
         if reply.not_run {
             info!(self.entry.log, "endpoint refused"; "request" => &self.metadata.id,
                 "endpoint" => &*endpoint.id(), "status" => status.as_u16(),
@@ -202,6 +208,24 @@
         Ok(Sent { exchange, reply, in_flight })
     }
 
+    /// Records what an answer says of the availability of its endpoint.
+    fn record_availability(&self, endpoint: &Endpoint, reply: &Reply) {
+        if let Some(malformed) = reply.malformed {
+            info!(self.entry.log, "header of an answer is ignored"; "endpoint" => &*endpoint.id(),
+                "request" => &self.metadata.id, "reason" => malformed.0);
+        }
+        if reply.leaving && endpoint.record_leaving() {
+            info!(self.entry.log, "endpoint says that it is leaving"; "endpoint" => &*endpoint.id(),
+                "request" => &self.metadata.id);
+        }
+        if let Some(pause) = reply.pause
+            && endpoint.record_pause(pause)
+        {
+            info!(self.entry.log, "endpoint asks for a pause"; "endpoint" => &*endpoint.id(),
+                "request" => &self.metadata.id, "pause_ms" => pause.as_millis() as u64);
+        }
+    }
+
     /// Whether the request's key may be relied on; requests without a key need no lease.
     pub fn has_lease(&self) -> bool {
         let lease = self.entry.settings.lease;
@@ -211,12 +235,15 @@
     /// Builds the request right before it is written. Returns `None` if it may not be sent any more.
     fn permitted_request(
         &self,
-        endpoint: &str,
+        in_flight: &InFlight,
         after: Option<u64>,
     ) -> Option<Request<Full<Bytes>>> {
         let left = self.left_ms();
-        let permitted = left > MIN_SEND_TIME_MS && self.has_lease() && self.block_left().is_none();
-        permitted.then(|| self.request(endpoint, left, after))
+        let permitted = left > MIN_SEND_TIME_MS
+            && self.has_lease()
+            && self.block_left().is_none()
+            && in_flight.is_permitted();
+        permitted.then(|| self.request(&in_flight.endpoint.id(), left, after))
     }
 
     fn request(&self, endpoint: &str, left: u64, after: Option<u64>) -> Request<Full<Bytes>> {
@@ -306,6 +333,12 @@
                     "cause" => cause, "pause_ms" => ejection.as_millis() as u64);
                 Err(SendEnd::NotRun)
             }
+            Err(Failure::Withdrawn) if self.left_ms() > MIN_SEND_TIME_MS && self.has_lease() => {
+                self.entry.metrics.withdrawn.inc();
+                info!(self.entry.log, "request is sent elsewhere"; "endpoint" => &*endpoint.id(),
+                    "request" => &self.metadata.id, "availability" => ?endpoint.availability());
+                Err(SendEnd::NotSent)
+            }
             Err(Failure::Withdrawn) => {
                 info!(self.entry.log, "request is not sent any more";
                     "endpoint" => &*endpoint.id(), "request" => &self.metadata.id,
