Judge a moved version by its sends since the move; never complete a suspect one

Callers: a version that turns bad after the move goes on to get all new requests, and one that is suspect to the end replaced the old one, which then stops.

Cause: the counts of the new version ran from the start of the trial, so that its sound sends diluted later ones; next_phase completed a suspect version at 94%. Ruled out: restarting the counts of the old version too. After the move it gets no new sends and would give no reference.

The entry restarts the counts of the new version when it learns of the move, and leaves out the sends that were open then. A suspect version is rolled back at 94%.

Tests: counts_of_the_new_version_restart_with_the_move, suspect_to_the_end, suspect_at_the_deadline and not_yet_judged_is_held fail on the code before (run). The case "deadline" demanded that a suspect version completes, which is the fault; it is replaced by one that demands the roll-back, and by two for a sound version and for one without a verdict. counts_of_the_trial_stay demanded that the move keeps the counts of the new version; it now demands that of the old version, and of both phases between polls.

The margins after the move are unchanged.

--- a/crates/fleet-control/src/roll_out.rs
+++ b/crates/fleet-control/src/roll_out.rs
@@ -45,7 +45,8 @@
 /// outstanding at the old version. The rest allows for lost acknowledgements.
 const COMPLETE_FRACTION: f64 = 0.90;
 
-/// Fraction of the planned duration up to which a suspect version does not replace the old one.
+/// Fraction of the planned duration up to which a version that is not known to be sound is held: it
+/// does not replace the old one. Then a suspect one is rolled back. The rest allows for lost acknowledgements.
 const MAX_HOLD_FRACTION: f64 = 0.94;
 
 /// Minimum fraction of the planned duration for which all new requests go to the new version before
@@ -505,8 +506,8 @@
 /// Returns the phase that follows now, or `None` if the roll-out stays in its phase.
 ///
 /// A version that is suspect at the end of the longest trial is rolled back: the old version still
-/// serves most requests. Later the comparison is with the load of an earlier time, so only a
-/// regression counts.
+/// serves most requests. After the move it is held, because its caches fill up, and rolled back if
+/// it is still suspect at the end: once it is complete, the old version is gone.
 pub fn next_phase(stage: &Stage<'_>) -> Option<Phase> {
     if matches!(stage.verdict, Verdict::Worse(_)) {
         return Some(Phase::RolledBack);
@@ -525,9 +526,13 @@
             (sound && fraction >= TRIAL_END_FRACTION).then_some(Phase::Moving)
         }
         Phase::Moving => {
+            let held = fraction >= MAX_HOLD_FRACTION;
             let ended = stage.drained || fraction >= COMPLETE_FRACTION;
-            let replaces = moved && ended && !suspect;
-            (replaces || fraction >= MAX_HOLD_FRACTION).then_some(Phase::Complete)
+            match stage.verdict {
+                Verdict::Sound if moved && ended => Some(Phase::Complete),
+                Verdict::Suspect(_) => held.then_some(Phase::RolledBack),
+                _ => held.then_some(Phase::Complete),
+            }
         }
         Phase::Complete | Phase::RolledBack => None,
     }
--- a/crates/fleet-control/tests/phases.rs
+++ b/crates/fleet-control/tests/phases.rs
@@ -58,7 +58,11 @@
     not_drained = { Phase::Moving, 0.85, 0.1, false, Verdict::Sound, None },
     never_drained = { Phase::Moving, 0.91, 0.07, false, Verdict::Sound, Some(Phase::Complete) },
     suspect_is_held = { Phase::Moving, 0.91, 0.1, true, suspect(), None },
-    deadline = { Phase::Moving, 0.95, 0.01, false, suspect(), Some(Phase::Complete) },
+    not_yet_judged_is_held = { Phase::Moving, 0.91, 0.1, true, Verdict::Unknown, None },
+    suspect_to_the_end = { Phase::Moving, 0.95, 0.11, true, suspect(), Some(Phase::RolledBack) },
+    suspect_at_the_deadline = { Phase::Moving, 0.95, 0.01, false, suspect(), Some(Phase::RolledBack) },
+    deadline = { Phase::Moving, 0.95, 0.01, false, Verdict::Sound, Some(Phase::Complete) },
+    hardly_any_traffic_at_the_deadline = { Phase::Moving, 0.95, 0.01, false, Verdict::Unknown, Some(Phase::Complete) },
 )]
 fn phase_follows(
     phase: Phase,
--- a/crates/fleet-entry/src/tally.rs
+++ b/crates/fleet-entry/src/tally.rs
@@ -114,15 +114,27 @@
 }
 
 /// Trial of a roll-out.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Trial {
     serial: u64,
     /// When this entry learned of it.
     since: Duration,
+    /// New version.
+    target: Name,
+    /// When this entry learned that all new requests go to the new version.
+    moving_since: Option<Duration>,
+}
+
+impl Trial {
+    /// Moment from which the sends to a version count.
+    fn counts_from(&self, version: &str) -> Duration {
+        let moving_since = self.moving_since.filter(|_| *self.target == *version);
+        moving_since.unwrap_or(self.since)
+    }
 }
 
 /// Request counts since the start of this entry, and for services with a roll-out since this entry
-/// learned of its trial.
+/// learned of its trial. Those of the new version restart once all new requests go to it.
 #[derive(Debug, Default)]
 pub struct Tallies {
     counts: HashMap<Key, Count>,
@@ -131,27 +143,45 @@
 
 impl Tallies {
     /// Restarts the counts of the services whose trial is new to this entry, so that both versions
-    /// are compared over the same time.
+    /// are compared over the same time, and those of a new version to which all new requests go now,
+    /// so that its sends from the trial do not hide what it does under the whole load.
     pub fn track(&mut self, roll_outs: &RollOuts, now: Duration) {
         let tested = |phase| matches!(phase, Phase::Trial | Phase::Moving);
         for roll_out in roll_outs.newest.iter().filter(|roll_out| tested(roll_out.phase)) {
-            let known = self.trials.get(&roll_out.service);
-            if known.is_some_and(|trial| trial.serial == roll_out.serial) {
+            let moving_since = (roll_out.phase == Phase::Moving).then_some(now);
+            let known = self.trials.get_mut(&roll_out.service);
+            let known = known.filter(|trial| trial.serial == roll_out.serial);
+            if let Some(trial) = known {
+                if trial.moving_since.is_none() && moving_since.is_some() {
+                    trial.moving_since = moving_since;
+                    self.restart(|key| {
+                        key.service == roll_out.service && key.version == roll_out.target
+                    });
+                }
                 continue;
             }
-            let trial = Trial { serial: roll_out.serial, since: now };
+            let (serial, target) = (roll_out.serial, roll_out.target.clone());
+            let trial = Trial { serial, since: now, target, moving_since };
             self.trials.insert(roll_out.service.clone(), trial);
-            self.counts.retain(|key, count| {
-                if key.service == roll_out.service {
-                    *count = Count { open: std::mem::take(&mut count.open), ..Count::default() };
-                }
-                key.service != roll_out.service || !count.open.is_empty()
-            });
+            self.restart(|key| key.service == roll_out.service);
         }
     }
 
-    fn began_in_trial(&self, key: &Key, watch: &Watch) -> bool {
-        self.trials.get(&key.service).is_none_or(|trial| watch.began >= trial.since)
+    /// Restarts some counts. Open sends are kept.
+    fn restart(&mut self, concerns: impl Fn(&Key) -> bool) {
+        self.counts.retain(|key, count| {
+            if !concerns(key) {
+                return true;
+            }
+            *count = Count { open: std::mem::take(&mut count.open), ..Count::default() };
+            !count.open.is_empty()
+        });
+    }
+
+    /// Whether a send began in the time that is compared.
+    fn counts(&self, key: &Key, watch: &Watch) -> bool {
+        let trial = self.trials.get(&key.service);
+        trial.is_none_or(|trial| watch.began >= trial.counts_from(&key.version))
     }
 
     /// Records the start of a send.
@@ -163,7 +193,7 @@
 
     /// Records the verdict of a send.
     pub fn record_verdict(&mut self, key: &Key, watch: &Watch, verdict: Verdict) {
-        if !self.began_in_trial(key, watch) {
+        if !self.counts(key, watch) {
             return;
         }
         let count = self.counts.entry(key.clone()).or_default();
@@ -176,7 +206,7 @@
 
     /// Records the end of a send.
     pub fn record_end(&mut self, key: &Key, watch: &Rc<Watch>, now: Duration) {
-        let counts = self.began_in_trial(key, watch);
+        let counts = self.counts(key, watch);
         let count = self.counts.entry(key.clone()).or_default();
         count.open.retain(|open| !Rc::ptr_eq(open, watch));
         if counts {
@@ -192,7 +222,7 @@
 
     fn tally(&self, key: &Key, count: &Count, now: Duration) -> Tally {
         let (mut first, mut gap) = (count.first.clone(), count.gap.clone());
-        for watch in count.open.iter().filter(|watch| self.began_in_trial(key, watch)) {
+        for watch in count.open.iter().filter(|watch| self.counts(key, watch)) {
             watch.add_to(&mut first, &mut gap, now);
         }
         Tally {
--- a/crates/fleet-entry/tests/tally.rs
+++ b/crates/fleet-entry/tests/tally.rs
@@ -10,6 +10,7 @@
 use hickoryreel_fleet_entry::tally::Key;
 use hickoryreel_fleet_entry::tally::Tallies;
 use hickoryreel_fleet_entry::tally::Verdict;
+use yare::parameterized;
 
 const START: Duration = Duration::from_secs(100);
 
@@ -110,15 +111,51 @@
     assert_eq!(tally.first.measured.count() + tally.first.at_least.count(), 0);
 }
 
-/// Guards against counts that restart with each later phase or poll.
+/// Guards against sends of the trial that hide what the new version does after the move.
 #[test]
-fn counts_of_the_trial_stay() {
+fn counts_of_the_new_version_restart_with_the_move() {
     let mut tallies = Tallies::default();
     tallies.track(&roll_outs(Phase::Trial), START);
+    let (ended, open) = (tallies.record_send(&key(), START), tallies.record_send(&key(), START));
+    tallies.record_verdict(&key(), &ended, Verdict::Success);
+    tallies.record_end(&key(), &ended, after(500));
+
+    tallies.track(&roll_outs(Phase::Moving), after(1_000));
+    tallies.record_verdict(&key(), &open, Verdict::Success);
+    let moved = tallies.record_send(&key(), after(1_100));
+    tallies.record_verdict(&key(), &moved, Verdict::Failure);
+
+    let tally = tally(&tallies, after(2_000));
+    assert_eq!((tally.serial, tally.succeeded, tally.failed, tally.outstanding), (7, 0, 1, 2));
+    assert_eq!(tally.first.measured.count() + tally.first.at_least.count(), 1);
+}
+
+/// Guards against a new version that is compared with nothing after the move.
+#[test]
+fn counts_of_the_old_version_stay_after_the_move() {
+    let mut tallies = Tallies::default();
+    let old = Key { version: "v1".into(), ..key() };
+    tallies.track(&roll_outs(Phase::Trial), START);
+    let watch = tallies.record_send(&old, after(10));
+    tallies.record_verdict(&old, &watch, Verdict::Success);
+
+    tallies.track(&roll_outs(Phase::Moving), after(1_000));
+
+    assert_eq!(tally(&tallies, after(2_000)).succeeded, 1);
+}
+
+/// Guards against counts that restart with each later poll.
+#[parameterized(
+    trial = { Phase::Trial },
+    moving = { Phase::Moving },
+)]
+fn counts_of_a_phase_stay(phase: Phase) {
+    let mut tallies = Tallies::default();
+    tallies.track(&roll_outs(phase), START);
     let watch = tallies.record_send(&key(), after(10));
     tallies.record_verdict(&key(), &watch, Verdict::Success);
 
-    tallies.track(&roll_outs(Phase::Moving), after(1_000));
+    tallies.track(&roll_outs(phase), after(1_000));
 
     assert_eq!(tally(&tallies, after(2_000)).succeeded, 1);
 }
