--- a/crates/fleet-control/src/roll_out.rs
+++ b/crates/fleet-control/src/roll_out.rs
@@ -59,8 +59,8 @@
 /// outstanding at the old version. The rest allows for lost acknowledgements.
 const COMPLETE_FRACTION: f64 = 0.90;
 
-/// Fraction of the planned duration after which a suspect version is rolled back although all new
-/// requests go to it.
+/// Fraction of the planned duration up to which a version that is not known to be sound is held: it
+/// does not replace the old one. Then a suspect one is rolled back. The rest allows for lost acknowledgements.
 const MAX_HOLD_FRACTION: f64 = 0.94;
 
 /// Minimum fraction of the planned duration for which all new requests go to the new version before
@@ -575,8 +575,9 @@
 
 /// Returns the phase that follows now, or `None` if the roll-out stays in its phase.
 ///
-/// A version that is suspect at the end of the trial or after the move does not replace the old one:
-/// that can't be undone.
+/// A version that is suspect at the end of the longest trial is rolled back: the old version still
+/// serves most requests. After the move it is held, because its caches fill up, and rolled back if
+/// it is still suspect at the end: once it is complete, the old version is gone.
 pub fn next_phase(stage: &Stage<'_>) -> Option<Phase> {
     if matches!(stage.verdict, Verdict::Worse(_)) {
         return Some(Phase::RolledBack);
@@ -596,12 +597,12 @@
             (sound && compared && fraction >= TRIAL_END_FRACTION).then_some(Phase::Moving)
         }
         Phase::Moving => {
+            let held = fraction >= MAX_HOLD_FRACTION;
             let ended = stage.drained || fraction >= COMPLETE_FRACTION;
-            match suspect {
-                true => (fraction >= MAX_HOLD_FRACTION).then_some(Phase::RolledBack),
-                false => {
-                    (moved && ended || fraction >= MAX_HOLD_FRACTION).then_some(Phase::Complete)
-                }
+            match stage.verdict {
+                Verdict::Sound if moved && ended => Some(Phase::Complete),
+                Verdict::Suspect(_) => held.then_some(Phase::RolledBack),
+                _ => held.then_some(Phase::Complete),
             }
         }
         Phase::Complete | Phase::RolledBack => None,
