Compare the shares of slow requests by their difference

Callers: a version that answers part of its requests slowly stays where a part of the old answers is over the limit as well (models with different paces).

Cause: the share had to exceed twice that of the old version, so 0.2 there hides 0.6 at the new one after the move. Ruled out: the mean error of the new share alone; the old share is uncertain as well, so both errors count now.

Test: slow_answers_of_the_old_version_hide_no_others fails on the code before (run); the other cases are unchanged.

--- a/crates/fleet-control/src/roll_out.rs
+++ b/crates/fleet-control/src/roll_out.rs
@@ -136,8 +136,7 @@
     }
 }
 
-/// Margins by which the share of slow requests of the new version must exceed twice that of the old
-/// one.
+/// Margins by which the share of slow requests of the new version must exceed that of the old one.
 #[derive(Clone, Copy, Debug)]
 struct Margins {
     /// To count as worse.
@@ -177,6 +176,11 @@
     fn share(self) -> f64 {
         self.slow as f64 / self.known.max(1) as f64
     }
+
+    /// Largest standard error of a share among so many requests.
+    fn max_error(self) -> f64 {
+        0.5 / (self.known.max(1) as f64).sqrt()
+    }
 }
 
 /// Slow requests at both versions, over one route or several.
@@ -203,12 +207,11 @@
         self.old.add(other.old);
     }
 
-    /// Whether the share of slow requests exceeds twice that of the old version by more than a margin
-    /// and chance.
+    /// Whether the share of slow requests exceeds that of the old version by more than a margin and
+    /// chance.
     fn exceeds(self, margin: f64) -> bool {
-        // The largest standard error of a share among so many requests.
-        let error = 0.5 / (self.new.known.max(1) as f64).sqrt();
-        let excess = self.new.share() - 2.0 * self.old.share();
+        let excess = self.new.share() - self.old.share();
+        let error = self.new.max_error().hypot(self.old.max_error());
         self.new.known >= MIN_REQUESTS && excess > margin + error
     }
 
--- a/crates/fleet-control/tests/regression.rs
+++ b/crates/fleet-control/tests/regression.rs
@@ -78,6 +78,7 @@
     twice_as_slow = { stream(measured(60, 52)), stream(measured(100, 27)), false },
     one_slow_stream_of_ten = { stream(sum(&[measured(27, 25), measured(3, 300)])), stream(measured(100, 27)), false },
     cold_caches = { total(40, 0, 150), total(200, 0, 60), false },
+    slow_answers_of_the_old_version_hide_no_others = { stream(sum(&[measured(40, 25), measured(60, 220)])), stream(sum(&[measured(240, 27), measured(60, 90)])), true },
     as_many_slow_as_at_the_old_version = { stream(sum(&[measured(14, 25), measured(6, 200)])), stream(sum(&[measured(70, 27), measured(30, 220)])), false },
 )]
 fn slow_version(new: Total, old: Total, expected: bool) {
