--- a/crates/fleet-control/tests/regression.rs
+++ b/crates/fleet-control/tests/regression.rs
@@ -79,6 +79,7 @@
     one_slow_stream_of_ten = { stream(sum(&[measured(27, 25), measured(3, 300)])), stream(measured(100, 27)), false },
     few_requests_with_cold_caches = { Total { first: sum(&[measured(4, 60), measured(4, 600)]), ..Total::default() }, total(100, 0, 60), false },
     cold_caches = { total(40, 0, 150), total(200, 0, 60), false },
+    slow_answers_of_the_old_version_hide_no_others = { stream(sum(&[measured(40, 25), measured(60, 220)])), stream(sum(&[measured(240, 27), measured(60, 90)])), true },
     as_many_slow_as_at_the_old_version = { stream(sum(&[measured(14, 25), measured(6, 200)])), stream(sum(&[measured(70, 27), measured(30, 220)])), false },
 )]
 fn slow_version(new: Total, old: Total, expected: bool) {
@@ -117,3 +118,19 @@
 
     assert!(!matches!(verdict, Verdict::Worse(_)), "{verdict}");
 }
+
+/// Guards against the roll-back of a sound version that slows down under more load than there was
+/// in the trial, and against a slow one that passes for it.
+#[parameterized(
+    load_has_doubled = { 85, Verdict::Sound },
+    eight_times_slower = { 220, Verdict::Suspect(String::new()) },
+)]
+fn pace_after_the_move(slow_ms: u64, expected: Verdict) {
+    let new = stream(sum(&[measured(86, 30), measured(72, slow_ms)]));
+    let old = stream(sum(&[measured(220, 27), measured(13, 85)]));
+
+    let verdict = verdict(&[(new, old)], Phase::Moving);
+
+    let kinds = [&verdict, &expected].map(std::mem::discriminant);
+    assert_eq!(kinds[0], kinds[1], "{verdict}");
+}
