--- a/crates/fleet-control/src/roll_out.rs
+++ b/crates/fleet-control/src/roll_out.rs
@@ -100,7 +100,7 @@
 
 /// Margins once all new requests go to the new version. Its caches are cold for most of them, and it
 /// is compared with the old version at another time.
-const MOVING_MARGINS: Margins = Margins { regression: 0.4, suspicion: 0.25 };
+const MOVING_MARGINS: Margins = Margins { regression: 0.4, suspicion: 0.35 };
 
 /// Minimum number of slow requests for a regression or a suspicion.
 const MIN_SLOW: u64 = 5;
