Split the comparison of versions and the stages from the roll-out controller

Only moved: no constant, condition or test case differs, the tests import the new paths. Tests of fleet-control pass.

--- a/crates/fleet-control/tests/phases.rs
+++ b/crates/fleet-control/tests/phases.rs
@@ -2,10 +2,10 @@
 
 use hickoryreel_fleet::roll_out::Phase;
 use hickoryreel_fleet::roll_out::RollOut;
-use hickoryreel_fleet_control::roll_out::Stage;
-use hickoryreel_fleet_control::roll_out::Verdict;
-use hickoryreel_fleet_control::roll_out::next_phase;
-use hickoryreel_fleet_control::roll_out::raises_share;
+use hickoryreel_fleet_control::roll_out::comparison::Verdict;
+use hickoryreel_fleet_control::roll_out::stage::Stage;
+use hickoryreel_fleet_control::roll_out::stage::next_phase;
+use hickoryreel_fleet_control::roll_out::stage::raises_share;
 use yare::parameterized;
 
 const LENGTH_MS: u64 = 15_000;
--- a/crates/fleet-control/tests/regression.rs
+++ b/crates/fleet-control/tests/regression.rs
@@ -7,9 +7,9 @@
 use hickoryreel_fleet::histogram::Histogram;
 use hickoryreel_fleet::roll_out::Phase;
 use hickoryreel_fleet::roll_out::Timing;
-use hickoryreel_fleet_control::roll_out::Comparison;
-use hickoryreel_fleet_control::roll_out::Total;
-use hickoryreel_fleet_control::roll_out::Verdict;
+use hickoryreel_fleet_control::roll_out::comparison::Comparison;
+use hickoryreel_fleet_control::roll_out::comparison::Total;
+use hickoryreel_fleet_control::roll_out::comparison::Verdict;
 use yare::parameterized;
 
 fn histogram(count: u64, time_ms: u64) -> Histogram {
