Move what concerns the prompt of a request out of forward.rs

Cause: forward.rs had grown by four methods on prompts that crash endpoints, which a reader of the request's steps does not need. Only moved, with the field for lost endpoints visible to them; the module page names the new modules.

--- a/crates/fleet-entry/src/lib.rs
+++ b/crates/fleet-entry/src/lib.rs
@@ -4,11 +4,12 @@
 //! reads its metadata with the [`dialect`] and finds its route and workspace in the [`view`],
 //! [`cascade`] chooses the model, [`prefill`] limits concurrent long prompts, [`pick`] chooses the
 //! endpoint, [`send`] sends the request over an [`exchange`], [`outcome`] decides what follows from
-//! the way in which a send ended, [`quarantine`] refuses prompts that crash endpoints, and [`relay`]
-//! forwards a stream event by event. What endpoints say of themselves is kept in [`availability`]. What an endpoint may
-//! send is bounded by [`head_limit`], [`memory`] and [`progress`]. [`control_poll`]
-//! keeps the view and the [`directory`] of [`endpoint`]s current over links to the control replicas,
-//! of which [`source`] chooses one to send configurations, and [`load_report`] exchanges the load of the endpoints with the other entries.
+//! the way in which a send ended, and [`relay`] forwards a stream event by event. [`quarantine`] finds
+//! the [`prompt`]s that crash endpoints; what endpoints say of themselves is kept in [`availability`].
+//! What an endpoint may send is bounded by [`head_limit`], [`memory`] and [`progress`].
+//! [`control_poll`] keeps the view and the [`directory`] of [`endpoint`]s current over links to the
+//! control replicas, of which [`source`] chooses one to send configurations, and [`load_report`]
+//! exchanges the load of the endpoints, and their crashes, with the other entries.
 
 pub mod answer;
 pub mod availability;
@@ -32,6 +33,7 @@
 pub mod prefill;
 pub mod prepare;
 pub mod progress;
+pub mod prompt;
 pub mod quarantine;
 pub mod relay;
 pub mod send;
