--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -277,15 +277,20 @@
     def __init__(self, deployment):
         self.deployment, self.record = deployment, deployment.record
 
-    async def order(self, path, body, what, limit_s=10.0):
-        """Sends an order until it is answered clearly. Returns the status, or None."""
+    async def order(self, path, body, what, limit_s=10.0, lost_acks=0):
+        """Sends an order until it is answered clearly. Returns the status, or None. The first
+        `lost_acks` answers are lost on their way."""
         text, until, pause = json.dumps(body).encode(), time.monotonic() + limit_s, 0.1
         headers = [("Host", "control"), ("Content-Type", "application/json")]
         while time.monotonic() < until:
             core = random.choice(self.deployment.cores())
             self.record(f"operator: sends {what} to {core.name}")
+            sent_at = time.monotonic()
             answer = await call(core.control, "POST", path, headers, text)
             status = answer.status if answer else None
+            if lost_acks > 0:
+                lost_acks, status = lost_acks - 1, None
+                await asyncio.sleep(max(0.0, sent_at + 1.0 - time.monotonic()))
             self.record(f"operator: {what}: {status or 'no answer'} from {core.name}")
             if status is not None and status < 500 and status not in (408, 429):
                 return status
@@ -293,9 +298,9 @@
             pause = min(pause * 1.5, 1.0)
         return None
 
-    async def put(self, configuration, limit_s=10.0):
-        what = f"configuration {configuration['version']}"
-        return await self.order("/hickoryreel/config/put", configuration, what, limit_s)
+    async def put(self, configuration, limit_s=10.0, lost_acks=0):
+        what, path = f"configuration {configuration['version']}", "/hickoryreel/config/put"
+        return await self.order(path, configuration, what, limit_s, lost_acks)
 
     async def start_roll_out(self, service, target, duration_s):
         body = {"service": service, "target": target, "duration-s": duration_s}
