--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -500,7 +500,7 @@
         record(f"breaks: {len(breaks)}")
         print(f"{len(breaks)} breaks" + "".join(f"\n  {text}" for text in breaks[:5]))
         code = 1 if breaks else 0
-    except (CannotRun, TimeoutError) as cause:
+    except Exception as cause:  # An error of the case itself must not look like a broken rule.
         record(f"cannot run: {cause!r}")
         print(f"cannot run: {cause!r}", file=sys.stderr)
     finally:
