--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -333,7 +333,7 @@
         self.ip, self.port = deployment.engine_ip(number), deployment.engine_port
         self.service, self.version, self.slots = service, version, slots
         self.work_s, self.born, self.sequence = work_s, int(time.time() * 1000), 0
-        self.runs = []
+        self.runs, self.running, self.writers = [], set(), set()
         self.server = self.beats = None
         self.state = "ready"
 
@@ -365,11 +365,23 @@
             await self.announce()
             await asyncio.sleep(1.2)
 
-    async def stop(self):
+    async def leave(self):
+        """Deregisters and exits, as after a drain. Returns the ids of the requests in work."""
         self.beats.cancel()
+        for core in self.deployment.cores():
+            path = f"/hickoryreel/instances/{self.id}/deregister"
+            answer = await call(core.control, "POST", path, [("Host", "control")], b"{}")
+            if answer is not None and 200 <= answer.status < 300:
+                break
         self.server.close()
+        cut_off = set(self.running)
+        for writer in self.writers:
+            writer.transport.abort()
+        self.record(f"engine {self.id}: exits with {len(cut_off)} requests in work")
+        return cut_off
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 first, headers = await read_head(reader)
@@ -381,6 +393,7 @@
         except (OSError, asyncio.IncompleteReadError, ValueError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     def head(self, status, headers, extra):
@@ -396,7 +409,10 @@
         self.record(f"engine {self.id} ({self.version}): runs {headers.get('request-id')} {path}, "
                     f"Tenant {headers.get('tenant', '-')}, "
                     f"Authorization {headers.get('authorization', '-')}")
+        request_id = headers.get("request-id")
+        self.running.add(request_id)
         await asyncio.sleep(self.work_s)
+        self.running.discard(request_id)
         text = f"answer to {headers.get('request-id')}".encode()
         extra = [f"Response-Seal: seal-{headers.get('request-id')}",
                  f"Content-Length: {len(text)}"]
