--- a/review/1/case.py
+++ b/review/1/case.py
@@ -46,11 +46,6 @@
     return max(found)[1]
 
 
-def replica_id(machine):
-    """The random id of the machine's replica, by its own log."""
-    return next(line["replica"] for line in machine.log_lines() if "replica" in line)
-
-
 def members_of(machine):
     """Number of voters that the machine knows, by its own log."""
     lines = [line for line in machine.log_lines() if "voters" in line and "role" in line]
