--- a/crates/fleet-control/src/control.rs
+++ b/crates/fleet-control/src/control.rs
@@ -9,12 +9,15 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use hickoryreel_base::time::boot_time;
+use hickoryreel_consensus::core::Role;
 use hickoryreel_fleet::Name;
 use hickoryreel_fleet::configuration::Configuration;
 use hickoryreel_fleet::crash;
 use hickoryreel_fleet::crash::Judge;
 use hickoryreel_fleet::endpoint::Announcement;
 use hickoryreel_fleet::link::Answer;
+use hickoryreel_fleet::link::ColdDecision;
+use hickoryreel_fleet::link::ColdRequest;
 use hickoryreel_fleet::link::Handler;
 use hickoryreel_fleet::link::Identity;
 use hickoryreel_fleet::link::Request;
@@ -24,6 +27,7 @@
 use slog::info;
 use tokio::sync::Notify;
 
+use crate::cold_admission::ColdAdmission;
 use crate::consensus_client::ConsensusClient;
 use crate::directory::Directory;
 use crate::load_totals::LoadTotals;
@@ -45,6 +49,9 @@
 /// Timeout of a request that passes an update on to another replica.
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Time for a quorum to confirm the leader before it admits a request to an endpoint that warms up.
+const ADMISSION_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Ratio of a new version's share during the trial to the exposure limit. It may exceed 1, because
 /// the limit applies to the whole duration of a roll-out, of which the trial takes a quarter.
 const TRIAL_SHARE_FACTOR: f64 = 1.8;
@@ -53,6 +60,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Unconfirmed;
 
+/// No such availability zone is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnknownZone;
+
 /// An announcement has the id of an endpoint, but another service, which no configuration has named.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Foreign;
@@ -77,6 +88,8 @@
     pub send_totals: RefCell<SendTotals>,
     /// Crashes of endpoints, and the prompt parts that are blocked for them.
     pub crash_judge: RefCell<Judge>,
+    /// Requests that this replica has admitted to endpoints that warm up.
+    pub cold_admission: RefCell<ColdAdmission>,
     /// Request counts of services with a running roll-out.
     pub tallies: Rc<Tallies>,
     pub metrics: Metrics,
@@ -195,6 +208,57 @@
         self.propose("roll-out", &subject, &command).await
     }
 
+    /// Starts or ends the evacuation of an availability zone. Nothing more is sent to its endpoints
+    /// until the evacuation ends.
+    pub async fn set_evacuation(
+        &self,
+        zone: &str,
+        evacuated: bool,
+    ) -> Result<Result<(), Unconfirmed>, UnknownZone> {
+        let is_evacuated =
+            || self.consensus.state().machine.evacuated.iter().any(|known| &**known == zone);
+        if !self.settings.zones.iter().any(|known| known == zone) && !is_evacuated() {
+            info!(self.log, "order for an unknown availability zone"; "zone" => zone);
+            return Err(UnknownZone);
+        }
+        let kind = if evacuated { "evacuation" } else { "end of an evacuation" };
+        let command = Command::SetEvacuation { zone: zone.into(), evacuated };
+        Ok(self.propose(kind, zone, &command).await)
+    }
+
+    /// Decides on a request to an endpoint that warms up, if this replica leads and a quorum confirms
+    /// that.
+    async fn admit_cold(&self, request: &ColdRequest) -> Answer {
+        let Some(state) = self.consensus.linearizable_read(ADMISSION_TIMEOUT).await else {
+            return Answer::Refused;
+        };
+        let now = boot_time();
+        self.record_leadership();
+        let service = state.machine.configuration.service(&request.service);
+        let Some(cold_start) = service.and_then(|service| service.cold_start) else {
+            return Answer::Refused;
+        };
+        let mut admission = self.cold_admission.borrow_mut();
+        match admission.decide(request, cold_start, &self.settings.cold_limit, now) {
+            Some(decision) => {
+                let decided = match decision {
+                    ColdDecision::Admitted(_) => &self.metrics.cold_admissions,
+                    ColdDecision::Wait(_) => &self.metrics.cold_refusals,
+                };
+                decided.inc();
+                Answer::Cold(decision)
+            }
+            None => Answer::Refused,
+        }
+    }
+
+    /// Records whether this replica leads, for the admission of requests to endpoints that warm up.
+    pub fn record_leadership(&self) {
+        let state = self.consensus.state();
+        let term = (state.role == Role::Leader).then_some(state.term);
+        self.cold_admission.borrow_mut().record_leadership(term, boot_time());
+    }
+
     async fn propose(
         &self,
         kind: &'static str,
@@ -298,6 +362,14 @@
             Request::Propose(command) => self.consensus.propose_locally(command).await,
             Request::ReadIndex => self.consensus.read_index().await,
             Request::Poll(poll) => long_poll::answer(self, *poll).await,
+            Request::AdmitCold(request) => {
+                let forwarded = Request::ForwardedAdmitCold(request.clone());
+                match self.consensus.call_leader(forwarded).await {
+                    Some(answer) => answer,
+                    None => self.admit_cold(&request).await,
+                }
+            }
+            Request::ForwardedAdmitCold(request) => self.admit_cold(&request).await,
             Request::ReportLoad(report) => {
                 let now = boot_time();
                 let mut send_totals = self.send_totals.borrow_mut();
--- a/crates/fleet-control/src/lib.rs
+++ b/crates/fleet-control/src/lib.rs
@@ -3,9 +3,11 @@
 //! Requests of operators and endpoints arrive at [`control::Control`]. Operator commands go through
 //! the replicated log. Its thread ([`replicated_log`]) applies them to the state [`machine`] and
 //! publishes the result. Announcements go to the [`directory`] and to the other replicas. Entries
-//! get updates of both through long polls ([`long_poll`]). On the leader, controllers change the
+//! get updates of both through long polls ([`long_poll`]). The leader limits the requests to endpoints
+//! that warm up ([`cold_admission`]). On the leader, controllers change the
 //! [`members`] and advance the [`roll_out`]s.
 
+pub mod cold_admission;
 pub mod consensus_client;
 pub mod control;
 pub mod directory;
--- a/crates/fleet-control/src/load_totals.rs
+++ b/crates/fleet-control/src/load_totals.rs
@@ -19,6 +19,9 @@
 /// several requests to an endpoint, short enough to retry a recovered endpoint soon.
 const HALF_LIFE: Duration = Duration::from_secs(2);
 
+/// The same for the average pace of an endpoint: many times as long as neighbours slow it down.
+const PACE_HALF_LIFE: Duration = Duration::from_secs(10);
+
 /// Weight of ended sends below which an endpoint without outstanding requests is dropped.
 const MIN_WEIGHT: f64 = 0.05;
 
@@ -35,6 +38,9 @@
     succeeded: f64,
     /// Sends that failed, weighted by their age.
     failed: f64,
+    /// Sum and weight of the paces that entries reported.
+    pace: (f64, f64),
+    latest_pace: u16,
     decayed_at: Duration,
 }
 
@@ -45,9 +51,23 @@
         let factor = 0.5_f64.powf(half_lives);
         self.succeeded *= factor;
         self.failed *= factor;
+        let factor = factor.powf(HALF_LIFE.as_secs_f64() / PACE_HALF_LIFE.as_secs_f64());
+        self.pace = (self.pace.0 * factor, self.pace.1 * factor);
         self.decayed_at = now;
     }
 
+    fn add_pace(&mut self, load: &EndpointLoad) {
+        if load.pace > 0 {
+            self.pace = (self.pace.0 + f64::from(load.pace), self.pace.1 + 1.0);
+            self.latest_pace = load.latest_pace;
+        }
+    }
+
+    fn average_pace(&self) -> u16 {
+        let (sum, weight) = self.pace;
+        if weight > 0.0 { (sum / weight).round() as u16 } else { 0 }
+    }
+
     fn is_empty(&self) -> bool {
         self.outstanding <= 0
             && self.prefill_ms.iter().all(|prefill_ms| *prefill_ms <= 0)
@@ -70,6 +90,7 @@
             total.decay(now);
             total.succeeded += f64::from(load.succeeded);
             total.failed += f64::from(load.failed);
+            total.add_pace(load);
         }
         self.add_outstanding(&report.loads, 1);
         if let Some(previous) = self
@@ -85,6 +106,8 @@
             prefill_ms: total.prefill_ms.map(|prefill_ms| u32::try_from(prefill_ms).unwrap_or(0)),
             succeeded: total.succeeded.round() as u32,
             failed: total.failed.round() as u32,
+            pace: total.average_pace(),
+            latest_pace: total.latest_pace,
         });
         totals.collect()
     }
--- a/crates/fleet-control/src/long_poll.rs
+++ b/crates/fleet-control/src/long_poll.rs
@@ -67,10 +67,12 @@
 fn confirmed(state: &Arc<ReplicaState>, poll: &Poll) -> Confirmed {
     let machine = &state.machine;
     let number = machine.configuration.number;
+    let is_revised = machine.revision != poll.revision;
     Confirmed {
         number,
         revision: machine.revision,
-        roll_outs: (machine.revision != poll.revision).then(|| (*machine.roll_outs).clone()),
+        roll_outs: is_revised.then(|| (*machine.roll_outs).clone()),
+        evacuated: is_revised.then(|| (*machine.evacuated).clone()),
         configuration: (poll.wants_configuration && number > poll.configuration)
             .then(|| Box::new((*machine.configuration).clone())),
     }
--- a/crates/fleet-control/src/machine.rs
+++ b/crates/fleet-control/src/machine.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use hickoryreel_fleet::Name;
 use hickoryreel_fleet::configuration::Configuration;
+use hickoryreel_fleet::configuration::earlier;
 use hickoryreel_fleet::roll_out::Phase;
 use hickoryreel_fleet::roll_out::RollOut;
 use hickoryreel_fleet::roll_out::RollOuts;
@@ -14,9 +15,8 @@
 /// A change of the replicated state. Commands are idempotent.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Command {
-    /// Puts a validated configuration in force, unless one with the same or a higher number is.
-    /// Also carries the configuration as the operator sent it.
-    PutConfiguration(Box<Configuration>, Bytes),
+    /// [`Self::PutConfiguration`] in the log of an earlier build.
+    PutEarlierConfiguration(Box<earlier::Configuration>, Bytes),
     /// Starts a roll-out, unless the newest one of the service has the same target.
     StartRollOut {
         service: Name,
@@ -42,6 +42,11 @@
         /// In thousandths.
         share: u32,
     },
+    /// Puts a validated configuration in force, unless one with the same or a higher number is.
+    /// Also carries the configuration as the operator sent it.
+    PutConfiguration(Box<Configuration>, Bytes),
+    /// Starts or ends the evacuation of an availability zone.
+    SetEvacuation { zone: Name, evacuated: bool },
 }
 
 impl Command {
@@ -59,20 +64,45 @@
     /// The configuration as the operator sent it.
     pub source: Bytes,
     pub roll_outs: Arc<RollOuts>,
-    /// Increases with each new roll-out and each change of a phase or a share.
+    /// Increases with each new roll-out, each change of a phase or a share, and each start or end
+    /// of an evacuation.
     pub revision: u64,
     /// Number of the newest roll-out.
     last_serial: u64,
+    /// Availability zones whose endpoints get no requests, in alphabetical order.
+    pub evacuated: Arc<Vec<Name>>,
+}
+
+/// First number of a snapshot. Earlier builds began theirs with the number of the configuration,
+/// which is never as large.
+const SNAPSHOT_FORMAT: u64 = u64::MAX;
+
+/// The replicated state in a snapshot of an earlier build.
+#[derive(Deserialize)]
+struct EarlierMachine {
+    configuration: earlier::Configuration,
+    source: Bytes,
+    roll_outs: Arc<RollOuts>,
+    revision: u64,
+    last_serial: u64,
+}
+
+impl From<EarlierMachine> for Machine {
+    fn from(earlier: EarlierMachine) -> Self {
+        let EarlierMachine { configuration, source, roll_outs, revision, last_serial } = earlier;
+        let configuration = Arc::new(configuration.into());
+        Self { configuration, source, roll_outs, revision, last_serial, evacuated: Arc::default() }
+    }
 }
 
 impl Machine {
     pub fn apply(&mut self, command: Command) {
         match command {
             Command::PutConfiguration(configuration, source) => {
-                if configuration.number > self.configuration.number {
-                    self.configuration = Arc::from(configuration);
-                    self.source = source;
-                }
+                self.put_configuration(*configuration, source);
+            }
+            Command::PutEarlierConfiguration(configuration, source) => {
+                self.put_configuration((*configuration).into(), source);
             }
             Command::StartRollOut { service, target, length_ms, share } => {
                 self.start_roll_out(service, target, length_ms, share);
@@ -81,9 +111,29 @@
                 self.update_roll_out(serial, phase, elapsed_ms)
             }
             Command::RaiseShare { serial, share } => self.raise_share(serial, share),
+            Command::SetEvacuation { zone, evacuated } => self.set_evacuation(zone, evacuated),
+        }
+    }
+
+    fn put_configuration(&mut self, configuration: Configuration, source: Bytes) {
+        if configuration.number > self.configuration.number {
+            self.configuration = Arc::new(configuration);
+            self.source = source;
         }
     }
 
+    fn set_evacuation(&mut self, zone: Name, evacuated: bool) {
+        let known = self.evacuated.binary_search(&zone);
+        let zones = Arc::make_mut(&mut self.evacuated);
+        match (known, evacuated) {
+            (Err(at), true) => zones.insert(at, zone),
+            (Ok(at), false) => drop(zones.remove(at)),
+            // Resent.
+            _ => return,
+        }
+        self.revision += 1;
+    }
+
     /// Starts a roll-out. A resent command has the target of the newest roll-out and changes
     /// nothing.
     fn start_roll_out(&mut self, service: Name, target: Name, length_ms: u64, share: u32) {
@@ -144,11 +194,14 @@
 
     /// Encodes the state for a snapshot.
     pub fn snapshot(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).expect("the state can always be serialized")
+        postcard::to_stdvec(&(SNAPSHOT_FORMAT, self)).expect("the state can always be serialized")
     }
 
-    /// Decodes a state encoded by [`Machine::snapshot`].
+    /// Decodes a state encoded by [`Machine::snapshot`] of this or an earlier build.
     pub fn restore(data: &[u8]) -> Result<Self, postcard::Error> {
-        postcard::from_bytes(data)
+        match postcard::take_from_bytes(data)? {
+            (SNAPSHOT_FORMAT, state) => postcard::from_bytes(state),
+            _ => postcard::from_bytes::<EarlierMachine>(data).map(Self::from),
+        }
     }
 }
--- a/crates/fleet-control/src/metrics.rs
+++ b/crates/fleet-control/src/metrics.rs
@@ -21,6 +21,12 @@
     pub polls: Counter,
     /// Prompt parts that were blocked because they crash endpoints.
     pub blocked_parts: Counter,
+    /// Requests that were admitted to endpoints that warm up.
+    pub cold_admissions: Counter,
+    /// Requests that were not.
+    pub cold_refusals: Counter,
+    /// Availability zones that are evacuated.
+    pub evacuated_zones: Gauge,
     /// Time from the proposal of an operator command until it was applied.
     pub order_seconds: Histogram,
     /// Endpoints in the directory that are present.
@@ -47,6 +53,10 @@
         let polls = counter("polls", "Long polls of entries");
         let blocked_parts =
             counter("blocked_parts", "Prompt parts blocked because they crash endpoints");
+        let cold_admissions =
+            counter("cold_admissions", "Requests admitted to endpoints that warm up");
+        let cold_refusals =
+            counter("cold_refusals", "Requests that endpoints that warm up had no room for");
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
@@ -54,6 +64,7 @@
         };
         let endpoints = gauge("endpoints", "Endpoints that announce themselves");
         let configuration = gauge("configuration", "Number of the configuration in force");
+        let evacuated_zones = gauge("evacuated_zones", "Availability zones that are evacuated");
         let leading = gauge("leading", "1 while this replica leads");
         // Buckets from 1 ms to 2 s.
         let order_seconds = Histogram::new(exponential_buckets(0.001, 2.0, 12));
@@ -70,6 +81,9 @@
             unconfirmed,
             polls,
             blocked_parts,
+            cold_admissions,
+            cold_refusals,
+            evacuated_zones,
             order_seconds,
             endpoints,
             configuration,
--- a/crates/fleet-control/src/run.rs
+++ b/crates/fleet-control/src/run.rs
@@ -74,6 +74,7 @@
         load_totals: RefCell::default(),
         send_totals: RefCell::new(SendTotals::new(settings.retry_window)),
         crash_judge: RefCell::default(),
+        cold_admission: RefCell::default(),
         tallies: Rc::new(Tallies::default()),
         metrics: Metrics::default(),
         log: log.clone(),
@@ -117,10 +118,11 @@
     }
 }
 
-/// Marks silent endpoints and updates the gauges, periodically.
+/// Marks silent endpoints, records the leadership and updates the gauges, periodically.
 async fn expire(control: Rc<Control>) {
     loop {
         tokio::time::sleep(EXPIRE_PERIOD).await;
+        control.record_leadership();
         let silent = control.directory.borrow_mut().expire();
         for id in &silent {
             info!(control.log, "endpoint is silent"; "endpoint" => &**id);
@@ -133,6 +135,7 @@
         let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
         metrics.endpoints.set(gauge(control.directory.borrow().present_count() as u64));
         metrics.configuration.set(gauge(state.machine.configuration.number));
+        metrics.evacuated_zones.set(gauge(state.machine.evacuated.len() as u64));
         metrics.leading.set(i64::from(state.role == Role::Leader));
     }
 }
--- a/crates/fleet-control/src/settings.rs
+++ b/crates/fleet-control/src/settings.rs
@@ -7,6 +7,8 @@
 
 use hickoryreel_consensus as consensus;
 
+use crate::cold_admission::Limit;
+
 /// Settings of a control replica.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -29,6 +31,10 @@
     pub exposure_limit: f64,
     /// Window of the retry budget that the entries share.
     pub retry_window: Duration,
+    /// Availability zones of the deployment.
+    pub zones: Vec<String>,
+    /// Limit on the requests to an endpoint that warms up.
+    pub cold_limit: Limit,
     /// Time after which an operator command or read fails. Callers try another replica after 1 s.
     pub answer_timeout: Duration,
     /// Settings of the replicated log.
@@ -48,6 +54,8 @@
             announce_interval: Duration::from_millis(1_200),
             exposure_limit: 0.15,
             retry_window: Duration::from_secs(10),
+            zones: Vec::new(),
+            cold_limit: Limit::default(),
             answer_timeout: Duration::from_millis(900),
             log: log_settings(),
         }
--- a/crates/fleet-control/tests/cluster.rs
+++ b/crates/fleet-control/tests/cluster.rs
@@ -72,6 +72,7 @@
                 health_path: "/".into(),
                 max_connections: 1,
                 engine: None,
+                cold_start: None,
             }];
             let configuration = Configuration { number, services, ..Configuration::default() };
             if control.put_configuration(configuration, source.clone()).await.is_ok() {
--- a/crates/fleet-control/tests/load_totals.rs
+++ b/crates/fleet-control/tests/load_totals.rs
@@ -15,6 +15,8 @@
         prefill_ms: [0, prefill_ms, 0],
         succeeded,
         failed,
+        pace: 0,
+        latest_pace: 0,
     }
 }
 
--- a/crates/fleet-control/tests/machine.rs
+++ b/crates/fleet-control/tests/machine.rs
@@ -4,6 +4,10 @@
 
 use bytes::Bytes;
 use hickoryreel_fleet::configuration::Configuration;
+use hickoryreel_fleet::configuration::Kind;
+use hickoryreel_fleet::configuration::Limits;
+use hickoryreel_fleet::configuration::Target;
+use hickoryreel_fleet::configuration::earlier;
 use hickoryreel_fleet::roll_out::Phase;
 use hickoryreel_fleet_control::machine::Command;
 use hickoryreel_fleet_control::machine::Machine;
@@ -109,3 +113,102 @@
 
     assert_eq!(format!("{restored:?}"), format!("{machine:?}"));
 }
+
+fn set_evacuation(zone: &str, evacuated: bool) -> Command {
+    Command::SetEvacuation { zone: zone.into(), evacuated }
+}
+
+fn evacuated(machine: &Machine) -> Vec<String> {
+    machine.evacuated.iter().map(|zone| zone.to_string()).collect()
+}
+
+/// Guards against a resent order that ends or repeats an evacuation, and against one that changes
+/// another zone.
+#[test]
+fn evacuation_is_idempotent() {
+    let mut machine = Machine::default();
+    for command in [
+        set_evacuation("south", true),
+        set_evacuation("north", true),
+        set_evacuation("south", true),
+    ] {
+        machine.apply(command);
+    }
+    assert_eq!((evacuated(&machine), machine.revision), (vec!["north".into(), "south".into()], 2));
+
+    machine.apply(set_evacuation("south", false));
+    machine.apply(set_evacuation("south", false));
+
+    assert_eq!((evacuated(&machine), machine.revision), (vec!["north".into()], 3));
+}
+
+/// Guards against an evacuation that is forgotten after a restart.
+#[test]
+fn snapshot_keeps_evacuations() {
+    let mut machine = Machine::default();
+    machine.apply(set_evacuation("south", true));
+
+    let restored = Machine::restore(&machine.snapshot()).unwrap();
+
+    assert_eq!((evacuated(&restored), restored.revision), (vec!["south".into()], 1));
+}
+
+/// A configuration as an earlier build wrote it.
+fn earlier_configuration() -> earlier::Configuration {
+    let workspace = earlier::Workspace { name: "w".into(), keys: vec!["k".into()], rank: Some(1) };
+    earlier::Configuration {
+        number: 7,
+        routes: vec![earlier::Route {
+            name: "route".into(),
+            host: "host".into(),
+            prefix: "/".into(),
+            kind: Kind::Safe,
+            timeout_ms: 1_000,
+            target_ms: 300,
+            target_gap_ms: 300,
+            rank: 2,
+            models: Vec::new(),
+            targets: vec![Target { service: "ledger".into(), weight: 1 }],
+            attempts: 2,
+            public: true,
+            resumable: false,
+        }],
+        services: vec![earlier::Service {
+            name: "ledger".into(),
+            health_path: "/".into(),
+            max_connections: 1,
+            engine: None,
+        }],
+        workspaces: vec![workspace],
+        limits: Limits::default(),
+    }
+}
+
+/// Guards against an upgrade after which a replica can't read the log of the build before.
+#[test]
+fn log_of_an_earlier_build_is_read() {
+    // The number of the command in the encoding of that build.
+    let mut logged = vec![0];
+    logged.extend(postcard::to_stdvec(&(earlier_configuration(), "source".as_bytes())).unwrap());
+
+    let mut machine = Machine::default();
+    machine.apply(postcard::from_bytes(&logged).unwrap());
+
+    assert_eq!(*machine.configuration, Configuration::from(earlier_configuration()));
+    assert_eq!(&machine.source[..], b"source");
+    assert_eq!(machine.configuration.routes[0].attempts, 2);
+}
+
+/// Guards against an upgrade after which a replica can't read the snapshot of the build before.
+#[test]
+fn snapshot_of_an_earlier_build_is_read() {
+    let mut machine = Machine::default();
+    machine.apply(start_roll_out("v2"));
+    let state = (earlier_configuration(), "source".as_bytes(), &*machine.roll_outs, 5_u64, 1_u64);
+
+    let restored = Machine::restore(&postcard::to_stdvec(&state).unwrap()).unwrap();
+
+    assert_eq!(*restored.configuration, Configuration::from(earlier_configuration()));
+    assert_eq!((restored.revision, phase(&restored)), (5, Some(Phase::Pending)));
+    assert!(restored.evacuated.is_empty());
+}
--- a/crates/fleet-entry/src/availability.rs
+++ b/crates/fleet-entry/src/availability.rs
@@ -121,6 +121,8 @@
     Unknown,
     /// All endpoints are leaving.
     Leaving,
+    /// All endpoints are in zones where the request may not be served.
+    Excluded,
     /// The earliest end of a pause. It is not later than now if an endpoint is on trial after its
     /// pause.
     Paused(Duration),
--- a/crates/fleet-entry/src/control_poll.rs
+++ b/crates/fleet-entry/src/control_poll.rs
@@ -171,7 +171,8 @@
                 "revision" => view.revision, "replica" => %from,
                 "roll_outs" => view.roll_outs.newest.iter()
                     .map(|roll_out| format!("{} {} {:?}", roll_out.service, roll_out.target, roll_out.phase))
-                    .collect::<Vec<_>>().join(", "));
+                    .collect::<Vec<_>>().join(", "),
+                "evacuated" => view.evacuated.join(", "));
         }
         drop(view);
         if !ready && entry.is_ready() {
@@ -185,5 +186,6 @@
             start_polling(entry, polled, address);
         }
         *polled.members.borrow_mut() = answer.replicas.into_iter().collect();
+        entry.cold.set_replicas(polled.replicas());
     }
 }
--- a/crates/fleet-entry/src/dialect.rs
+++ b/crates/fleet-entry/src/dialect.rs
@@ -69,6 +69,8 @@
     pub waiting: u32,
     /// Maximum number of running requests.
     pub slots: u32,
+    /// Time that work takes there now, in percent of the usual time, if the endpoint states it.
+    pub pace: Option<u16>,
 }
 
 /// Metadata of an endpoint's answer, from its head.
--- a/crates/fleet-entry/src/directory.rs
+++ b/crates/fleet-entry/src/directory.rs
@@ -88,7 +88,7 @@
         let silence_changed = known.set_heard_by(replica, hears);
         let drains = applies && announcement.draining && !known.announcement.borrow().draining;
         if applies {
-            *known.announcement.borrow_mut() = announcement;
+            known.update(announcement);
         }
         match (drains, silence_changed, hears) {
             (true, ..) => Change::Draining,
--- a/crates/fleet-entry/src/endpoint.rs
+++ b/crates/fleet-entry/src/endpoint.rs
@@ -18,6 +18,7 @@
 use crate::availability::Availability;
 use crate::dialect::Load;
 use crate::exchange::Pool;
+use crate::pace::Pace;
 
 /// Consecutive failures after which an endpoint is ejected.
 const EJECTION_FAILURES: u32 = 3;
@@ -55,6 +56,18 @@
 /// Smoothing factor of the failure share.
 const FAILURE_SMOOTHING: f64 = 0.15;
 
+/// Maximum warm-up time that is believed.
+const MAX_WARM_UP: Duration = Duration::from_secs(600);
+
+/// End of the warm-up according to an announcement that has just arrived. The announcement may have
+/// been under way for seconds, so the end is at this time or earlier.
+fn warm_up_end(announcement: &Announcement) -> Duration {
+    match Duration::from_millis(announcement.warm_up_left_ms).min(MAX_WARM_UP) {
+        Duration::ZERO => Duration::ZERO,
+        left => boot_time() + left,
+    }
+}
+
 /// State of an endpoint.
 pub struct Endpoint {
     /// Newest announcement.
@@ -70,6 +83,9 @@
     /// Expected prefill time of this entry's requests without an answer, by rank.
     prefill_ms: Cell<[f64; RANKS]>,
     load: Cell<Option<(Load, Duration)>>,
+    pace: Cell<Pace>,
+    /// Whether the endpoint has stated its pace since the latest report of this entry.
+    pace_seen: Cell<bool>,
     key: EndpointKey,
     reported: Cell<Reported>,
     others: Cell<Option<(OtherEntries, Duration)>>,
@@ -79,6 +95,8 @@
     consecutive_failures: Cell<u32>,
     failure_share: Cell<f64>,
     ejected_until: Cell<Duration>,
+    /// Time until which it warms up, by what it has last said.
+    cold_until: Cell<Duration>,
     /// Shared by all addresses of the incarnation.
     availability: Rc<Cell<Availability>>,
     /// Time at which this entry last received data from the endpoint.
@@ -104,6 +122,7 @@
 impl Endpoint {
     pub fn new(announcement: Announcement) -> Self {
         let key = EndpointKey::of(&announcement.id);
+        let cold_until = warm_up_end(&announcement);
         Self {
             pool: Pool::new(announcement.address),
             announcement: RefCell::new(announcement),
@@ -112,6 +131,8 @@
             outstanding: Cell::new(0),
             prefill_ms: Cell::default(),
             load: Cell::new(None),
+            pace: Cell::default(),
+            pace_seen: Cell::new(false),
             key,
             reported: Cell::default(),
             others: Cell::new(None),
@@ -121,6 +142,7 @@
             consecutive_failures: Cell::new(0),
             failure_share: Cell::new(0.0),
             ejected_until: Cell::new(Duration::ZERO),
+            cold_until: Cell::new(cold_until),
             availability: Rc::default(),
             last_activity: Cell::new(None),
         }
@@ -131,6 +153,22 @@
         Self { availability: Rc::clone(&self.availability), ..Self::new(announcement) }
     }
 
+    /// Replaces the announcement by a newer one of the same incarnation.
+    pub fn update(&self, announcement: Announcement) {
+        self.cold_until.set(warm_up_end(&announcement));
+        *self.announcement.borrow_mut() = announcement;
+    }
+
+    /// Time until which it warms up; not later than `now` if it has warmed up.
+    pub fn cold_until(&self) -> Duration {
+        self.cold_until.get()
+    }
+
+    /// Whether it warms up at time `now`.
+    pub fn is_cold(&self, now: Duration) -> bool {
+        now < self.cold_until.get()
+    }
+
     pub fn id(&self) -> Name {
         self.announcement.borrow().id.clone()
     }
@@ -237,12 +275,16 @@
         let prefill_ms = self.prefill_ms.get().map(|time_ms| time_ms as u32);
         let reported = Reported { outstanding: self.outstanding.get(), prefill_ms };
         self.reported.set(reported);
+        let seen = self.pace_seen.take();
+        let (pace, latest_pace) = if seen { self.pace.get().percent() } else { (0, 0) };
         let load = EndpointLoad {
             endpoint: self.key,
             outstanding: reported.outstanding,
             prefill_ms: reported.prefill_ms,
             succeeded: self.succeeded.take(),
             failed: self.failed.take(),
+            pace,
+            latest_pace,
         };
         (load.outstanding + load.succeeded + load.failed > 0).then_some(load)
     }
@@ -259,6 +301,17 @@
             failed: f64::from(total.failed),
         });
         self.others.set(Some((others, boot_time())));
+        if let Some(total) = total {
+            let mut pace = self.pace.get();
+            pace.apply_totals(total.pace, total.latest_pace, boot_time());
+            self.pace.set(pace);
+        }
+    }
+
+    /// Expected factor on the usual time of work that begins now and usually takes `length_ms`.
+    pub fn pace(&self, length_ms: f64) -> f64 {
+        let length = Duration::try_from_secs_f64(length_ms / 1_000.0).unwrap_or(Duration::MAX);
+        self.pace.get().expected(boot_time(), length)
     }
 
     /// Load of the other entries, unless it is unknown or outdated.
@@ -309,8 +362,15 @@
     }
 
     pub fn record_load(&self, load: Load) {
-        self.load.set(Some((load, boot_time())));
+        let now = boot_time();
+        self.load.set(Some((load, now)));
         self.sent_since_load.set(0);
+        if let Some(percent) = load.pace {
+            let mut pace = self.pace.get();
+            pace.observe(percent, now);
+            self.pace.set(pace);
+            self.pace_seen.set(true);
+        }
     }
 
     /// Records that data from the endpoint arrived.
--- a/crates/fleet-entry/src/entry.rs
+++ b/crates/fleet-entry/src/entry.rs
@@ -18,6 +18,7 @@
 use crate::budget::Limits;
 use crate::budget::RetryBudget;
 use crate::cascade::Cascade;
+use crate::cold;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::memory;
@@ -51,6 +52,8 @@
     pub prefill_limiters: RefCell<HashMap<Name, Rc<PrefillLimiter>>>,
     /// Prompt parts that crash endpoints.
     pub quarantine: RefCell<Quarantine>,
+    /// Admissions to endpoints that warm up.
+    pub cold: cold::Client,
     /// Request counts for the decisions on roll-outs.
     pub tallies: RefCell<Tallies>,
     /// Arrival of the latest request that needs a confirmation of the agreed state after it.
@@ -90,6 +93,7 @@
             cascades: RefCell::default(),
             prefill_limiters: RefCell::default(),
             quarantine: RefCell::default(),
+            cold: cold::Client::default(),
             tallies: RefCell::default(),
             confirmation_wanted_at: Cell::default(),
             confirmation_wanted: Notify::new(),
@@ -200,6 +204,13 @@
         Some((Rc::clone(limiters.entry(service.clone()).or_default()), permits))
     }
 
+    /// Whether the endpoints of a service that warm up get requests only with an admission.
+    pub fn limits_cold(&self, service: &Name) -> bool {
+        let view = self.view.borrow();
+        let service = view.index.as_ref().and_then(|index| index.service(service));
+        service.is_some_and(|service| service.cold_start.is_some())
+    }
+
     /// Maximum number of idle connections to one endpoint of a service: this entry's share of half
     /// of the connections that the endpoint accepts. The other half is left for active requests.
     pub fn max_idle_connections(&self, service: &Name) -> usize {
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -26,6 +26,7 @@
 use crate::body::Body;
 use crate::cascade::AnswerEstimate;
 use crate::cascade::Cascade;
+use crate::cold;
 use crate::dialect::RequestMetadata;
 use crate::endpoint::Endpoint;
 use crate::entry::Entry;
@@ -38,6 +39,7 @@
 use crate::pick;
 use crate::pick::Choice;
 use crate::pick::PickContext;
+use crate::placement::Zones;
 use crate::prefill;
 use crate::prefill::PrefillPermit;
 use crate::prepare::MAX_STATE_WAIT;
@@ -117,6 +119,8 @@
     pub last_event: Option<u64>,
     /// Endpoint and version of the latest send.
     pub endpoint: Option<(Name, Name)>,
+    /// Admission to an endpoint that warms up.
+    pub admission: Option<cold::Admission>,
 }
 
 /// Number of route ranks within one workspace rank.
@@ -226,6 +230,7 @@
             first_at: None,
             last_event: None,
             endpoint: None,
+            admission: None,
         }
     }
 
@@ -295,8 +300,15 @@
     /// that reached no endpoint uses up neither attempts nor the budget.
     fn obstacle_to_retry(&self, ended: SendEnd) -> Option<Obstacle> {
         let obstacle = self.obstacle(self.runs, |_| true);
-        let excused = ended == SendEnd::NotSent
-            && matches!(obstacle, Some(Obstacle::Attempts | Obstacle::Endpoint));
+        let has_cold = || {
+            let candidates = self.with_context(&self.tried, self.token_ms(), pick::cold_candidates);
+            !candidates.is_empty()
+        };
+        let excused = match obstacle {
+            Some(Obstacle::Attempts) => ended == SendEnd::NotSent,
+            Some(Obstacle::Endpoint) => ended == SendEnd::NotSent || has_cold(),
+            _ => false,
+        };
         if excused { None } else { obstacle }
     }
 
@@ -369,19 +381,33 @@
 
     /// Picks an endpoint. Before the first send it waits for one to announce itself if there is none.
     /// If all are leaving or have asked for pauses, it waits only for a pause that ends in time.
-    pub async fn wait_for_endpoint(&self) -> Option<Rc<Endpoint>> {
+    pub async fn wait_for_endpoint(&mut self) -> Option<Rc<Endpoint>> {
+        let entry = Rc::clone(&self.entry);
         let until = boot_time() + Duration::from_millis(self.left_ms() / 3).min(MAX_STATE_WAIT);
         loop {
-            let state_changed = self.entry.state_changed.notified();
-            let picked = self.pick();
-            if picked.is_some() || self.sends > self.withdrawn {
-                return picked;
+            let state_changed = entry.state_changed.notified();
+            if let Some(endpoint) = self.pick() {
+                return Some(endpoint);
+            }
+            let room_at = match self.admit_cold().await {
+                cold::Answer::Admitted(admission) => {
+                    let endpoint = Rc::clone(&admission.endpoint);
+                    self.admission = Some(admission);
+                    return Some(endpoint);
+                }
+                cold::Answer::Wait(room_at) => Some(room_at),
+                cold::Answer::None => None,
+            };
+            if self.sends > self.withdrawn {
+                return None;
             }
             let now = boot_time();
-            let (until, wake_at) = match self.outlook(now) {
-                Outlook::Unknown => (until, until),
-                Outlook::Leaving => return None,
-                Outlook::Paused(end) => (self.latest_start(), end.max(now + TRIAL_CHECK_INTERVAL)),
+            let paused = |end: Duration| (self.latest_start(), end.max(now + TRIAL_CHECK_INTERVAL));
+            let (until, wake_at) = match (room_at, self.outlook(now)) {
+                (Some(room_at), _) => paused(room_at),
+                (None, Outlook::Unknown) => (until, until),
+                (None, Outlook::Leaving | Outlook::Excluded) => return None,
+                (None, Outlook::Paused(end)) => paused(end),
             };
             if now >= until || wake_at > until {
                 return None;
@@ -411,6 +437,39 @@
         self.outlook(now).retry_after(now, self.route.rank, rand::rng().random())
     }
 
+    /// Asks for an admission to an endpoint that warms up, if there is one that may serve the request.
+    async fn admit_cold(&self) -> cold::Answer {
+        let candidates = self.with_context(&self.tried, self.token_ms(), pick::cold_candidates);
+        if candidates.is_empty() {
+            return cold::Answer::None;
+        }
+        cold::admit(&self.entry, &self.service, &candidates).await
+    }
+
+    /// Whether an endpoint may get the request although it warms up.
+    pub fn is_admitted_by(&self, endpoint: &Endpoint) -> bool {
+        let now = boot_time();
+        !self.entry.limits_cold(&self.service)
+            || !endpoint.is_cold(now)
+            || self.admission.as_ref().is_some_and(|admission| admission.covers(endpoint, now))
+    }
+
+    /// Whether the request may be served in the availability zone of an endpoint, both by the
+    /// configuration under which it was accepted and by the one in force.
+    pub fn may_be_served_by(&self, endpoint: &Endpoint) -> bool {
+        let view = self.entry.view.borrow();
+        let permits = |route: &Route, workspace: Option<&Workspace>| {
+            let zones = Zones::new(&self.entry.settings, route, workspace, &view.evacuated);
+            zones.exclusion_of(endpoint).is_none()
+        };
+        let Some(index) = &view.index else { return false };
+        let key = self.metadata.key.as_deref();
+        let current = index.route(&self.metadata.host, self.head.uri.path());
+        let workspace = self.workspace.is_some().then(|| index.workspace(key?)).flatten();
+        permits(&self.route, self.workspace.as_deref())
+            && current.is_none_or(|route| permits(route, workspace.map(|workspace| &**workspace)))
+    }
+
     fn pick(&self) -> Option<Rc<Endpoint>> {
         Some(self.choose(&self.tried, self.token_ms())?.endpoint)
     }
@@ -438,6 +497,13 @@
             entries: self.entry.entries.get(),
             token_ms,
             is_in_region: &is_in_region,
+            zones: Zones::new(
+                &self.entry.settings,
+                &self.route,
+                self.workspace.as_deref(),
+                &view.evacuated,
+            ),
+            limits_cold: self.entry.limits_cold(&self.service),
         };
         function(&context, directory.for_service(&self.service))
     }
--- a/crates/fleet-entry/src/lib.rs
+++ b/crates/fleet-entry/src/lib.rs
@@ -4,7 +4,7 @@
 //! reads its metadata with the [`dialect`] and finds its route and workspace in the [`view`],
 //! [`credentials`] keeps API keys from the endpoints,
 //! [`cascade`] chooses the model, [`prefill`] limits concurrent long prompts, [`pick`] chooses the
-//! endpoint, [`send`] sends the request over an [`exchange`], [`outcome`] decides what follows from
+//! endpoint among those that [`placement`] permits, [`cold`] asks for an admission to one that warms up, [`send`] sends the request over an [`exchange`], [`outcome`] decides what follows from
 //! the way in which a send ended, and [`relay`] forwards a stream event by event. [`quarantine`] finds
 //! the [`prompt`]s that crash endpoints; what endpoints say of themselves is kept in [`availability`].
 //! What an endpoint may send is bounded by [`head_limit`], [`memory`] and [`progress`].
@@ -17,6 +17,7 @@
 pub mod body;
 pub mod budget;
 pub mod cascade;
+pub mod cold;
 pub mod control_poll;
 pub mod credentials;
 pub mod dialect;
@@ -31,7 +32,9 @@
 pub mod memory;
 pub mod metrics;
 pub mod outcome;
+pub mod pace;
 pub mod pick;
+pub mod placement;
 pub mod prefill;
 pub mod prepare;
 pub mod progress;
--- a/crates/fleet-entry/src/metrics.rs
+++ b/crates/fleet-entry/src/metrics.rs
@@ -38,6 +38,10 @@
     pub blocked_parts: Gauge,
     /// Sends that were withdrawn because the endpoint became unavailable.
     pub withdrawn: Counter,
+    /// Requests that were admitted to endpoints that warm up.
+    pub cold_admissions: Counter,
+    /// Requests for which such endpoints had no room.
+    pub cold_refusals: Counter,
     /// Endpoints that say that they are leaving.
     pub leaving: Gauge,
     /// Pauses in force that endpoints asked for.
@@ -77,6 +81,10 @@
             "withdrawn_sends",
             "Sends withdrawn before they were written as the endpoint left or paused",
         );
+        let cold_admissions =
+            counter("cold_admissions", "Requests admitted to endpoints that warm up");
+        let cold_refusals =
+            counter("cold_refusals", "Requests that endpoints that warm up had no room for");
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
@@ -109,6 +117,8 @@
             blocked,
             blocked_parts,
             withdrawn,
+            cold_admissions,
+            cold_refusals,
             leaving,
             asked_pauses,
             open,
--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -1,7 +1,7 @@
 //! Choice of the service, the version and the endpoint of a request.
 //!
-//! The service follows from the weights of the route, the version from the roll-outs. The endpoints
-//! of these have estimated costs in milliseconds: the expected delay, with penalties for failures,
+//! The service follows from the weights of the route, the version from the roll-outs, and
+//! [`crate::placement`] limits the availability zones. The endpoints of these have estimated costs in milliseconds: the expected delay, with penalties for failures,
 //! other regions and warm-up. All entries know the same loads, up to 300 ms late, so [`spread`]
 //! chooses by the level to which the unseen load fills the endpoints. The preferred endpoints of the
 //! prompt are taken instead if the prefill that their cached parts save is worth the difference.
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hickoryreel_base::time::boot_time;
 use hickoryreel_fleet::Name;
 use hickoryreel_fleet::configuration::Route;
 use hickoryreel_fleet::roll_out::Phase;
@@ -22,6 +23,8 @@
 use crate::availability::Outlook;
 use crate::dialect::RequestMetadata;
 use crate::endpoint::Endpoint;
+use crate::placement::Permitted;
+use crate::placement::Zones;
 use crate::spread;
 
 /// Denominator of the share of requests that go to a new version.
@@ -58,6 +61,9 @@
 /// The same for a plain endpoint, of whose slots several work at once.
 const PLAIN_UNSEEN_MS: f64 = 80.0;
 
+/// Maximum number of endpoints that warm up for which an admission is requested at once.
+const MAX_COLD_CANDIDATES: usize = 6;
+
 /// Input of a choice besides the endpoints.
 pub struct PickContext<'a> {
     pub route: &'a Route,
@@ -72,6 +78,10 @@
     pub token_ms: Option<f64>,
     /// Whether a zone is in the entry's region.
     pub is_in_region: &'a dyn Fn(&str) -> bool,
+    /// Where the request may be served.
+    pub zones: Zones<'a>,
+    /// Whether an endpoint that warms up gets requests only with an admission.
+    pub limits_cold: bool,
 }
 
 /// Chooses the service of a request by weight, with a hash of the request id.
@@ -88,13 +98,12 @@
     route.targets.first().map(|target| &target.service)
 }
 
-/// Returns the endpoints whose version may get the request in the current phase of the roll-out.
-fn allowed_endpoints(
-    context: &PickContext<'_>,
-    endpoints: &[Rc<Endpoint>],
-) -> SmallVec<[Rc<Endpoint>; 16]> {
+/// Returns the endpoints in permitted zones whose version may get the request in the current phase of
+/// the roll-out.
+fn allowed_endpoints(context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]) -> Permitted {
+    let permitted = context.zones.permit(endpoints);
     let roll_out = context.roll_outs.for_service(context.service);
-    let allowed = |endpoint: &&Rc<Endpoint>| {
+    let allowed = |endpoint: &Endpoint| {
         let version = endpoint.version();
         if context.roll_outs.is_withdrawn(context.service, &version) {
             return false;
@@ -109,12 +118,12 @@
             },
         }
     };
-    let mut chosen: SmallVec<[Rc<Endpoint>; 16]> =
-        endpoints.iter().filter(allowed).cloned().collect();
+    let mut chosen = permitted.clone();
+    chosen.retain(allowed);
     // Endpoints of a new version may announce themselves before this entry learns of its roll-out.
     if roll_out.is_none() && chosen.len() > 1 {
         let mut counts: SmallVec<[(Name, usize); 4]> = SmallVec::new();
-        for endpoint in &chosen {
+        for endpoint in chosen.iter() {
             let version = endpoint.version();
             match counts.iter_mut().find(|(counted, _)| *counted == version) {
                 Some((_, count)) => *count += 1,
@@ -129,13 +138,14 @@
     let trial_without_endpoint =
         chosen.is_empty() && roll_out.is_some_and(|roll_out| roll_out.phase.is_running());
     if trial_without_endpoint {
-        let usable = |endpoint: &&Rc<Endpoint>| {
+        let usable = |endpoint: &Endpoint| {
             !context.roll_outs.is_withdrawn(context.service, &endpoint.version())
                 && (roll_out.is_some_and(|roll_out| {
                     roll_out.phase == Phase::Moving || roll_out.target != endpoint.version()
                 }))
         };
-        chosen = endpoints.iter().filter(usable).cloned().collect();
+        chosen = permitted;
+        chosen.retain(usable);
     }
     chosen
 }
@@ -158,7 +168,11 @@
 /// Chooses an endpoint. Returns `None` if no endpoint can take the request.
 pub fn choose(context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]) -> Option<Choice> {
     let mut candidates = allowed_endpoints(context, endpoints);
-    candidates.retain(|endpoint| !context.tried.contains(&endpoint.id()));
+    let now = boot_time();
+    candidates.retain(|endpoint| {
+        let needs_admission = context.limits_cold && endpoint.is_cold(now);
+        !needs_admission && !context.tried.contains(&endpoint.id())
+    });
     if candidates.iter().any(|endpoint| endpoint.is_usable()) {
         candidates.retain(|endpoint| endpoint.is_usable());
     } else {
@@ -169,12 +183,14 @@
         shared.as_ref().map_or(0.0, |shared| shared.cached_tokens(&endpoint.id()))
     };
     let token_ms = context.token_ms.unwrap_or(0.0);
-    let costs = costs(context, &candidates);
+    let loads = loads(context, &candidates);
     let volume_ms = unseen_ms(context) * near_count(context, &candidates) as f64;
-    let spread = spread::choose(&costs, volume_ms, rand::rng().random())?;
+    let spread = spread::choose(&loads, volume_ms, rand::rng().random())?;
     // An endpoint below the level is expected to be filled up to it before this request arrives.
-    let saved = |index: usize| RECOMPUTE_WEIGHT * token_ms * cached_tokens(&candidates[index]);
-    let expected = |index: usize| costs[index].max(spread.level) - saved(index);
+    let saved = |index: usize| {
+        RECOMPUTE_WEIGHT * token_ms * cached_tokens(&candidates[index]) / loads[index].capacity
+    };
+    let expected = |index: usize| loads[index].time.max(spread.level) - saved(index);
     let preferred = (0..candidates.len()).filter(|index| saved(*index) > 0.0);
     let index = preferred
         .chain([spread.index])
@@ -183,14 +199,40 @@
     let uncached = context.metadata.prompt_tokens as f64 - cached_tokens(&endpoint);
     let prefill_ms = uncached.max(0.0) * token_ms;
     let wait_ms = endpoint.prefill_wait_ms(context.route.rank, WAITING_PROMPT_TOKENS * token_ms);
-    Some(Choice { endpoint, wait_ms, prefill_ms })
+    let pace = endpoint.pace(wait_ms + prefill_ms);
+    Some(Choice { endpoint, wait_ms: pace * wait_ms, prefill_ms: pace * prefill_ms })
+}
+
+/// Returns the endpoints that warm up and could get the request with an admission, the best first.
+pub fn cold_candidates(
+    context: &PickContext<'_>,
+    endpoints: &[Rc<Endpoint>],
+) -> SmallVec<[Rc<Endpoint>; MAX_COLD_CANDIDATES]> {
+    if !context.limits_cold {
+        return SmallVec::new();
+    }
+    let (mut candidates, now) = (allowed_endpoints(context, endpoints), boot_time());
+    candidates.retain(|endpoint| {
+        endpoint.is_cold(now) && endpoint.is_usable() && !context.tried.contains(&endpoint.id())
+    });
+    let loads = loads(context, &candidates);
+    let mut order: SmallVec<[usize; 16]> = (0..candidates.len()).collect();
+    order.sort_by(|left, right| loads[*left].time.total_cmp(&loads[*right].time));
+    order.into_iter().take(MAX_COLD_CANDIDATES).map(|index| Rc::clone(&candidates[index])).collect()
 }
 
 /// Returns when the endpoints that may get the request take one again, if none of them does at time
 /// `now`.
 pub fn outlook(context: &PickContext<'_>, endpoints: &[Rc<Endpoint>], now: Duration) -> Outlook {
+    let is_present = |endpoint: &&Rc<Endpoint>| endpoint.is_present();
+    let permitted = context.zones.permit(endpoints);
+    if !permitted.iter().any(|endpoint| endpoint.is_present())
+        && endpoints.iter().any(|endpoint| endpoint.is_present())
+    {
+        return Outlook::Excluded;
+    }
     let allowed = allowed_endpoints(context, endpoints);
-    let present = allowed.iter().filter(|endpoint| endpoint.is_present());
+    let present = allowed.iter().filter(is_present);
     Outlook::new(present.map(|endpoint| endpoint.availability()), now)
 }
 
@@ -211,26 +253,37 @@
     }
 }
 
-/// Estimated costs of sending the request to each endpoint, without the prefill that cached parts
-/// of the prompt save.
-fn costs(context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]) -> SmallVec<[f64; 64]> {
+/// Estimated costs of sending the request to each endpoint as times, without the prefill that cached
+/// parts of the prompt save.
+fn loads(context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]) -> SmallVec<[spread::Load; 64]> {
     // The entries of other regions fill their endpoints meanwhile.
     let far_ms = CROSS_REGION_COST_MS + unseen_ms(context);
     let far_cost = |endpoint: &Endpoint| if is_near(context, endpoint) { 0.0 } else { far_ms };
-    endpoints.iter().map(|endpoint| cost(context, endpoint) + far_cost(endpoint)).collect()
+    let loads = endpoints.iter().map(|endpoint| {
+        let load = load(context, endpoint);
+        spread::Load { time: load.time + far_cost(endpoint), ..load }
+    });
+    loads.collect()
 }
 
 /// Estimated cost of sending the request to an endpoint of the region, in milliseconds: its expected
 /// delay, and equivalents for failures.
-fn cost(context: &PickContext<'_>, endpoint: &Endpoint) -> f64 {
+fn load(context: &PickContext<'_>, endpoint: &Endpoint) -> spread::Load {
     let used = endpoint.estimated_load(context.entries) / f64::from(endpoint.slots());
     let mut cost = FAILURE_COST_MS * endpoint.failure_share();
-    if endpoint.announcement.borrow().warm_up_left_ms > 0 {
+    if endpoint.is_cold(boot_time()) {
         cost += WARM_UP_COST_MS;
     }
-    let Some(token_ms) = context.token_ms else { return cost + PLAIN_DELAY_MS * used };
+    let Some(token_ms) = context.token_ms else {
+        let pace = endpoint.pace(PLAIN_DELAY_MS * used);
+        return spread::Load { time: cost + pace * PLAIN_DELAY_MS * used, capacity: 1.0 / pace };
+    };
     let ahead = endpoint.prefill_wait_ms(context.route.rank, WAITING_PROMPT_TOKENS * token_ms);
-    cost + BATCH_DELAY_MS * used + ahead
+    let prefill = context.metadata.prompt_tokens as f64 * token_ms;
+    let pace = endpoint.pace(ahead + prefill);
+    // At the usual pace the prefill of the request is the same everywhere.
+    let time = pace * (BATCH_DELAY_MS * used + ahead) + (pace - 1.0) * prefill;
+    spread::Load { time: cost + time, capacity: 1.0 / pace }
 }
 
 /// Part of a prompt that other requests share, and the endpoints that should have it cached.
--- a/crates/fleet-entry/src/send.rs
+++ b/crates/fleet-entry/src/send.rs
@@ -202,6 +202,9 @@
         self.confidence = reply.confidence;
         if unloaded && let Some(model) = &self.model {
             let time = boot_time().saturating_sub(in_flight.began);
+            // The estimate is for the usual pace.
+            let pace = endpoint.pace(time.as_secs_f64() * 1_000.0);
+            let time = time.div_f64(pace);
             let mut cascades = self.entry.cascades.borrow_mut();
             let cascade = cascades.entry(self.service.clone()).or_default();
             cascade.observe(model, self.metadata.prompt_tokens, time);
@@ -243,6 +246,8 @@
         let permitted = left > MIN_SEND_TIME_MS
             && self.has_lease()
             && self.block_left().is_none()
+            && self.may_be_served_by(&in_flight.endpoint)
+            && self.is_admitted_by(&in_flight.endpoint)
             && in_flight.is_permitted();
         permitted.then(|| {
             self.handling.passed_on.set(true);
--- a/crates/fleet-entry/src/settings.rs
+++ b/crates/fleet-entry/src/settings.rs
@@ -58,6 +58,12 @@
 impl Settings {
     /// Returns the region of an availability zone, or the zone itself if it is unknown.
     pub fn region<'a>(&'a self, zone: &'a str) -> &'a str {
-        self.regions.iter().find(|(known, _)| known == zone).map_or(zone, |(_, region)| region)
+        self.known_region(zone).unwrap_or(zone)
+    }
+
+    /// Returns the region of an availability zone, unless it is unknown.
+    pub fn known_region(&self, zone: &str) -> Option<&str> {
+        let known = self.regions.iter().find(|(known, _)| known == zone);
+        known.map(|(_, region)| region.as_str())
     }
 }
--- a/crates/fleet-entry/src/spread.rs
+++ b/crates/fleet-entry/src/spread.rs
@@ -7,6 +7,15 @@
 
 use smallvec::SmallVec;
 
+/// Load of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Load {
+    /// Expected time until it begins further work.
+    pub time: f64,
+    /// Work that it does in a time unit, greater than 0.
+    pub capacity: f64,
+}
+
 /// A chosen endpoint.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Choice {
@@ -16,37 +25,40 @@
     pub level: f64,
 }
 
-/// Chooses one of the endpoints whose loads are given. `volume` is the load that is expected to arrive
-/// at all of them before the loads are updated, in the same unit, and `point`, from 0 to 1, selects
-/// among the endpoints with room. Returns `None` if there are no endpoints.
-pub fn choose(loads: &[f64], volume: f64, point: f64) -> Option<Choice> {
-    let level = level(loads, volume)?;
-    let room = |load: f64| (level - load).max(0.0);
-    let total: f64 = loads.iter().map(|load| room(*load)).sum();
+/// Chooses one of the endpoints whose loads and capacities are given. A load is a time, and the capacity
+/// is the work that the endpoint does in a time unit. `volume` is the work that is expected to arrive at
+/// all of them before the loads are updated, and `point`, from 0 to 1, selects among the endpoints with
+/// room. Returns `None` if there are no endpoints.
+pub fn choose(endpoints: &[Load], volume: f64, point: f64) -> Option<Choice> {
+    let level = level(endpoints, volume)?;
+    let room = |endpoint: &Load| (level - endpoint.time).max(0.0) * endpoint.capacity;
+    let total: f64 = endpoints.iter().map(room).sum();
     let mut left = point * total;
-    for (index, load) in loads.iter().enumerate() {
-        let room = room(*load);
+    for (index, endpoint) in endpoints.iter().enumerate() {
+        let room = room(endpoint);
         if room > 0.0 && left < room {
             return Some(Choice { index, level });
         }
         left -= room;
     }
     // The point is at the end of the range, or no load is expected.
-    let lowest = loads.iter().enumerate().min_by(|left, right| left.1.total_cmp(right.1));
+    let lowest = endpoints.iter().enumerate();
+    let lowest = lowest.min_by(|left, right| left.1.time.total_cmp(&right.1.time));
     lowest.map(|(index, _)| Choice { index, level })
 }
 
 /// Level up to which `volume` fills the endpoints.
-fn level(loads: &[f64], volume: f64) -> Option<f64> {
-    let mut sorted: SmallVec<[f64; 64]> = SmallVec::from_slice(loads);
-    sorted.sort_unstable_by(f64::total_cmp);
-    let mut sum = 0.0;
-    for (count, load) in sorted.iter().enumerate() {
-        let count = count as f64;
-        if count > 0.0 && volume <= count * load - sum {
-            return Some((volume + sum) / count);
+fn level(endpoints: &[Load], volume: f64) -> Option<f64> {
+    let mut sorted: SmallVec<[Load; 64]> = SmallVec::from_slice(endpoints);
+    sorted.sort_unstable_by(|left, right| left.time.total_cmp(&right.time));
+    // Capacity of the endpoints below the level, and the work up to their loads.
+    let (mut capacity, mut work) = (0.0, 0.0);
+    for endpoint in &sorted {
+        if capacity > 0.0 && volume <= capacity * endpoint.time - work {
+            break;
         }
-        sum += load;
+        capacity += endpoint.capacity;
+        work += endpoint.capacity * endpoint.time;
     }
-    (!sorted.is_empty()).then(|| (volume + sum) / sorted.len() as f64)
+    (capacity > 0.0).then(|| (volume + work) / capacity)
 }
--- a/crates/fleet-entry/src/view.rs
+++ b/crates/fleet-entry/src/view.rs
@@ -76,7 +76,9 @@
     /// The configuration in force; `None` before the first one is known.
     pub index: Option<Arc<Index>>,
     pub roll_outs: RollOuts,
-    /// Revision of the roll-outs.
+    /// Availability zones whose endpoints get no requests.
+    pub evacuated: Vec<Name>,
+    /// Revision of the roll-outs and evacuations.
     pub revision: u64,
     /// Keys of earlier configurations.
     former_keys: FormerKeys,
@@ -98,10 +100,11 @@
             }
             changed = true;
         }
-        if let Some(roll_outs) = confirmed.roll_outs
+        if let Some((roll_outs, evacuated)) = confirmed.roll_outs.zip(confirmed.evacuated)
             && confirmed.revision > self.revision
         {
             self.roll_outs = roll_outs;
+            self.evacuated = evacuated;
             self.revision = confirmed.revision;
             changed = true;
         }
--- a/crates/fleet-entry/tests/common/mod.rs
+++ b/crates/fleet-entry/tests/common/mod.rs
@@ -32,6 +32,7 @@
         attempts: 3,
         public: prefix != ONCE,
         resumable: true,
+        allowed_regions: Vec::new(),
     }
 }
 
@@ -48,11 +49,13 @@
             health_path: "/".into(),
             max_connections: 100,
             engine: None,
+            cold_start: None,
         }],
         workspaces: Some(vec![Workspace {
             name: "workspace".into(),
             keys: vec!["key".into()],
             rank: None,
+            allowed_regions: Vec::new(),
         }]),
         limits: Limits { body_bytes: 1_000, ..Limits::default() },
     }
@@ -63,6 +66,7 @@
         number: configuration.number,
         revision: 0,
         roll_outs: None,
+        evacuated: None,
         configuration: Some(Box::new(configuration)),
     }
 }
--- a/crates/fleet-entry/tests/credentials.rs
+++ b/crates/fleet-entry/tests/credentials.rs
@@ -66,7 +66,8 @@
 
 fn with_keys(number: u64, keys: &[&str]) -> Configuration {
     let keys = keys.iter().map(|key| (*key).into()).collect();
-    let workspace = Workspace { name: "workspace".into(), keys, rank: None };
+    let workspace =
+        Workspace { name: "workspace".into(), keys, rank: None, allowed_regions: Vec::new() };
     Configuration { workspaces: Some(vec![workspace]), ..configuration(number) }
 }
 
--- a/crates/fleet-entry/tests/extremes.rs
+++ b/crates/fleet-entry/tests/extremes.rs
@@ -33,6 +33,8 @@
 use hickoryreel_fleet_entry::endpoint;
 use hickoryreel_fleet_entry::pick;
 use hickoryreel_fleet_entry::pick::PickContext;
+use hickoryreel_fleet_entry::placement::Zones;
+use hickoryreel_fleet_entry::settings::Settings;
 use tokio::task::LocalSet;
 use yare::parameterized;
 
@@ -155,8 +157,9 @@
         parts: [part, part, part].into_iter().collect(),
         ..RequestMetadata::default()
     };
+    let (settings, route) = (Settings::default(), configuration(1).routes.remove(0));
     let context = PickContext {
-        route: &configuration(1).routes[0],
+        route: &route,
         metadata: &metadata,
         service: &"service".into(),
         roll_outs: &RollOuts::default(),
@@ -164,6 +167,8 @@
         entries: 1,
         token_ms: Some(0.01),
         is_in_region: &|_| true,
+        zones: Zones::new(&settings, &route, None, &[]),
+        limits_cold: false,
     };
 
     assert!(pick::choose(&context, &[endpoint]).is_some());
@@ -175,7 +180,12 @@
     let endpoint =
         endpoint::Endpoint::new(announcement(1, "127.0.0.1:9".parse().expect("an address")));
 
-    endpoint.record_load(Load { running: u32::MAX, waiting: u32::MAX, slots: 0 });
+    endpoint.record_load(Load {
+        running: u32::MAX,
+        waiting: u32::MAX,
+        slots: 0,
+        pace: Some(u16::MAX),
+    });
 
     assert!(endpoint.estimated_load(1) >= f64::from(u32::MAX));
 }
--- a/crates/fleet-entry/tests/load.rs
+++ b/crates/fleet-entry/tests/load.rs
@@ -33,7 +33,15 @@
     good: u32,
     bad: u32,
 ) -> EndpointLoad {
-    EndpointLoad { endpoint: endpoint.key(), outstanding, prefill_ms, succeeded: good, failed: bad }
+    EndpointLoad {
+        endpoint: endpoint.key(),
+        outstanding,
+        prefill_ms,
+        succeeded: good,
+        failed: bad,
+        pace: 0,
+        latest_pace: 0,
+    }
 }
 
 /// Guards against counting own requests twice, omitting those sent after the latest report, and
--- a/crates/fleet-entry/tests/pick.rs
+++ b/crates/fleet-entry/tests/pick.rs
@@ -23,6 +23,8 @@
 use hickoryreel_fleet_entry::directory::Directory;
 use hickoryreel_fleet_entry::pick;
 use hickoryreel_fleet_entry::pick::PickContext;
+use hickoryreel_fleet_entry::placement::Zones;
+use hickoryreel_fleet_entry::settings::Settings;
 
 const ENTRIES: u32 = 295;
 
@@ -50,6 +52,8 @@
             prefill_ms,
             succeeded: 0,
             failed: 0,
+            pace: 0,
+            latest_pace: 0,
         };
         endpoint.apply_totals(Some(&total));
     }
@@ -73,6 +77,7 @@
 /// The endpoint that a request gets.
 fn choice(directory: &Directory, prompt: &[PromptPart], token_ms: f64) -> Name {
     let (route, service, roll_outs) = (route(), Name::from("service"), RollOuts::default());
+    let settings = Settings::default();
     let metadata = RequestMetadata {
         prompt_tokens: 12_000,
         parts: prompt.iter().copied().collect(),
@@ -87,6 +92,8 @@
         entries: ENTRIES,
         token_ms: Some(token_ms),
         is_in_region: &|zone| zone == "near",
+        zones: Zones::new(&settings, &route, None, &[]),
+        limits_cold: false,
     };
     let choice = pick::choose(&context, directory.for_service("service")).expect("one is usable");
     choice.endpoint.id()
--- a/crates/fleet-entry/tests/spread.rs
+++ b/crates/fleet-entry/tests/spread.rs
@@ -1,6 +1,7 @@
 //! Spreading of requests over endpoints whose known loads are out of date, in virtual time.
 
 use hickoryreel_fleet_entry::spread;
+use hickoryreel_fleet_entry::spread::Load;
 use proptest::prelude::*;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -42,6 +43,11 @@
     waits
 }
 
+/// Endpoints of equal capacity with these loads.
+fn equal(loads: &[f64]) -> Vec<Load> {
+    loads.iter().map(|time| Load { time: *time, capacity: 1.0 }).collect()
+}
+
 fn percentile(sorted: &[f64], part: f64) -> f64 {
     sorted[((sorted.len() - 1) as f64 * part) as usize]
 }
@@ -57,7 +63,7 @@
 fn requests_wait_less_than_at_the_least_loaded_endpoint(endpoints: usize, utilization: f64) {
     let volume = utilization * f64::from(UPDATE_MS) * endpoints as f64;
     let by_level = waits(endpoints, utilization, |known, random| {
-        spread::choose(known, volume, random.random()).expect("there are endpoints").index
+        spread::choose(&equal(known), volume, random.random()).expect("there are endpoints").index
     });
     let least_of_a_quarter = waits(endpoints, utilization, |known, random| {
         let sampled = (0..endpoints).filter(|_| random.random::<f64>() < 0.25);
@@ -80,13 +86,31 @@
 
     // The level is 125: 125 below it at the first endpoint and 75 at the second.
     let chosen = [0.0, 0.62, 0.63, 0.99, 1.0].map(|point| {
-        let choice = spread::choose(&loads, 200.0, point).expect("there are endpoints");
+        let choice = spread::choose(&equal(&loads), 200.0, point).expect("there are endpoints");
         (choice.index, choice.level)
     });
 
     assert_eq!(chosen, [0, 0, 1, 1, 0].map(|index| (index, 125.0)));
 }
 
+/// Guards against fast endpoints that get no more work than slow ones.
+#[test]
+fn endpoints_get_work_in_proportion_to_their_capacity() {
+    let endpoints =
+        [(0.0, 2.0), (0.0, 1.0), (30.0, 1.0)].map(|(time, capacity)| Load { time, capacity });
+
+    // The level is 40: 80 of the volume fit below it at the first endpoint.
+    let counts = (0..130).fold([0; 3], |mut counts, point| {
+        let point = f64::from(point) / 130.0;
+        let choice = spread::choose(&endpoints, 130.0, point).expect("there are endpoints");
+        assert_eq!(choice.level, 40.0);
+        counts[choice.index] += 1;
+        counts
+    });
+
+    assert_eq!(counts, [80, 40, 10]);
+}
+
 proptest! {
     /// Guards against a choice that is out of range, and against one of the most loaded endpoint if
     /// no load is expected.
@@ -96,8 +120,9 @@
         volume in 0.0..10_000.0_f64,
         point in 0.0..1.0_f64,
     ) {
-        let chosen = spread::choose(&loads, volume, point);
-        let least = spread::choose(&loads, 0.0, point).map(|choice| loads[choice.index]);
+        let endpoints = equal(&loads);
+        let chosen = spread::choose(&endpoints, volume, point);
+        let least = spread::choose(&endpoints, 0.0, point).map(|choice| loads[choice.index]);
 
         prop_assert_eq!(chosen.is_some(), !loads.is_empty());
         prop_assert!(chosen.is_none_or(|choice| choice.index < loads.len()));
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -1,5 +1,7 @@
 //! The complete configuration that an operator signs off, identified by its number.
 
+pub mod earlier;
+
 use std::collections::HashMap;
 use std::collections::HashSet;
 
@@ -63,6 +65,8 @@
     pub public: bool,
     /// Whether a stream may be resumed at another endpoint.
     pub resumable: bool,
+    /// Regions in which its requests may be served. Empty if they may be served anywhere.
+    pub allowed_regions: Vec<Name>,
 }
 
 impl Route {
@@ -94,6 +98,15 @@
     pub max_connections: u32,
     /// `None` for plain services.
     pub engine: Option<Engine>,
+    /// `None` if the requests to endpoints that warm up need no limit.
+    pub cold_start: Option<ColdStart>,
+}
+
+/// What the endpoints of a service bear until they have warmed up.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ColdStart {
+    /// Requests per second that an endpoint tolerates from all entries together.
+    pub requests_per_s: f64,
 }
 
 /// Properties of the model engines of a service.
@@ -125,6 +138,8 @@
     pub keys: Vec<Name>,
     /// Rank of its requests; it takes precedence over the rank of the route.
     pub rank: Option<u8>,
+    /// Regions in which its requests may be served. Empty if they may be served anywhere.
+    pub allowed_regions: Vec<Name>,
 }
 
 /// Limits on the requests and connections of clients.
@@ -228,7 +243,7 @@
     use super::Workspace;
 
     fn placeholder() -> Workspace {
-        Workspace { name: "".into(), keys: Vec::new(), rank: None }
+        Workspace { name: "".into(), keys: Vec::new(), rank: None, allowed_regions: Vec::new() }
     }
 
     pub(super) fn serialize<S: Serializer>(
@@ -245,11 +260,15 @@
     pub(super) fn deserialize<'de, D: Deserializer<'de>>(
         deserializer: D,
     ) -> Result<Option<Vec<Workspace>>, D::Error> {
-        let workspaces = Vec::<Workspace>::deserialize(deserializer)?;
-        Ok(match workspaces.as_slice() {
+        Vec::<Workspace>::deserialize(deserializer).map(decoded)
+    }
+
+    /// Returns the workspaces for which an encoded list stands.
+    pub(super) fn decoded(workspaces: Vec<Workspace>) -> Option<Vec<Workspace>> {
+        match workspaces.as_slice() {
             [] => None,
             [only] if *only == placeholder() => Some(Vec::new()),
             _ => Some(workspaces),
-        })
+        }
     }
 }
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -39,14 +39,16 @@
     }
 
     /// Whether entries that know `older` need this announcement. The sequence number and the
-    /// passing of the warm-up time alone are no reason to send it.
+    /// passing of the warm-up time alone are no reason to send it; a longer warm-up is.
     pub fn differs(&self, older: &Self) -> bool {
         let same = Self {
             sequence: self.sequence,
             warm_up_left_ms: self.warm_up_left_ms,
             ..older.clone()
         };
-        *self != same || (self.warm_up_left_ms == 0) != (older.warm_up_left_ms == 0)
+        *self != same
+            || (self.warm_up_left_ms == 0) != (older.warm_up_left_ms == 0)
+            || self.warm_up_left_ms > older.warm_up_left_ms
     }
 }
 
--- a/crates/fleet/src/link/message.rs
+++ b/crates/fleet/src/link/message.rs
@@ -1,5 +1,7 @@
 //! Requests and answers that processes exchange over links.
 
+use std::time::Duration;
+
 use hickoryreel_consensus::Message;
 use hickoryreel_consensus::ReplicaId;
 use serde::Deserialize;
@@ -9,6 +11,7 @@
 use crate::configuration::Configuration;
 use crate::endpoint::Announcement;
 use crate::endpoint::EndpointUpdate;
+use crate::load::EndpointKey;
 use crate::load::Report;
 use crate::load::Totals;
 use crate::roll_out::RollOuts;
@@ -35,6 +38,28 @@
     /// A [`Request::Join`] that another replica forwards to the leader. It is not forwarded again,
     /// so replicas that take each other for the leader do not send it back and forth.
     ForwardedJoin(Identity),
+    /// Asks for a request to one of some endpoints that warm up.
+    AdmitCold(ColdRequest),
+    /// A [`Request::AdmitCold`] that another replica forwards to the leader. It is not forwarded
+    /// again.
+    ForwardedAdmitCold(ColdRequest),
+}
+
+/// Asks for permission to send one request to an endpoint that warms up.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ColdRequest {
+    pub service: Name,
+    /// Endpoints that would do, the best first.
+    pub endpoints: Vec<EndpointKey>,
+}
+
+/// Decision on a [`ColdRequest`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ColdDecision {
+    /// One request may be sent to the endpoint at this index of the list.
+    Admitted(u32),
+    /// None of the endpoints has room; the time until one has.
+    Wait(Duration),
 }
 
 /// A replica and the address of its links.
@@ -66,7 +91,7 @@
     /// Whether the answer shall contain a newer configuration, and be sent as soon as there is one.
     /// Otherwise it only states the number.
     pub wants_configuration: bool,
-    /// Revision of the roll-outs that the entry has.
+    /// Revision of the roll-outs and evacuations that the entry has.
     pub revision: u64,
     /// Position in the replica's directory.
     pub cursor: Cursor,
@@ -81,10 +106,13 @@
 pub struct Confirmed {
     /// Number of the newest configuration; 0 if there is none.
     pub number: u64,
-    /// Revision of the roll-outs.
+    /// Revision of the roll-outs and evacuations.
     pub revision: u64,
     /// Present if the entry has an older revision.
     pub roll_outs: Option<RollOuts>,
+    /// Availability zones whose endpoints get no requests; present if the entry has an older
+    /// revision.
+    pub evacuated: Option<Vec<Name>>,
     /// The newest configuration; present if the entry has an older one and wants it.
     pub configuration: Option<Box<Configuration>>,
 }
@@ -119,4 +147,6 @@
     Poll(Box<PollAnswer>),
     /// Sums of the load reports of all entries.
     Totals(Totals),
+    /// Decision of the leader on a request to an endpoint that warms up.
+    Cold(ColdDecision),
 }
--- a/crates/fleet/src/link/mod.rs
+++ b/crates/fleet/src/link/mod.rs
@@ -21,6 +21,8 @@
 
 pub use client::Client;
 pub use message::Answer;
+pub use message::ColdDecision;
+pub use message::ColdRequest;
 pub use message::Confirmed;
 pub use message::Cursor;
 pub use message::Identity;
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -4,6 +4,8 @@
 //! replica answers with the totals over all entries. The totals are soft state: they may be late or
 //! incomplete, and an entry without them decides from its own observations.
 
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
@@ -23,6 +25,10 @@
     }
 }
 
+/// Time within which an entry must write a request that was admitted to an endpoint that warms up,
+/// from when it asked. Several round trips between regions.
+pub const ADMISSION_VALIDITY: Duration = Duration::from_millis(300);
+
 /// Number of route ranks that are distinguished; less urgent ones count as the last.
 pub const RANKS: usize = 3;
 
@@ -38,6 +44,10 @@
     pub succeeded: u32,
     /// Sends that failed in the same time.
     pub failed: u32,
+    /// Time that work takes there in percent of the service's usual time: the average, and the
+    /// latest figure that the endpoint stated. 0 if it states none.
+    pub pace: u16,
+    pub latest_pace: u16,
 }
 
 /// Sends to the endpoints of a service: by one entry since its previous report, or by all entries
--- a/crates/fleet/tests/configuration.rs
+++ b/crates/fleet/tests/configuration.rs
@@ -24,6 +24,7 @@
         attempts: 1,
         public: false,
         resumable: false,
+        allowed_regions: Vec::new(),
     }
 }
 
@@ -36,10 +37,21 @@
             health_path: "/".into(),
             max_connections: 1,
             engine: None,
+            cold_start: None,
         }],
         workspaces: Some(vec![
-            Workspace { name: "w1".into(), keys: vec!["k1".into()], rank: None },
-            Workspace { name: "w2".into(), keys: vec!["k2".into()], rank: None },
+            Workspace {
+                name: "w1".into(),
+                keys: vec!["k1".into()],
+                rank: None,
+                allowed_regions: Vec::new(),
+            },
+            Workspace {
+                name: "w2".into(),
+                keys: vec!["k2".into()],
+                rank: None,
+                allowed_regions: Vec::new(),
+            },
         ]),
         limits: Limits::default(),
     }
@@ -75,7 +87,7 @@
 }
 
 fn keyless() -> Workspace {
-    Workspace { name: "w".into(), keys: Vec::new(), rank: None }
+    Workspace { name: "w".into(), keys: Vec::new(), rank: None, allowed_regions: Vec::new() }
 }
 
 /// Guards against an empty list of workspaces that becomes a missing one on its way through a log, a
