Weigh kept prompt parts by their use and the memory of endpoints

Cause: two endpoints of all regions were assumed to hold 85% and 40% of a shared prompt part, however seldom it is used and however fast their memory turns over, so requests crossed regions for parts that were gone.

Change: entries estimate how often a part is used from the repetitions among their own requests, and how long an endpoint keeps it from its memory and the prompts that arrive; one holder of the region and one of all regions are weighed against the wait.

--- a/crates/fleet-entry/src/entry.rs
+++ b/crates/fleet-entry/src/entry.rs
@@ -21,6 +21,7 @@
 use crate::cold;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
+use crate::kept;
 use crate::memory;
 use crate::metrics::Metrics;
 use crate::prefill;
@@ -52,6 +53,8 @@
     pub prefill_limiters: RefCell<HashMap<Name, Rc<PrefillLimiter>>>,
     /// Prompt parts that crash endpoints.
     pub quarantine: RefCell<Quarantine>,
+    /// Recent uses of shared prompt parts, by service.
+    pub kept: RefCell<HashMap<Name, kept::Uses>>,
     /// Admissions to endpoints that warm up.
     pub cold: cold::Client,
     /// Request counts for the decisions on roll-outs.
@@ -93,6 +96,7 @@
             cascades: RefCell::default(),
             prefill_limiters: RefCell::default(),
             quarantine: RefCell::default(),
+            kept: RefCell::default(),
             cold: cold::Client::default(),
             tallies: RefCell::default(),
             confirmation_wanted_at: Cell::default(),
@@ -211,6 +215,25 @@
         service.is_some_and(|service| service.cold_start.is_some())
     }
 
+    /// Returns what is known of a shared prompt part at the endpoints of a service.
+    pub fn kept_outlook(
+        &self,
+        service: &Name,
+        key: Option<u64>,
+        endpoints: usize,
+    ) -> kept::Outlook {
+        let view = self.view.borrow();
+        let engine = view.index.as_ref().and_then(|index| index.service(service)?.engine.as_ref());
+        let fleet = kept::Fleet {
+            entries: self.entries.get(),
+            endpoints,
+            memory_tokens: engine.map_or(0, |engine| engine.memory_tokens),
+        };
+        let kept = self.kept.borrow();
+        let outlook = |uses: &kept::Uses| uses.outlook(key, &fleet, boot_time());
+        kept.get(service).map_or_else(|| outlook(&kept::Uses::default()), outlook)
+    }
+
     /// Maximum number of idle connections to one endpoint of a service: this entry's share of half
     /// of the connections that the endpoint accepts. The other half is left for active requests.
     pub fn max_idle_connections(&self, service: &Name) -> usize {
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -20,6 +20,7 @@
 use rand::RngExt;
 use slog::info;
 use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::answer::Refusal;
 use crate::availability::Outlook;
@@ -488,6 +489,7 @@
         let view = self.entry.view.borrow();
         let directory = self.entry.directory.borrow();
         let is_in_region = |zone: &str| self.entry.is_in_region(zone);
+        let endpoints = directory.for_service(&self.service);
         let context = PickContext {
             route: &self.route,
             metadata: &self.metadata,
@@ -504,8 +506,24 @@
                 &view.evacuated,
             ),
             limits_cold: self.entry.limits_cold(&self.service),
+            kept: self.entry.kept_outlook(&self.service, self.prefix_key(), endpoints.len()),
         };
-        function(&context, directory.for_service(&self.service))
+        function(&context, endpoints)
+    }
+
+    /// Identifies the shared beginning of the prompt and the model that reads it.
+    fn prefix_key(&self) -> Option<u64> {
+        let (_, shared) = self.metadata.parts.split_last()?;
+        let model = self.model.as_deref().unwrap_or_default();
+        Some(shared.last()?.id ^ xxh3_64(model.as_bytes()))
+    }
+
+    /// Records the use of the shared beginning of the prompt by a send.
+    pub fn record_use(&self) {
+        let Some(key) = self.prefix_key() else { return };
+        let mut kept = self.entry.kept.borrow_mut();
+        let uses = kept.entry(self.service.clone()).or_default();
+        uses.record(key, self.metadata.prompt_tokens, boot_time());
     }
 
     /// Returns the model of the next send, or `None` if the client chose it.
--- a/crates/fleet-entry/src/lib.rs
+++ b/crates/fleet-entry/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`server`] accepts connections. [`forward`] drives a request through its steps: [`prepare`]
 //! reads its metadata with the [`dialect`] and finds its route and workspace in the [`view`],
 //! [`credentials`] keeps API keys from the endpoints,
-//! [`cascade`] chooses the model, [`prefill`] limits concurrent long prompts, [`pick`] chooses the
+//! [`cascade`] chooses the model, [`kept`] tells where the beginning of a prompt may still be in memory, [`prefill`] limits concurrent long prompts, [`pick`] chooses the
 //! endpoint among those that [`placement`] permits, [`cold`] asks for an admission to one that warms up, [`send`] sends the request over an [`exchange`], [`outcome`] decides what follows from
 //! the way in which a send ended, and [`relay`] forwards a stream event by event. [`quarantine`] finds
 //! the [`prompt`]s that crash endpoints; what endpoints say of themselves is kept in [`availability`].
@@ -28,6 +28,7 @@
 pub mod forward;
 pub mod head_limit;
 pub mod in_flight;
+pub mod kept;
 pub mod load_report;
 pub mod memory;
 pub mod metrics;
--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -3,8 +3,9 @@
 //! The service follows from the weights of the route, the version from the roll-outs, and
 //! [`crate::placement`] limits the availability zones. The endpoints of these have estimated costs in milliseconds: the expected delay, with penalties for failures,
 //! other regions and warm-up. All entries know the same loads, up to 300 ms late, so [`spread`]
-//! chooses by the level to which the unseen load fills the endpoints. The preferred endpoints of the
-//! prompt are taken instead if the prefill that their cached parts save is worth the difference.
+//! chooses by the level to which the unseen load fills the endpoints. The endpoints that should keep
+//! the beginning of the prompt are taken instead if the prefill that this saves is worth the
+//! difference ([`crate::kept`]).
 //!
 //! This answers a burst of long prompts at hundreds of entries, each with a few requests a second.
 
@@ -23,6 +24,7 @@
 use crate::availability::Outlook;
 use crate::dialect::RequestMetadata;
 use crate::endpoint::Endpoint;
+use crate::kept;
 use crate::placement::Permitted;
 use crate::placement::Zones;
 use crate::spread;
@@ -38,13 +40,9 @@
 
 const WARM_UP_COST_MS: f64 = 300.0;
 
-/// Expected fraction of the shared prompt tokens in the KV caches of the preferred endpoints, best
-/// first. The second one gets the requests for which the first has no room.
-const CACHED_FRACTIONS: [f64; 2] = [0.85, 0.4];
-
-/// Factor on the prefill time that cached tokens save: a repeated prefill also delays the requests
+/// Factor on the prefill time that kept tokens save: a repeated prefill also delays the requests
 /// behind it, and both the prefill and the use of the model are billed.
-const RECOMPUTE_WEIGHT: f64 = 3.0;
+const KEPT_WEIGHT: f64 = 3.0;
 
 /// Delay at an endpoint with a full batch; it grows with the fraction of its slots in use.
 const BATCH_DELAY_MS: f64 = 250.0;
@@ -82,6 +80,8 @@
     pub zones: Zones<'a>,
     /// Whether an endpoint that warms up gets requests only with an admission.
     pub limits_cold: bool,
+    /// What is known of the shared beginning of the prompt.
+    pub kept: kept::Outlook,
 }
 
 /// Chooses the service of a request by weight, with a hash of the request id.
@@ -178,25 +178,26 @@
     } else {
         candidates.retain(|endpoint| endpoint.is_last_resort());
     }
-    let shared = preferred(context.metadata, &candidates);
-    let cached_tokens = |endpoint: &Endpoint| {
-        shared.as_ref().map_or(0.0, |shared| shared.cached_tokens(&endpoint.id()))
-    };
     let token_ms = context.token_ms.unwrap_or(0.0);
     let loads = loads(context, &candidates);
     let volume_ms = unseen_ms(context) * near_count(context, &candidates) as f64;
     let spread = spread::choose(&loads, volume_ms, rand::rng().random())?;
-    // An endpoint below the level is expected to be filled up to it before this request arrives.
-    let saved = |index: usize| {
-        RECOMPUTE_WEIGHT * token_ms * cached_tokens(&candidates[index]) / loads[index].capacity
+    let holders = holders(context, &candidates);
+    let kept_tokens = |index: usize| {
+        let holder = holders.iter().find(|holder| holder.index == index);
+        holder.map_or(0.0, |holder| holder.tokens)
     };
+    // An endpoint below the level is expected to be filled up to it before this request arrives.
+    let saved = |index: usize| KEPT_WEIGHT * token_ms * kept_tokens(index) / loads[index].capacity;
     let expected = |index: usize| loads[index].time.max(spread.level) - saved(index);
-    let preferred = (0..candidates.len()).filter(|index| saved(*index) > 0.0);
-    let index = preferred
+    let index = holders
+        .iter()
+        .filter(|holder| holder.tokens > 0.0)
+        .map(|holder| holder.index)
         .chain([spread.index])
         .min_by(|left, right| expected(*left).total_cmp(&expected(*right)))?;
     let endpoint = Rc::clone(&candidates[index]);
-    let uncached = context.metadata.prompt_tokens as f64 - cached_tokens(&endpoint);
+    let uncached = context.metadata.prompt_tokens as f64 - kept_tokens(index);
     let prefill_ms = uncached.max(0.0) * token_ms;
     let wait_ms = endpoint.prefill_wait_ms(context.route.rank, WAITING_PROMPT_TOKENS * token_ms);
     let pace = endpoint.pace(wait_ms + prefill_ms);
@@ -286,36 +287,34 @@
     spread::Load { time: cost + time, capacity: 1.0 / pace }
 }
 
-/// Part of a prompt that other requests share, and the endpoints that should have it cached.
-struct SharedPrefix {
-    tokens: u64,
-    preferred: SmallVec<[Name; CACHED_FRACTIONS.len()]>,
+/// An endpoint that should keep the shared beginning of the prompt.
+struct Holder {
+    /// Index of the endpoint.
+    index: usize,
+    /// Expected number of tokens that it keeps.
+    tokens: f64,
 }
 
-impl SharedPrefix {
-    /// Expected number of shared tokens in the KV cache of an endpoint.
-    fn cached_tokens(&self, id: &Name) -> f64 {
-        let rank = self.preferred.iter().position(|preferred| preferred == id);
-        rank.map_or(0.0, |rank| CACHED_FRACTIONS[rank] * self.tokens as f64)
-    }
-}
-
-/// Finds the preferred endpoints for the shared prefix of the prompt by rendezvous hashing, which
-/// gives the same endpoints at every entry.
-fn preferred(metadata: &RequestMetadata, endpoints: &[Rc<Endpoint>]) -> Option<SharedPrefix> {
-    let (_, shared) = metadata.parts.split_last()?;
-    let last = shared.last()?;
+/// Finds the endpoints that should keep the shared beginning of the prompt by rendezvous hashing, which
+/// gives the same ones at every entry: one of the region and one of all regions.
+fn holders(context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]) -> SmallVec<[Holder; 2]> {
+    let shared = context.metadata.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    let Some(last) = shared.last() else { return SmallVec::new() };
     let tokens = shared.iter().fold(0, |sum: u64, part| sum.saturating_add(part.tokens));
-    let mut ranked: SmallVec<[(u64, Name); 16]> = endpoints
-        .iter()
-        .map(|endpoint| {
-            let id = endpoint.id();
-            let mut bytes: SmallVec<[u8; 64]> = SmallVec::from_slice(id.as_bytes());
-            bytes.extend_from_slice(&last.id.to_le_bytes());
-            (xxh3_64(&bytes), id)
-        })
-        .collect();
-    ranked.sort_unstable_by_key(|(rank, _)| std::cmp::Reverse(*rank));
-    let preferred = ranked.into_iter().take(CACHED_FRACTIONS.len()).map(|(_, id)| id).collect();
-    Some(SharedPrefix { tokens, preferred })
+    let hash = |endpoint: &Endpoint| {
+        let mut bytes: SmallVec<[u8; 64]> = SmallVec::from_slice(endpoint.id().as_bytes());
+        bytes.extend_from_slice(&last.id.to_le_bytes());
+        xxh3_64(&bytes)
+    };
+    let best = |indices: &mut dyn Iterator<Item = usize>| {
+        indices.max_by_key(|index| hash(&endpoints[*index]))
+    };
+    let is_near = |index: &usize| is_near(context, &endpoints[*index]);
+    let near = best(&mut (0..endpoints.len()).filter(is_near));
+    let overall = best(&mut (0..endpoints.len()));
+    // Each gets the uses of its own region.
+    let share = near_count(context, endpoints) as f64 / endpoints.len().max(1) as f64;
+    let tokens = context.kept.probability(share) * tokens as f64;
+    let others = overall.filter(|overall| Some(*overall) != near);
+    near.into_iter().chain(others).map(|index| Holder { index, tokens }).collect()
 }
--- a/crates/fleet-entry/src/send.rs
+++ b/crates/fleet-entry/src/send.rs
@@ -111,6 +111,7 @@
         if !self.has_lease() {
             return Err(SendEnd::NotRun);
         }
+        self.record_use();
         let left = self.left_ms();
         let id = endpoint.id();
         self.endpoint = Some((id.clone(), endpoint.version()));
--- a/crates/fleet-entry/tests/extremes.rs
+++ b/crates/fleet-entry/tests/extremes.rs
@@ -31,6 +31,7 @@
 use hickoryreel_fleet_entry::dialect::PromptPart;
 use hickoryreel_fleet_entry::dialect::RequestMetadata;
 use hickoryreel_fleet_entry::endpoint;
+use hickoryreel_fleet_entry::kept::Outlook;
 use hickoryreel_fleet_entry::pick;
 use hickoryreel_fleet_entry::pick::PickContext;
 use hickoryreel_fleet_entry::placement::Zones;
@@ -145,6 +146,8 @@
         .await;
 }
 
+const KEPT: Outlook = Outlook { uses_per_s: f64::INFINITY, retention_s: f64::INFINITY };
+
 /// Guards against the tokens of a client's prompt whose sum overflows.
 #[test]
 fn extreme_prompt_is_placed() {
@@ -169,6 +172,7 @@
         is_in_region: &|_| true,
         zones: Zones::new(&settings, &route, None, &[]),
         limits_cold: false,
+        kept: KEPT,
     };
 
     assert!(pick::choose(&context, &[endpoint]).is_some());
--- a/crates/fleet-entry/tests/pick.rs
+++ b/crates/fleet-entry/tests/pick.rs
@@ -21,6 +21,7 @@
 use hickoryreel_fleet_entry::dialect::PromptPart;
 use hickoryreel_fleet_entry::dialect::RequestMetadata;
 use hickoryreel_fleet_entry::directory::Directory;
+use hickoryreel_fleet_entry::kept::Outlook;
 use hickoryreel_fleet_entry::pick;
 use hickoryreel_fleet_entry::pick::PickContext;
 use hickoryreel_fleet_entry::placement::Zones;
@@ -28,6 +29,9 @@
 
 const ENTRIES: u32 = 295;
 
+/// A part that is used often enough to be kept.
+const KEPT: Outlook = Outlook { uses_per_s: 10.0, retention_s: 20.0 };
+
 /// Endpoints of which the odd ones are in another region.
 fn directory(count: usize) -> Directory {
     let mut directory = Directory::default();
@@ -76,6 +80,11 @@
 
 /// The endpoint that a request gets.
 fn choice(directory: &Directory, prompt: &[PromptPart], token_ms: f64) -> Name {
+    choice_with(directory, prompt, token_ms, KEPT)
+}
+
+/// The endpoint that a request gets, with what is known of the shared beginning of its prompt.
+fn choice_with(directory: &Directory, prompt: &[PromptPart], token_ms: f64, kept: Outlook) -> Name {
     let (route, service, roll_outs) = (route(), Name::from("service"), RollOuts::default());
     let settings = Settings::default();
     let metadata = RequestMetadata {
@@ -94,6 +103,7 @@
         is_in_region: &|zone| zone == "near",
         zones: Zones::new(&settings, &route, None, &[]),
         limits_cold: false,
+        kept,
     };
     let choice = pick::choose(&context, directory.for_service("service")).expect("one is usable");
     choice.endpoint.id()
@@ -136,6 +146,35 @@
     assert!(!loaded.contains_key(preferred), "{loaded:?}");
 }
 
+/// Guards against requests that wait for a shared part where it is no longer in memory.
+#[test]
+fn part_that_is_not_kept_attracts_no_requests() {
+    let directory = directory(40);
+    let prompt = [PromptPart { id: 7, tokens: 5_400 }, PromptPart { id: 8, tokens: 6_600 }];
+    apply_loads(&directory, |_| 50);
+    let dropped = Outlook { uses_per_s: 10.0, retention_s: 0.0 };
+
+    let chosen: HashSet<Name> =
+        (0..ENTRIES).map(|_| choice_with(&directory, &prompt, 0.08, dropped)).collect();
+
+    assert!(chosen.len() >= 15, "{chosen:?}");
+}
+
+/// Guards against a kept part that is sent for to another region although this one has it as well.
+#[test]
+fn holder_of_the_region_is_preferred() {
+    let directory = directory(40);
+    apply_loads(&directory, |_| 50);
+    for id in 0..50 {
+        let prompt = [PromptPart { id, tokens: 5_400 }, PromptPart { id: u64::MAX, tokens: 6_600 }];
+
+        let chosen = choice(&directory, &prompt, 0.08);
+
+        let number: u32 = chosen[1..].parse().expect("a number");
+        assert_eq!(number % 2, 0, "{chosen} is in another region");
+    }
+}
+
 /// Guards against one neighbour that gets all sessions and prompts of an endpoint that leaves.
 #[test]
 fn prompts_of_a_leaving_endpoint_move_to_many_others() {
--- a/crates/fleet-entry/tests/placement.rs
+++ b/crates/fleet-entry/tests/placement.rs
@@ -21,6 +21,7 @@
 use hickoryreel_fleet_entry::dialect::PromptPart;
 use hickoryreel_fleet_entry::dialect::RequestMetadata;
 use hickoryreel_fleet_entry::endpoint::Endpoint;
+use hickoryreel_fleet_entry::kept;
 use hickoryreel_fleet_entry::pick;
 use hickoryreel_fleet_entry::pick::PickContext;
 use hickoryreel_fleet_entry::placement::Exclusion;
@@ -152,6 +153,7 @@
             is_in_region: &|zone| zone.starts_with("north"),
             zones: Zones::new(&settings, &route, None, &evacuated),
             limits_cold: true,
+            kept: kept::Outlook { uses_per_s: 1.0, retention_s: 20.0 },
         };
         let may_serve = |endpoint: &Endpoint| {
             let zone = endpoint.announcement.borrow().zone.clone();
