Choose endpoints by the regions of both configurations

Cause: the choice of an endpoint used the regions of the configuration that accepted the request, the check right before the write also those of the one in force. After a configuration that tightened the regions, a request that was sent again was chosen an endpoint that the check never permitted, and was withdrawn and chosen anew until its deadline, each time with a new connection.

--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -47,6 +47,7 @@
 use crate::prepare::prepare;
 use crate::relay;
 use crate::send::Sent;
+use crate::view::View;
 
 /// Minimum time before the deadline at which a request is still sent.
 pub const MIN_SEND_TIME_MS: u64 = 30;
@@ -454,20 +455,25 @@
             || self.admission.as_ref().is_some_and(|admission| admission.covers(endpoint, now))
     }
 
-    /// Whether the request may be served in the availability zone of an endpoint, both by the
-    /// configuration under which it was accepted and by the one in force.
+    /// Whether the request may be served in the availability zone of an endpoint.
     pub fn may_be_served_by(&self, endpoint: &Endpoint) -> bool {
-        let view = self.entry.view.borrow();
-        let permits = |route: &Route, workspace: Option<&Workspace>| {
-            let zones = Zones::new(&self.entry.settings, route, workspace, &view.evacuated);
-            zones.exclusion_of(endpoint).is_none()
-        };
-        let Some(index) = &view.index else { return false };
-        let key = self.metadata.key.as_deref();
-        let current = index.route(&self.metadata.host, self.head.uri.path());
-        let workspace = self.workspace.is_some().then(|| index.workspace(key?)).flatten();
-        permits(&self.route, self.workspace.as_deref())
-            && current.is_none_or(|route| permits(route, workspace.map(|workspace| &**workspace)))
+        self.zones(&self.entry.view.borrow()).exclusion_of(endpoint).is_none()
+    }
+
+    /// Rules of the configuration under which the request was accepted and of the one in force. The
+    /// choice of an endpoint and the check before a write use the same ones: a choice that the check
+    /// never permits would be repeated until the deadline.
+    fn zones<'a>(&'a self, view: &'a View) -> Zones<'a> {
+        let accepted = self.workspace.as_deref();
+        let zones = Zones::new(&self.entry.settings, &self.route, accepted, &view.evacuated);
+        let current = view.index.as_ref().and_then(|index| {
+            let route = index.route(&self.metadata.host, self.head.uri.path())?;
+            Some((index, route))
+        });
+        let Some((index, route)) = current else { return zones };
+        let key = self.metadata.key.as_deref().filter(|_| accepted.is_some());
+        let workspace = key.and_then(|key| index.workspace(key));
+        zones.restricted_by(route, workspace.map(|workspace| &**workspace))
     }
 
     fn pick(&self) -> Option<Rc<Endpoint>> {
@@ -497,12 +503,7 @@
             entries: self.entry.entries.get(),
             token_ms,
             is_in_region: &is_in_region,
-            zones: Zones::new(
-                &self.entry.settings,
-                &self.route,
-                self.workspace.as_deref(),
-                &view.evacuated,
-            ),
+            zones: self.zones(&view),
             limits_cold: self.entry.limits_cold(&self.service),
         };
         function(&context, directory.for_service(&self.service))
--- a/crates/fleet-entry/src/placement.rs
+++ b/crates/fleet-entry/src/placement.rs
@@ -36,10 +36,16 @@
     route: &'a [Name],
     /// Regions that the workspace allows; empty for all.
     workspace: &'a [Name],
+    /// The same for the route and the workspace of a later configuration.
+    later: [&'a [Name]; 2],
     /// Evacuated availability zones.
     evacuated: &'a [Name],
 }
 
+fn workspace_regions(workspace: Option<&Workspace>) -> &[Name] {
+    workspace.map_or(&[], |workspace| &workspace.allowed_regions)
+}
+
 impl<'a> Zones<'a> {
     /// Creates the rules for requests of a route and a workspace.
     pub fn new(
@@ -48,8 +54,13 @@
         workspace: Option<&'a Workspace>,
         evacuated: &'a [Name],
     ) -> Self {
-        let workspace = workspace.map_or(&[][..], |workspace| &workspace.allowed_regions);
-        Self { settings, route: &route.allowed_regions, workspace, evacuated }
+        let workspace = workspace_regions(workspace);
+        Self { settings, route: &route.allowed_regions, workspace, later: [&[], &[]], evacuated }
+    }
+
+    /// Adds the rules of a later configuration, which bind a request that was accepted before.
+    pub fn restricted_by(self, route: &'a Route, workspace: Option<&'a Workspace>) -> Self {
+        Self { later: [&route.allowed_regions, workspace_regions(workspace)], ..self }
     }
 
     /// Returns why endpoints of an availability zone may not serve the request, or `None` if they
@@ -60,7 +71,9 @@
             regions.is_empty()
                 || region.is_some_and(|region| regions.iter().any(|name| &**name == region))
         };
-        if !allows(self.route) || !allows(self.workspace) {
+        let [later_route, later_workspace] = self.later;
+        let regions = [self.route, self.workspace, later_route, later_workspace];
+        if !regions.into_iter().all(allows) {
             Some(Exclusion::Region)
         } else if self.evacuated.iter().any(|evacuated| &**evacuated == zone) {
             Some(Exclusion::Evacuated)
