End requests that get no admission to a cold endpoint

Cause: after a failed send, a request was sent again as long as there was an endpoint that warms up, also when an admission to it had just been refused. The next attempt found none either, so the request used up the retry budget of its service within milliseconds, and others were not retried.

Change: a request that found no endpoint ends. A stream that has begun asks again after its pauses. Neither takes from the budget, because nothing was sent.

--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -122,6 +122,8 @@
     pub endpoint: Option<(Name, Name)>,
     /// Admission to an endpoint that warms up.
     pub admission: Option<cold::Admission>,
+    /// Whether no endpoint was found for the latest send.
+    pub found_none: bool,
 }
 
 /// Number of route ranks within one workspace rank.
@@ -232,6 +234,7 @@
             last_event: None,
             endpoint: None,
             admission: None,
+            found_none: false,
         }
     }
 
@@ -285,8 +288,9 @@
             Next::End(fallback) => Some(fallback),
             Next::Retry(fallback) => {
                 let obstacle = self.obstacle_to_retry(ended).or_else(|| {
-                    let taken =
-                        ended == SendEnd::NotSent || self.entry.take_second_send(&self.service);
+                    let taken = ended == SendEnd::NotSent
+                        || self.found_none
+                        || self.entry.take_second_send(&self.service);
                     (!taken).then_some(Obstacle::Budget)
                 })?;
                 info!(self.entry.log, "request is not sent again"; "request" => &self.metadata.id,
@@ -298,7 +302,8 @@
     }
 
     /// Returns what prevents another send after one that ended so, apart from the retry budget. A send
-    /// that reached no endpoint uses up neither attempts nor the budget.
+    /// that reached no endpoint uses up neither attempts nor the budget. A request that was refused an
+    /// admission to an endpoint that warms up ends; a stream that has begun asks again, with pauses.
     fn obstacle_to_retry(&self, ended: SendEnd) -> Option<Obstacle> {
         let obstacle = self.obstacle(self.runs, |_| true);
         let has_cold = || {
@@ -307,7 +312,10 @@
         };
         let excused = match obstacle {
             Some(Obstacle::Attempts) => ended == SendEnd::NotSent,
-            Some(Obstacle::Endpoint) => ended == SendEnd::NotSent || has_cold(),
+            Some(Obstacle::Endpoint) => {
+                let may_ask = !self.found_none || self.first_at.is_some();
+                ended == SendEnd::NotSent || (may_ask && has_cold())
+            }
             _ => false,
         };
         if excused { None } else { obstacle }
--- a/crates/fleet-entry/src/send.rs
+++ b/crates/fleet-entry/src/send.rs
@@ -106,7 +106,9 @@
             self.model = self.choose_model();
         }
         let permit = self.acquire_prefill_permit().await;
-        let Some(endpoint) = self.wait_for_endpoint().await else { return Err(SendEnd::NotRun) };
+        let found = self.wait_for_endpoint().await;
+        self.found_none = found.is_none();
+        let Some(endpoint) = found else { return Err(SendEnd::NotRun) };
         // The lease may have expired while the request waited.
         if !self.has_lease() {
             return Err(SendEnd::NotRun);
--- /dev/null
+++ b/crates/fleet-entry/tests/cold.rs
@@ -0,0 +1,71 @@
+//! Requests to endpoints that warm up, at an entry without control replicas.
+
+#[allow(dead_code, reason = "some fixtures are for other tests")]
+mod common;
+#[path = "common/harness.rs"]
+mod harness;
+
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use common::SAFE;
+use common::announcement;
+use common::configuration;
+use common::confirmed;
+use harness::Action;
+use harness::Endpoint;
+use harness::call;
+use harness::serve_without_configuration;
+use harness::status;
+use hickoryreel_base::time::boot_time;
+use hickoryreel_fleet::configuration::ColdStart;
+use hickoryreel_fleet::endpoint::Announcement;
+use hickoryreel_fleet::endpoint::EndpointUpdate;
+use hickoryreel_fleet::endpoint::Status;
+use hickoryreel_fleet_entry::entry::Entry;
+use tokio::task::LocalSet;
+
+const REFUSED: &str = "HTTP/1.1 503 Full\r\nid: {id}\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+const GOOD: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-length: 4\r\n\r\ngood";
+
+/// Lets an entry learn that its service limits the requests to endpoints that warm up.
+fn learn_limit(entry: &Entry) {
+    let mut configuration = configuration(1);
+    configuration.services[0].cold_start = Some(ColdStart { requests_per_s: 9.0 });
+    entry.view.borrow_mut().confirm(boot_time(), confirmed(configuration));
+    entry.state_changed.notify_waiters();
+}
+
+fn announce(entry: &Entry, announcement: Announcement) {
+    let update = EndpointUpdate { announcement, status: Status::Present };
+    let replica = SocketAddr::from(([127, 0, 0, 1], 7_000));
+    entry.directory.borrow_mut().apply(update, replica);
+}
+
+/// Announcement of the second endpoint with a time that it stays cold.
+fn cold(address: SocketAddrV4, left: Duration) -> Announcement {
+    let warm_up_left_ms = left.as_millis() as u64;
+    Announcement { zone: "b".into(), warm_up_left_ms, sequence: 2, ..announcement(1, address) }
+}
+
+/// Guards against a request that uses up the retry budget of its service while it asks again and again
+/// for an admission that it does not get, so that other requests are not retried.
+#[tokio::test]
+async fn request_without_an_admission_takes_one_retry_at_most() {
+    LocalSet::new()
+        .run_until(async {
+            let refusing = Endpoint::start(vec![vec![Action::Write(REFUSED)]]).await;
+            let warming = Endpoint::start(vec![vec![Action::Write(GOOD)]]).await;
+            let (served, entry) = serve_without_configuration(&[&refusing, &warming]).await;
+            learn_limit(&entry);
+            announce(&entry, cold(warming.address, Duration::from_secs(60)));
+
+            let answer = call(&served, SAFE, "r1").await;
+
+            assert_eq!((status(&answer), warming.count()), (503, 0), "{answer}");
+            assert!(entry.metrics.second_sends.get() <= 1);
+            assert_eq!(entry.metrics.budget_refusals.get(), 0);
+        })
+        .await;
+}
