Admit one request to cold endpoints that tolerate less

Cause: admissions are counted within 1.8 s. An endpoint that tolerates less than one request in this time was admitted none, so nothing reached it until it was warm, although the limit allows several requests a second.

Change: at least one request is admitted if the limit allows one.

Result: `slow_endpoint_is_admitted_one_request` passes; before, its case `slow` got none of one.

--- a/crates/fleet-control/src/cold_admission.rs
+++ b/crates/fleet-control/src/cold_admission.rs
@@ -44,12 +44,12 @@
 
 impl Limit {
     /// Number of requests that are admitted to an endpoint within [`WINDOW`]: what it tolerates on
-    /// average, and never more than may arrive within a second.
+    /// average but at least one, and never more than may arrive within a second.
     fn admissions(&self, cold_start: ColdStart) -> usize {
         let tolerated = cold_start.requests_per_s * WINDOW.as_secs_f64();
         let maximum = self.factor * cold_start.requests_per_s + self.slack;
         // Where nothing is stated to be tolerated, the slack alone bounds the requests.
-        let admitted = if tolerated > 0.0 { tolerated.min(maximum) } else { maximum };
+        let admitted = if tolerated > 0.0 { tolerated.max(1.0).min(maximum) } else { maximum };
         admitted.max(0.0) as usize
     }
 }
--- a/crates/fleet-control/tests/cold_admission.rs
+++ b/crates/fleet-control/tests/cold_admission.rs
@@ -145,3 +145,22 @@
     admission.record_leadership(None, now + WINDOW);
     assert_eq!(decide(&mut admission, now + 3 * WINDOW), None);
 }
+
+/// Guards against an endpoint that never gets a request because it tolerates less than one in the time
+/// for which admissions are counted, and against one where even that exceeds the limit.
+#[parameterized(
+    slow = { 0.1, 1.5, 5.0, 1 },
+    slow_without_slack = { 0.9, 1.5, 0.0, 1 },
+    not_even_one = { 0.1, 1.5, 0.0, 0 },
+    nothing_tolerated = { 0.0, 1.5, 0.0, 0 },
+)]
+fn slow_endpoint_is_admitted_one_request(rate: f64, factor: f64, slack: f64, expected: usize) {
+    let (mut admission, limit) = (leader(), Limit { factor, slack });
+    let now = Duration::from_secs(5);
+
+    let decided =
+        (0..3).map(|_| admission.decide(&request(&["e1"]), cold_start(rate), &limit, now));
+    let admitted = decided.filter(|decision| matches!(decision, Some(ColdDecision::Admitted(_))));
+
+    assert_eq!(admitted.count(), expected);
+}
