Tell entries of warm-ups that take longer than stated

Cause: a replica passed an announcement on if the time left until the endpoint is warm had grown since the previous one. Where it falls more slowly than time passes, for example in a VM that was suspended, no entry learned of it. The endpoint counted as warm at the end that it had stated first, and got requests without an admission. The same held for one that states more than the 600 s that are believed.

Change: a replica compares the end of the warm-up with the one that entries know, and passes a later one on. A difference up to 100 ms is not passed on; entries add it to the end instead.

--- a/crates/fleet-control/src/directory.rs
+++ b/crates/fleet-control/src/directory.rs
@@ -13,6 +13,7 @@
 use hickoryreel_fleet::endpoint::Announcement;
 use hickoryreel_fleet::endpoint::EndpointUpdate;
 use hickoryreel_fleet::endpoint::Status;
+use hickoryreel_fleet::endpoint::WARM_UP_TOLERANCE;
 use hickoryreel_fleet::link::Cursor;
 
 /// Consecutive missed announcements after which an endpoint counts as silent. An announcement may
@@ -28,6 +29,8 @@
     last_heard: Duration,
     /// Number of the latest change of this endpoint; 0 if entries must not know it.
     change: u64,
+    /// End of its warm-up according to the announcement that entries have.
+    warm_at: Duration,
     /// Announcements whose order is lower than that of the newest one.
     earlier: Option<Earlier>,
 }
@@ -149,11 +152,18 @@
         }
         let status = if is_superseded { Status::Silent } else { Status::Present };
         let known = self.endpoints.get(&announcement.id);
+        let left = announcement.warm_up_left();
+        let warm_at = now + left;
         let differs = known.is_none_or(|known| {
-            known.update.status != status || announcement.differs(&known.update.announcement)
+            // The time left may fall more slowly than time passes, for example in a suspended VM.
+            let is_longer = !left.is_zero() && warm_at > known.warm_at + WARM_UP_TOLERANCE;
+            known.update.status != status
+                || is_longer
+                || announcement.differs(&known.update.announcement)
         });
-        let unchanged = known.filter(|_| !differs).map(|known| known.change);
-        let change = unchanged.unwrap_or_else(|| {
+        let unchanged = known.filter(|_| !differs);
+        let warm_at = unchanged.map_or(warm_at, |known| known.warm_at);
+        let change = unchanged.map(|known| known.change).unwrap_or_else(|| {
             if !is_configured {
                 return 0;
             }
@@ -165,7 +175,8 @@
         });
         let id = announcement.id.clone();
         let update = EndpointUpdate { announcement, status };
-        self.endpoints.insert(id, KnownEndpoint { update, last_heard: now, change, earlier: None });
+        let known = KnownEndpoint { update, last_heard: now, change, warm_at, earlier: None };
+        self.endpoints.insert(id, known);
         Some(differs && is_configured)
     }
 
--- a/crates/fleet-control/tests/directory.rs
+++ b/crates/fleet-control/tests/directory.rs
@@ -262,3 +262,38 @@
     assert_eq!(known(&directory), expected);
     assert_eq!(directory.announce(announcement(10, 3, true)), Some(false));
 }
+
+fn warming(sequence: u64, left_ms: u64) -> Announcement {
+    Announcement { warm_up_left_ms: left_ms, ..announcement(10, sequence, false) }
+}
+
+/// Guards against entries that take an endpoint for warm at the time that it stated first, although it
+/// has needed longer since, for example because its VM was suspended. An announcement that is a little
+/// late is no reason to send it to all entries.
+#[test]
+fn warm_up_that_takes_longer_reaches_the_entries() {
+    let mut directory = directory();
+    let delay = Duration::from_millis(300);
+    directory.announce(warming(1, 5_000));
+
+    std::thread::sleep(delay);
+    assert_eq!(directory.announce(warming(2, 4_700)), Some(false));
+    std::thread::sleep(delay);
+    assert_eq!(directory.announce(warming(3, 4_650)), Some(true));
+    assert_eq!(directory.announce(warming(4, 4_650)), Some(false));
+
+    let updates = directory.updates_since(Cursor::default());
+    assert_eq!(updates[0].announcement.warm_up_left_ms, 4_650);
+}
+
+/// Guards against an endpoint that counts as warm once the longest time that is believed is over,
+/// although it still announces itself as cold.
+#[test]
+fn warm_up_beyond_the_longest_one_is_repeated() {
+    let mut directory = directory();
+    directory.announce(warming(1, u64::MAX));
+
+    std::thread::sleep(Duration::from_millis(300));
+
+    assert_eq!(directory.announce(warming(2, u64::MAX - 300)), Some(true));
+}
--- a/crates/fleet-entry/src/endpoint.rs
+++ b/crates/fleet-entry/src/endpoint.rs
@@ -9,6 +9,7 @@
 use hickoryreel_base::time::boot_time;
 use hickoryreel_fleet::Name;
 use hickoryreel_fleet::endpoint::Announcement;
+use hickoryreel_fleet::endpoint::WARM_UP_TOLERANCE;
 use hickoryreel_fleet::load::EndpointKey;
 use hickoryreel_fleet::load::EndpointLoad;
 use hickoryreel_fleet::load::RANKS;
@@ -56,15 +57,12 @@
 /// Smoothing factor of the failure share.
 const FAILURE_SMOOTHING: f64 = 0.15;
 
-/// Maximum warm-up time that is believed.
-const MAX_WARM_UP: Duration = Duration::from_secs(600);
-
 /// End of the warm-up according to an announcement that has just arrived. The announcement may have
 /// been under way for seconds, so the end is at this time or earlier.
 fn warm_up_end(announcement: &Announcement) -> Duration {
-    match Duration::from_millis(announcement.warm_up_left_ms).min(MAX_WARM_UP) {
+    match announcement.warm_up_left() {
         Duration::ZERO => Duration::ZERO,
-        left => boot_time() + left,
+        left => boot_time() + left + WARM_UP_TOLERANCE,
     }
 }
 
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -1,12 +1,21 @@
 //! Announcements of endpoints, how two announcements compare, and updates of the directory.
 
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::Name;
 
+/// Maximum warm-up time that is believed at once. An endpoint that states a longer one counts as cold
+/// for this time after each of its announcements.
+const MAX_WARM_UP: Duration = Duration::from_secs(600);
+
+/// Difference between two stated ends of a warm-up that entries need not learn. Announcements are
+/// delayed by a few milliseconds, and each update goes to all entries.
+pub const WARM_UP_TOLERANCE: Duration = Duration::from_millis(100);
+
 /// An endpoint's description of itself, sent periodically.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Announcement {
@@ -38,6 +47,11 @@
         (self.incarnation, self.sequence)
     }
 
+    /// Time until it has warmed up, as far as it is believed.
+    pub fn warm_up_left(&self) -> Duration {
+        Duration::from_millis(self.warm_up_left_ms).min(MAX_WARM_UP)
+    }
+
     /// Whether entries that know `older` need this announcement. The sequence number and the
     /// passing of the warm-up time alone are no reason to send it; a longer warm-up is.
     pub fn differs(&self, older: &Self) -> bool {
