Ignore late copies of orders to evacuate a zone

Cause: a replica proposes an order again and again until it is applied, and operators resend it to other replicas. A copy on a slow link could reach the leader after a later order had been acknowledged, and undid it: a zone was evacuated again, or got requests again. An order for a zone that the settings no longer have was refused by a replica that was behind.

Change: an order counts the orders for its zone that were applied before it was given, and has no effect if there have been others since. For the count, the replica reads the state confirmed by a quorum first; both steps share the time of an answer.

Result: the tests in machine.rs apply late copies.

--- a/crates/fleet-control/src/control.rs
+++ b/crates/fleet-control/src/control.rs
@@ -215,15 +215,24 @@
         zone: &str,
         evacuated: bool,
     ) -> Result<Result<(), Unconfirmed>, UnknownZone> {
-        let is_evacuated =
-            || self.consensus.state().machine.evacuated.iter().any(|known| &**known == zone);
-        if !self.settings.zones.iter().any(|known| known == zone) && !is_evacuated() {
+        let started = boot_time();
+        // An order must not count fewer orders before it than were acknowledged: it would then be
+        // taken for a late copy of one of them.
+        let confirmed = self.consensus.linearizable_read(self.settings.answer_timeout).await;
+        let is_confirmed = confirmed.is_some();
+        let state = confirmed.unwrap_or_else(|| self.consensus.state());
+        let is_evacuated = state.machine.evacuated.iter().any(|known| &**known == zone);
+        if !self.settings.zones.iter().any(|known| known == zone) && !is_evacuated {
             info!(self.log, "order for an unknown availability zone"; "zone" => zone);
             return Err(UnknownZone);
         }
         let kind = if evacuated { "evacuation" } else { "end of an evacuation" };
-        let command = Command::SetEvacuation { zone: zone.into(), evacuated };
-        Ok(self.propose(kind, zone, &command).await)
+        if !is_confirmed {
+            return Ok(Err(self.unconfirmed_read(kind)));
+        }
+        let earlier_orders = state.machine.evacuation_orders(zone);
+        let command = Command::SetEvacuation { zone: zone.into(), evacuated, earlier_orders };
+        Ok(self.propose_since(started, kind, zone, &command).await)
     }
 
     /// Decides on a request to an endpoint that warms up, if this replica leads and a quorum confirms
@@ -265,9 +274,20 @@
         subject: &str,
         command: &Command,
     ) -> Result<(), Unconfirmed> {
-        let started = boot_time();
-        let acknowledged =
-            self.consensus.propose(command.encode(), self.settings.answer_timeout).await;
+        self.propose_since(boot_time(), kind, subject, command).await
+    }
+
+    /// Proposes the command of an order that arrived at time `started`.
+    async fn propose_since(
+        &self,
+        started: Duration,
+        kind: &'static str,
+        subject: &str,
+        command: &Command,
+    ) -> Result<(), Unconfirmed> {
+        let spent = boot_time().saturating_sub(started);
+        let timeout = self.settings.answer_timeout.saturating_sub(spent);
+        let acknowledged = self.consensus.propose(command.encode(), timeout).await;
         let elapsed = boot_time().saturating_sub(started);
         info!(self.log, "order"; "order" => kind, "subject" => subject,
             "acknowledged" => acknowledged, "ms" => elapsed.as_millis() as u64,
--- a/crates/fleet-control/src/machine.rs
+++ b/crates/fleet-control/src/machine.rs
@@ -1,5 +1,6 @@
 //! The replicated state machine of the control replicas.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -46,7 +47,13 @@
     /// Also carries the configuration as the operator sent it.
     PutConfiguration(Box<Configuration>, Bytes),
     /// Starts or ends the evacuation of an availability zone.
-    SetEvacuation { zone: Name, evacuated: bool },
+    SetEvacuation {
+        zone: Name,
+        evacuated: bool,
+        /// Number of orders for the zone that were applied before this one was given. A copy that
+        /// arrives after a later order has no effect.
+        earlier_orders: u64,
+    },
 }
 
 impl Command {
@@ -71,6 +78,8 @@
     last_serial: u64,
     /// Availability zones whose endpoints get no requests, in alphabetical order.
     pub evacuated: Arc<Vec<Name>>,
+    /// Number of applied orders for each availability zone that had one.
+    evacuation_orders: BTreeMap<Name, u64>,
 }
 
 /// First number of a snapshot. Earlier builds began theirs with the number of the configuration,
@@ -91,7 +100,7 @@
     fn from(earlier: EarlierMachine) -> Self {
         let EarlierMachine { configuration, source, roll_outs, revision, last_serial } = earlier;
         let configuration = Arc::new(configuration.into());
-        Self { configuration, source, roll_outs, revision, last_serial, evacuated: Arc::default() }
+        Self { configuration, source, roll_outs, revision, last_serial, ..Self::default() }
     }
 }
 
@@ -111,7 +120,9 @@
                 self.update_roll_out(serial, phase, elapsed_ms)
             }
             Command::RaiseShare { serial, share } => self.raise_share(serial, share),
-            Command::SetEvacuation { zone, evacuated } => self.set_evacuation(zone, evacuated),
+            Command::SetEvacuation { zone, evacuated, earlier_orders } => {
+                self.set_evacuation(zone, evacuated, earlier_orders);
+            }
         }
     }
 
@@ -122,7 +133,17 @@
         }
     }
 
-    fn set_evacuation(&mut self, zone: Name, evacuated: bool) {
+    /// Number of orders to start or end the evacuation of a zone that were applied.
+    pub fn evacuation_orders(&self, zone: &str) -> u64 {
+        self.evacuation_orders.get(zone).copied().unwrap_or(0)
+    }
+
+    fn set_evacuation(&mut self, zone: Name, evacuated: bool, earlier_orders: u64) {
+        let orders = self.evacuation_orders.entry(zone.clone()).or_default();
+        if earlier_orders != *orders {
+            return;
+        }
+        *orders += 1;
         let known = self.evacuated.binary_search(&zone);
         let zones = Arc::make_mut(&mut self.evacuated);
         match (known, evacuated) {
--- a/crates/fleet-control/tests/machine.rs
+++ b/crates/fleet-control/tests/machine.rs
@@ -11,6 +11,7 @@
 use hickoryreel_fleet::roll_out::Phase;
 use hickoryreel_fleet_control::machine::Command;
 use hickoryreel_fleet_control::machine::Machine;
+use yare::parameterized;
 
 fn put_configuration(number: u64, source: &str) -> Command {
     let configuration = Configuration { number, ..Configuration::default() };
@@ -114,8 +115,9 @@
     assert_eq!(format!("{restored:?}"), format!("{machine:?}"));
 }
 
-fn set_evacuation(zone: &str, evacuated: bool) -> Command {
-    Command::SetEvacuation { zone: zone.into(), evacuated }
+/// An order that was given after some others for the zone.
+fn set_evacuation(zone: &str, evacuated: bool, earlier_orders: u64) -> Command {
+    Command::SetEvacuation { zone: zone.into(), evacuated, earlier_orders }
 }
 
 fn evacuated(machine: &Machine) -> Vec<String> {
@@ -128,27 +130,54 @@
 fn evacuation_is_idempotent() {
     let mut machine = Machine::default();
     for command in [
-        set_evacuation("south", true),
-        set_evacuation("north", true),
-        set_evacuation("south", true),
+        set_evacuation("south", true, 0),
+        set_evacuation("north", true, 0),
+        set_evacuation("south", true, 1),
     ] {
         machine.apply(command);
     }
     assert_eq!((evacuated(&machine), machine.revision), (vec!["north".into(), "south".into()], 2));
 
-    machine.apply(set_evacuation("south", false));
-    machine.apply(set_evacuation("south", false));
+    machine.apply(set_evacuation("south", false, 2));
+    machine.apply(set_evacuation("south", false, 3));
 
     assert_eq!((evacuated(&machine), machine.revision), (vec!["north".into()], 3));
 }
 
+/// Guards against a copy of an order that arrives after a later one, for example from a replica that
+/// proposed it again on a slow link, and that undoes it. The later one may have changed nothing.
+#[parameterized(
+    start_after_the_end = { &[true, false], true, &[] },
+    end_after_the_next_start = { &[true, false, true], false, &["south"] },
+    start_after_an_end_that_changed_nothing = { &[false], true, &[] },
+)]
+fn late_copy_of_an_order_has_no_effect(orders: &[bool], late: bool, expected: &[&str]) {
+    let mut machine = Machine::default();
+    for (earlier, evacuated) in (0..).zip(orders) {
+        machine.apply(set_evacuation("south", *evacuated, earlier));
+    }
+    let revision = machine.revision;
+
+    for earlier in 0..orders.len() as u64 {
+        machine.apply(set_evacuation("south", late, earlier));
+    }
+
+    assert_eq!((evacuated(&machine), machine.revision), (names(expected), revision));
+}
+
+fn names(names: &[&str]) -> Vec<String> {
+    names.iter().map(|name| (*name).to_owned()).collect()
+}
+
 /// Guards against an evacuation that is forgotten after a restart.
 #[test]
 fn snapshot_keeps_evacuations() {
     let mut machine = Machine::default();
-    machine.apply(set_evacuation("south", true));
+    machine.apply(set_evacuation("south", true, 0));
 
-    let restored = Machine::restore(&machine.snapshot()).unwrap();
+    let mut restored = Machine::restore(&machine.snapshot()).unwrap();
+    // A late copy of an earlier order.
+    restored.apply(set_evacuation("south", false, 0));
 
     assert_eq!((evacuated(&restored), restored.revision), (vec!["south".into()], 1));
 }
