Limit requests to endpoints that may have restarted

Cause: an endpoint that crashes and restarts under its id and address is cold, but an entry takes it for warm until the first announcement arrives, and sent it requests without an admission.

Change: at services with a limit on cold endpoints, an endpoint that could not be reached counts as cold until an announcement of its next incarnation arrives, or until 3 s after the time for which it is left alone. After a broken connection the entry finds out whether the endpoint accepts another one, as it does for prompts that may have crashed it.

Result: tests/cold.rs; its test of a restart fails with the check taken out. A restart that is over before the entry tries to connect again is not noticed.

--- a/crates/fleet-entry/src/endpoint.rs
+++ b/crates/fleet-entry/src/endpoint.rs
@@ -57,6 +57,14 @@
 /// Smoothing factor of the failure share.
 const FAILURE_SMOOTHING: f64 = 0.15;
 
+/// Time for which an endpoint counts as cold after it could not be reached: it may have restarted, and
+/// its first announcement is on its way. Two intervals between announcements and the way to an entry.
+pub const RESTART_DOUBT: Duration = Duration::from_secs(3);
+
+/// The same after its connection broke, until it is known whether it accepts another one: the time
+/// after which an attempt to connect fails.
+const CRASH_CHECK_TIME: Duration = Duration::from_millis(300);
+
 /// End of the warm-up according to an announcement that has just arrived. The announcement may have
 /// been under way for seconds, so the end is at this time or earlier.
 fn warm_up_end(announcement: &Announcement) -> Duration {
@@ -95,6 +103,8 @@
     ejected_until: Cell<Duration>,
     /// Time until which it warms up, by what it has last said.
     cold_until: Cell<Duration>,
+    /// Time until which it may have restarted without an announcement that has arrived.
+    doubtful_until: Cell<Duration>,
     /// Shared by all addresses of the incarnation.
     availability: Rc<Cell<Availability>>,
     /// Time at which this entry last received data from the endpoint.
@@ -141,6 +151,7 @@
             failure_share: Cell::new(0.0),
             ejected_until: Cell::new(Duration::ZERO),
             cold_until: Cell::new(cold_until),
+            doubtful_until: Cell::default(),
             availability: Rc::default(),
             last_activity: Cell::new(None),
         }
@@ -167,6 +178,30 @@
         now < self.cold_until.get()
     }
 
+    /// Whether it warms up at time `now`, or may have restarted and warm up without this entry having
+    /// its announcement.
+    pub fn may_be_cold(&self, now: Duration) -> bool {
+        self.is_cold(now) || now < self.doubtful_until.get()
+    }
+
+    fn doubt_until(&self, until: Duration) {
+        self.doubtful_until.set(self.doubtful_until.get().max(until));
+    }
+
+    /// Records that a connection to it broke, which may be the end of it. Returns whether this is yet
+    /// to be found out.
+    pub fn record_break(&self) -> bool {
+        let now = boot_time();
+        let is_new = now >= self.doubtful_until.get();
+        self.doubt_until(now + CRASH_CHECK_TIME);
+        is_new
+    }
+
+    /// Records that it accepts no connection after one broke.
+    pub fn record_crash(&self) {
+        self.doubt_until(boot_time() + RESTART_DOUBT);
+    }
+
     pub fn id(&self) -> Name {
         self.announcement.borrow().id.clone()
     }
@@ -401,7 +436,10 @@
         self.failed.set(self.failed.get() + 1);
         let consecutive_failures = self.consecutive_failures.get() + 1;
         self.consecutive_failures.set(consecutive_failures);
-        self.eject(consecutive_failures - 1)
+        let ejection = self.eject(consecutive_failures - 1);
+        // It is not contacted before the end of the ejection, up to which it may restart.
+        self.doubt_until(boot_time() + ejection + RESTART_DOUBT);
+        ejection
     }
 
     fn eject(&self, doublings: u32) -> Duration {
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -459,7 +459,7 @@
     pub fn is_admitted_by(&self, endpoint: &Endpoint) -> bool {
         let now = boot_time();
         !self.entry.limits_cold(&self.service)
-            || !endpoint.is_cold(now)
+            || !endpoint.may_be_cold(now)
             || self.admission.as_ref().is_some_and(|admission| admission.covers(endpoint, now))
     }
 
--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -170,7 +170,7 @@
     let mut candidates = allowed_endpoints(context, endpoints);
     let now = boot_time();
     candidates.retain(|endpoint| {
-        let needs_admission = context.limits_cold && endpoint.is_cold(now);
+        let needs_admission = context.limits_cold && endpoint.may_be_cold(now);
         !needs_admission && !context.tried.contains(&endpoint.id())
     });
     if candidates.iter().any(|endpoint| endpoint.is_usable()) {
@@ -213,7 +213,7 @@
     }
     let (mut candidates, now) = (allowed_endpoints(context, endpoints), boot_time());
     candidates.retain(|endpoint| {
-        endpoint.is_cold(now) && endpoint.is_usable() && !context.tried.contains(&endpoint.id())
+        endpoint.may_be_cold(now) && endpoint.is_usable() && !context.tried.contains(&endpoint.id())
     });
     let loads = loads(context, &candidates);
     let mut order: SmallVec<[usize; 16]> = (0..candidates.len()).collect();
--- a/crates/fleet-entry/src/prompt.rs
+++ b/crates/fleet-entry/src/prompt.rs
@@ -7,6 +7,7 @@
 use slog::info;
 
 use crate::endpoint::Endpoint;
+use crate::endpoint::RESTART_DOUBT;
 use crate::forward::ActiveRequest;
 use crate::quarantine;
 use crate::quarantine::Prefix;
@@ -39,7 +40,7 @@
     pub fn record_loss(&self, endpoint: &Rc<Endpoint>) {
         let parts = self.shared_parts();
         if parts.is_empty() {
-            return;
+            return self.check_restart(endpoint);
         }
         let key = endpoint.incarnation_key();
         self.lost.borrow_mut().push(key);
@@ -47,15 +48,36 @@
         if !is_first {
             return;
         }
+        endpoint.record_break();
         let (entry, endpoint) = (Rc::clone(&self.entry), Rc::clone(endpoint));
         tokio::task::spawn_local(async move {
             let crashed = !endpoint.pool.preconnect().await;
+            if crashed {
+                endpoint.record_crash();
+            }
             let lost = entry.quarantine.borrow_mut().record_check(key, crashed, boot_time());
             info!(entry.log, "connections broke before an answer"; "endpoint" => &*endpoint.id(),
                 "crashed" => crashed, "lost" => lost);
         });
     }
 
+    /// Finds out whether an endpoint has ended, after a connection to it broke. It may be cold when it
+    /// is back, before its first announcement arrives.
+    pub fn check_restart(&self, endpoint: &Rc<Endpoint>) {
+        if !self.entry.limits_cold(&self.service) || !endpoint.record_break() {
+            return;
+        }
+        let (entry, endpoint) = (Rc::clone(&self.entry), Rc::clone(endpoint));
+        tokio::task::spawn_local(async move {
+            if endpoint.pool.preconnect().await {
+                return;
+            }
+            endpoint.record_crash();
+            info!(entry.log, "endpoint may restart and be cold"; "endpoint" => &*endpoint.id(),
+                "doubt_ms" => RESTART_DOUBT.as_millis() as u64);
+        });
+    }
+
     /// Waits for a verdict on the prompt if the request may have crashed several endpoints, so that it
     /// does not crash another one meanwhile.
     pub async fn wait_for_verdict(&self) {
--- a/crates/fleet-entry/src/relay.rs
+++ b/crates/fleet-entry/src/relay.rs
@@ -276,7 +276,9 @@
                 End::ClientGone => return self.request.log_end(499, "client left"),
                 End::Failed(ended, cause) => (ended, cause),
                 End::Lost(cause) => {
-                    if !source.answered {
+                    if source.answered {
+                        self.request.check_restart(&source.in_flight.endpoint);
+                    } else {
                         self.request.record_loss(&source.in_flight.endpoint);
                     }
                     (SendEnd::Unknown, cause)
--- a/crates/fleet-entry/tests/cold.rs
+++ b/crates/fleet-entry/tests/cold.rs
@@ -5,8 +5,10 @@
 #[path = "common/harness.rs"]
 mod harness;
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
+use std::rc::Rc;
 use std::time::Duration;
 
 use common::SAFE;
@@ -18,11 +20,13 @@
 use harness::call;
 use harness::serve_without_configuration;
 use harness::status;
+use harness::wait_until;
 use hickoryreel_base::time::boot_time;
 use hickoryreel_fleet::configuration::ColdStart;
 use hickoryreel_fleet::endpoint::Announcement;
 use hickoryreel_fleet::endpoint::EndpointUpdate;
 use hickoryreel_fleet::endpoint::Status;
+use hickoryreel_fleet_entry::endpoint;
 use hickoryreel_fleet_entry::entry::Entry;
 use tokio::task::LocalSet;
 
@@ -69,3 +73,46 @@
         })
         .await;
 }
+
+/// Guards against requests without an admission to an endpoint that has crashed and restarted, until
+/// its first announcement arrives: it is cold then, and only the announcement tells. It also guards
+/// against an endpoint that stays limited although it has announced itself since.
+#[tokio::test]
+async fn endpoint_that_was_unreachable_counts_as_cold_until_it_announces_itself() {
+    LocalSet::new()
+        .run_until(async {
+            let crashing = Endpoint::start(vec![vec![Action::CrashOn("id: r1")]]).await;
+            let (served, entry) = serve_without_configuration(&[&crashing]).await;
+            learn_limit(&entry);
+            call(&served, SAFE, "r1").await;
+            let endpoint = Rc::clone(&entry.directory.borrow().for_service("service")[0]);
+            let soon = || boot_time() + Duration::from_secs(1);
+            wait_until("the crash is noticed", || endpoint.may_be_cold(soon())).await;
+
+            let restarted =
+                Endpoint::start_at(crashing.address, vec![vec![Action::Write(GOOD)]]).await;
+            let before = call(&served, SAFE, "r2").await;
+            let count = restarted.count();
+            announce(&entry, Announcement { incarnation: 2, ..announcement(0, crashing.address) });
+            let after = call(&served, SAFE, "r3").await;
+
+            assert_eq!((status(&before), count), (503, 0), "{before}");
+            assert_eq!((status(&after), restarted.count()), (200, 1), "{after}");
+        })
+        .await;
+}
+
+/// Guards against a doubt that does not end, which would limit an endpoint that was only cut off and has
+/// not restarted, and against one at a service without a limit.
+#[test]
+fn doubt_about_an_endpoint_ends() {
+    let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9);
+    let endpoint = endpoint::Endpoint::new(announcement(0, address));
+    assert!(!endpoint.may_be_cold(boot_time()));
+
+    let pause = endpoint.record_unreachable();
+
+    let end = boot_time() + pause + endpoint::RESTART_DOUBT;
+    assert!(endpoint.may_be_cold(boot_time() + pause) && !endpoint.may_be_cold(end));
+    assert!(!endpoint.is_cold(boot_time()));
+}
--- a/crates/fleet-entry/tests/common/harness.rs
+++ b/crates/fleet-entry/tests/common/harness.rs
@@ -3,6 +3,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -137,7 +138,12 @@
 
 impl Endpoint {
     pub(crate) async fn start(scripts: Vec<Vec<Action>>) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback works");
+        Self::start_at(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0), scripts).await
+    }
+
+    /// Starts an endpoint at an address, for example that of one that has crashed.
+    pub(crate) async fn start_at(address: SocketAddrV4, scripts: Vec<Vec<Action>>) -> Self {
+        let listener = TcpListener::bind(address).await.expect("loopback works");
         let SocketAddr::V4(address) = listener.local_addr().expect("loopback works") else {
             unreachable!()
         };
