Test cold endpoints after streams and open connections

An endpoint that crashes within a stream counts as cold until it announces itself, and one that turns cold while a connection to it opens gets no request without an admission. With the check after a stream, the check after a request, or the admission right before the write taken out, one test fails each.

--- a/crates/fleet-entry/tests/cold.rs
+++ b/crates/fleet-entry/tests/cold.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use common::SAFE;
+use common::STREAM;
 use common::announcement;
 use common::configuration;
 use common::confirmed;
@@ -29,10 +30,16 @@
 use hickoryreel_fleet_entry::endpoint;
 use hickoryreel_fleet_entry::entry::Entry;
 use tokio::task::LocalSet;
+use yare::parameterized;
 
 const REFUSED: &str = "HTTP/1.1 503 Full\r\nid: {id}\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
+const BEGIN: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-type: text/event-stream\r\n\
+                     transfer-encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n";
 const GOOD: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-length: 4\r\n\r\ngood";
 
+/// Time in which an entry reads what an endpoint has written.
+const READ_DELAY: Duration = Duration::from_millis(100);
+
 /// Lets an entry learn that its service limits the requests to endpoints that warm up.
 fn learn_limit(entry: &Entry) {
     let mut configuration = configuration(1);
@@ -77,14 +84,21 @@
 /// Guards against requests without an admission to an endpoint that has crashed and restarted, until
 /// its first announcement arrives: it is cold then, and only the announcement tells. It also guards
 /// against an endpoint that stays limited although it has announced itself since.
-#[tokio::test]
-async fn endpoint_that_was_unreachable_counts_as_cold_until_it_announces_itself() {
+#[parameterized(
+    before_an_answer = { SAFE, &[Action::CrashOn("id: r1")] },
+    within_a_stream = { STREAM, &[Action::Write(BEGIN), Action::Pause(READ_DELAY), Action::CrashOn("id: r1")] },
+)]
+#[test_macro(tokio::test)]
+async fn endpoint_that_crashed_counts_as_cold_until_it_announces_itself(
+    prefix: &'static str,
+    script: &'static [Action],
+) {
     LocalSet::new()
         .run_until(async {
-            let crashing = Endpoint::start(vec![vec![Action::CrashOn("id: r1")]]).await;
+            let crashing = Endpoint::start(vec![script.to_vec()]).await;
             let (served, entry) = serve_without_configuration(&[&crashing]).await;
             learn_limit(&entry);
-            call(&served, SAFE, "r1").await;
+            call(&served, prefix, "r1").await;
             let endpoint = Rc::clone(&entry.directory.borrow().for_service("service")[0]);
             let soon = || boot_time() + Duration::from_secs(1);
             wait_until("the crash is noticed", || endpoint.may_be_cold(soon())).await;
@@ -116,3 +130,29 @@
     assert!(endpoint.may_be_cold(boot_time() + pause) && !endpoint.may_be_cold(end));
     assert!(!endpoint.is_cold(boot_time()));
 }
+
+/// Guards against a request that is written without an admission because its endpoint was warm when it
+/// was chosen, and announced a warm-up while the connection was opened.
+#[tokio::test]
+async fn endpoint_that_turns_cold_while_a_connection_opens_gets_no_request() {
+    LocalSet::new()
+        .run_until(async {
+            let first = Endpoint::start(vec![vec![Action::Write(GOOD)]]).await;
+            let (served, entry) = serve_without_configuration(&[&first]).await;
+            learn_limit(&entry);
+
+            let turned_cold = async {
+                while entry.metrics.connections.get() == 0 {
+                    tokio::task::yield_now().await;
+                }
+                let left = Duration::from_secs(60).as_millis() as u64;
+                let cold = announcement(0, first.address);
+                announce(&entry, Announcement { warm_up_left_ms: left, sequence: 2, ..cold });
+            };
+            let (answer, ()) = tokio::join!(call(&served, SAFE, "r1"), turned_cold);
+
+            assert_eq!((status(&answer), first.count()), (503, 0), "{answer}");
+            assert_eq!(entry.metrics.withdrawn.get(), 1);
+        })
+        .await;
+}
