--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -48,6 +48,7 @@
 use crate::prepare::prepare;
 use crate::relay;
 use crate::send::Sent;
+use crate::view::View;
 
 /// Minimum time before the deadline at which a request is still sent.
 pub const MIN_SEND_TIME_MS: u64 = 30;
@@ -122,6 +123,8 @@
     pub endpoint: Option<(Name, Name)>,
     /// Admission to an endpoint that warms up.
     pub admission: Option<cold::Admission>,
+    /// Whether no endpoint was found for the latest send.
+    pub found_none: bool,
 }
 
 /// Number of route ranks within one workspace rank.
@@ -232,6 +235,7 @@
             last_event: None,
             endpoint: None,
             admission: None,
+            found_none: false,
         }
     }
 
@@ -285,8 +289,9 @@
             Next::End(fallback) => Some(fallback),
             Next::Retry(fallback) => {
                 let obstacle = self.obstacle_to_retry(ended).or_else(|| {
-                    let taken =
-                        ended == SendEnd::NotSent || self.entry.take_second_send(&self.service);
+                    let taken = ended == SendEnd::NotSent
+                        || self.found_none
+                        || self.entry.take_second_send(&self.service);
                     (!taken).then_some(Obstacle::Budget)
                 })?;
                 info!(self.entry.log, "request is not sent again"; "request" => &self.metadata.id,
@@ -298,7 +303,8 @@
     }
 
     /// Returns what prevents another send after one that ended so, apart from the retry budget. A send
-    /// that reached no endpoint uses up neither attempts nor the budget.
+    /// that reached no endpoint uses up neither attempts nor the budget. A request that was refused an
+    /// admission to an endpoint that warms up ends; a stream that has begun asks again, with pauses.
     fn obstacle_to_retry(&self, ended: SendEnd) -> Option<Obstacle> {
         let obstacle = self.obstacle(self.runs, |_| true);
         let has_cold = || {
@@ -307,7 +313,10 @@
         };
         let excused = match obstacle {
             Some(Obstacle::Attempts) => ended == SendEnd::NotSent,
-            Some(Obstacle::Endpoint) => ended == SendEnd::NotSent || has_cold(),
+            Some(Obstacle::Endpoint) => {
+                let may_ask = !self.found_none || self.first_at.is_some();
+                ended == SendEnd::NotSent || (may_ask && has_cold())
+            }
             _ => false,
         };
         if excused { None } else { obstacle }
@@ -451,24 +460,29 @@
     pub fn is_admitted_by(&self, endpoint: &Endpoint) -> bool {
         let now = boot_time();
         !self.entry.limits_cold(&self.service)
-            || !endpoint.is_cold(now)
+            || !endpoint.may_be_cold(now)
             || self.admission.as_ref().is_some_and(|admission| admission.covers(endpoint, now))
     }
 
-    /// Whether the request may be served in the availability zone of an endpoint, both by the
-    /// configuration under which it was accepted and by the one in force.
+    /// Whether the request may be served in the availability zone of an endpoint.
     pub fn may_be_served_by(&self, endpoint: &Endpoint) -> bool {
-        let view = self.entry.view.borrow();
-        let permits = |route: &Route, workspace: Option<&Workspace>| {
-            let zones = Zones::new(&self.entry.settings, route, workspace, &view.evacuated);
-            zones.exclusion_of(endpoint).is_none()
-        };
-        let Some(index) = &view.index else { return false };
-        let key = self.metadata.key.as_deref();
-        let current = index.route(&self.metadata.host, self.head.uri.path());
-        let workspace = self.workspace.is_some().then(|| index.workspace(key?)).flatten();
-        permits(&self.route, self.workspace.as_deref())
-            && current.is_none_or(|route| permits(route, workspace.map(|workspace| &**workspace)))
+        self.zones(&self.entry.view.borrow()).exclusion_of(endpoint).is_none()
+    }
+
+    /// Rules of the configuration under which the request was accepted and of the one in force. The
+    /// choice of an endpoint and the check before a write use the same ones: a choice that the check
+    /// never permits would be repeated until the deadline.
+    fn zones<'a>(&'a self, view: &'a View) -> Zones<'a> {
+        let accepted = self.workspace.as_deref();
+        let zones = Zones::new(&self.entry.settings, &self.route, accepted, &view.evacuated);
+        let current = view.index.as_ref().and_then(|index| {
+            let route = index.route(&self.metadata.host, self.head.uri.path())?;
+            Some((index, route))
+        });
+        let Some((index, route)) = current else { return zones };
+        let key = self.metadata.key.as_deref().filter(|_| accepted.is_some());
+        let workspace = key.and_then(|key| index.workspace(key));
+        zones.restricted_by(route, workspace.map(|workspace| &**workspace))
     }
 
     fn pick(&self) -> Option<Rc<Endpoint>> {
@@ -499,12 +513,7 @@
             entries: self.entry.entries.get(),
             token_ms,
             is_in_region: &is_in_region,
-            zones: Zones::new(
-                &self.entry.settings,
-                &self.route,
-                self.workspace.as_deref(),
-                &view.evacuated,
-            ),
+            zones: self.zones(&view),
             limits_cold: self.entry.limits_cold(&self.service),
             kept: self.entry.kept_outlook(&self.service, self.prefix_key(), endpoints.len()),
         };
