Doubt only endpoints of services that are cold after a start

Cause: after a refused connection an endpoint needed an admission for seconds, also at services whose endpoints are never cold after a start. Change: the configuration tells which services are.

--- a/crates/fleet-control/tests/cold_admission.rs
+++ b/crates/fleet-control/tests/cold_admission.rs
@@ -24,7 +24,7 @@
 }
 
 fn cold_start(requests_per_s: f64) -> ColdStart {
-    ColdStart { requests_per_s }
+    ColdStart { requests_per_s, after_start: true }
 }
 
 /// A replica that has led for longer than a new leader waits.
--- a/crates/fleet-control/tests/evacuations.rs
+++ b/crates/fleet-control/tests/evacuations.rs
@@ -306,7 +306,7 @@
         health_path: "/".into(),
         max_connections: 1,
         engine: None,
-        cold_start: Some(ColdStart { requests_per_s: 0.0 }),
+        cold_start: Some(ColdStart { requests_per_s: 0.0, after_start: true }),
     }];
     Configuration { number: 1, services, ..Configuration::default() }
 }
--- a/crates/fleet-entry/src/endpoint.rs
+++ b/crates/fleet-entry/src/endpoint.rs
@@ -65,6 +65,16 @@
 /// after which an attempt to connect fails.
 const CRASH_CHECK_TIME: Duration = Duration::from_millis(300);
 
+/// Which endpoints of a service get requests only with an admission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ColdLimit {
+    None,
+    /// Those that say that they warm up.
+    Announced,
+    /// Also those that may have restarted and warm up without the entry having their announcement.
+    Restarts,
+}
+
 /// End of the warm-up according to an announcement that has just arrived. The announcement may have
 /// been under way for seconds, so the end is at this time or earlier.
 fn warm_up_end(announcement: &Announcement) -> Duration {
@@ -178,10 +188,13 @@
         now < self.cold_until.get()
     }
 
-    /// Whether it warms up at time `now`, or may have restarted and warm up without this entry having
-    /// its announcement.
-    pub fn may_be_cold(&self, now: Duration) -> bool {
-        self.is_cold(now) || now < self.doubtful_until.get()
+    /// Whether it gets requests at time `now` only with an admission.
+    pub fn needs_admission(&self, limit: ColdLimit, now: Duration) -> bool {
+        match limit {
+            ColdLimit::None => false,
+            ColdLimit::Announced => self.is_cold(now),
+            ColdLimit::Restarts => self.is_cold(now) || now < self.doubtful_until.get(),
+        }
     }
 
     fn doubt_until(&self, until: Duration) {
--- a/crates/fleet-entry/src/entry.rs
+++ b/crates/fleet-entry/src/entry.rs
@@ -8,6 +8,7 @@
 
 use hickoryreel_base::time::boot_time;
 use hickoryreel_fleet::Name;
+use hickoryreel_fleet::configuration::ColdStart;
 use hickoryreel_fleet::load::ServiceSends;
 use slog::Logger;
 use tokio::sync::Notify;
@@ -21,6 +22,7 @@
 use crate::cold;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
+use crate::endpoint::ColdLimit;
 use crate::kept;
 use crate::memory;
 use crate::metrics::Metrics;
@@ -208,11 +210,15 @@
         Some((Rc::clone(limiters.entry(service.clone()).or_default()), permits))
     }
 
-    /// Whether the endpoints of a service that warm up get requests only with an admission.
-    pub fn limits_cold(&self, service: &Name) -> bool {
+    /// Which endpoints of a service get requests only with an admission.
+    pub fn cold_limit(&self, service: &Name) -> ColdLimit {
         let view = self.view.borrow();
         let service = view.index.as_ref().and_then(|index| index.service(service));
-        service.is_some_and(|service| service.cold_start.is_some())
+        match service.and_then(|service| service.cold_start) {
+            None => ColdLimit::None,
+            Some(ColdStart { after_start: false, .. }) => ColdLimit::Announced,
+            Some(ColdStart { after_start: true, .. }) => ColdLimit::Restarts,
+        }
     }
 
     /// Returns what is known of a shared prompt part at the endpoints of a service.
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -459,8 +459,7 @@
     /// Whether an endpoint may get the request although it warms up.
     pub fn is_admitted_by(&self, endpoint: &Endpoint) -> bool {
         let now = boot_time();
-        !self.entry.limits_cold(&self.service)
-            || !endpoint.may_be_cold(now)
+        !endpoint.needs_admission(self.entry.cold_limit(&self.service), now)
             || self.admission.as_ref().is_some_and(|admission| admission.covers(endpoint, now))
     }
 
@@ -514,7 +513,7 @@
             token_ms,
             is_in_region: &is_in_region,
             zones: self.zones(&view),
-            limits_cold: self.entry.limits_cold(&self.service),
+            cold_limit: self.entry.cold_limit(&self.service),
             kept: self.entry.kept_outlook(&self.service, self.prefix_key(), endpoints.len()),
         };
         function(&context, endpoints)
--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -23,6 +23,7 @@
 
 use crate::availability::Outlook;
 use crate::dialect::RequestMetadata;
+use crate::endpoint::ColdLimit;
 use crate::endpoint::Endpoint;
 use crate::kept;
 use crate::placement::Permitted;
@@ -78,8 +79,8 @@
     pub is_in_region: &'a dyn Fn(&str) -> bool,
     /// Where the request may be served.
     pub zones: Zones<'a>,
-    /// Whether an endpoint that warms up gets requests only with an admission.
-    pub limits_cold: bool,
+    /// Which endpoints get requests only with an admission.
+    pub cold_limit: ColdLimit,
     /// What is known of the shared beginning of the prompt.
     pub kept: kept::Outlook,
 }
@@ -170,7 +171,7 @@
     let mut candidates = allowed_endpoints(context, endpoints);
     let now = boot_time();
     candidates.retain(|endpoint| {
-        let needs_admission = context.limits_cold && endpoint.may_be_cold(now);
+        let needs_admission = endpoint.needs_admission(context.cold_limit, now);
         !needs_admission && !context.tried.contains(&endpoint.id())
     });
     if candidates.iter().any(|endpoint| endpoint.is_usable()) {
@@ -209,12 +210,14 @@
     context: &PickContext<'_>,
     endpoints: &[Rc<Endpoint>],
 ) -> SmallVec<[Rc<Endpoint>; MAX_COLD_CANDIDATES]> {
-    if !context.limits_cold {
+    if context.cold_limit == ColdLimit::None {
         return SmallVec::new();
     }
     let (mut candidates, now) = (allowed_endpoints(context, endpoints), boot_time());
     candidates.retain(|endpoint| {
-        endpoint.may_be_cold(now) && endpoint.is_usable() && !context.tried.contains(&endpoint.id())
+        endpoint.needs_admission(context.cold_limit, now)
+            && endpoint.is_usable()
+            && !context.tried.contains(&endpoint.id())
     });
     let loads = loads(context, &candidates);
     let mut order: SmallVec<[usize; 16]> = (0..candidates.len()).collect();
--- a/crates/fleet-entry/src/prompt.rs
+++ b/crates/fleet-entry/src/prompt.rs
@@ -6,6 +6,7 @@
 use hickoryreel_base::time::boot_time;
 use slog::info;
 
+use crate::endpoint::ColdLimit;
 use crate::endpoint::Endpoint;
 use crate::endpoint::RESTART_DOUBT;
 use crate::forward::ActiveRequest;
@@ -64,7 +65,7 @@
     /// Finds out whether an endpoint has ended, after a connection to it broke. It may be cold when it
     /// is back, before its first announcement arrives.
     pub fn check_restart(&self, endpoint: &Rc<Endpoint>) {
-        if !self.entry.limits_cold(&self.service) || !endpoint.record_break() {
+        if self.entry.cold_limit(&self.service) != ColdLimit::Restarts || !endpoint.record_break() {
             return;
         }
         let (entry, endpoint) = (Rc::clone(&self.entry), Rc::clone(endpoint));
--- a/crates/fleet-entry/tests/cold.rs
+++ b/crates/fleet-entry/tests/cold.rs
@@ -28,6 +28,7 @@
 use hickoryreel_fleet::endpoint::EndpointUpdate;
 use hickoryreel_fleet::endpoint::Status;
 use hickoryreel_fleet_entry::endpoint;
+use hickoryreel_fleet_entry::endpoint::ColdLimit;
 use hickoryreel_fleet_entry::entry::Entry;
 use tokio::task::LocalSet;
 use yare::parameterized;
@@ -43,7 +44,8 @@
 /// Lets an entry learn that its service limits the requests to endpoints that warm up.
 fn learn_limit(entry: &Entry) {
     let mut configuration = configuration(1);
-    configuration.services[0].cold_start = Some(ColdStart { requests_per_s: 9.0 });
+    configuration.services[0].cold_start =
+        Some(ColdStart { requests_per_s: 9.0, after_start: true });
     entry.view.borrow_mut().confirm(boot_time(), confirmed(configuration));
     entry.state_changed.notify_waiters();
 }
@@ -101,7 +103,10 @@
             call(&served, prefix, "r1").await;
             let endpoint = Rc::clone(&entry.directory.borrow().for_service("service")[0]);
             let soon = || boot_time() + Duration::from_secs(1);
-            wait_until("the crash is noticed", || endpoint.may_be_cold(soon())).await;
+            wait_until("the crash is noticed", || {
+                endpoint.needs_admission(ColdLimit::Restarts, soon())
+            })
+            .await;
 
             let restarted =
                 Endpoint::start_at(crashing.address, vec![vec![Action::Write(GOOD)]]).await;
@@ -122,12 +127,15 @@
 fn doubt_about_an_endpoint_ends() {
     let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9);
     let endpoint = endpoint::Endpoint::new(announcement(0, address));
-    assert!(!endpoint.may_be_cold(boot_time()));
+    assert!(!endpoint.needs_admission(ColdLimit::Restarts, boot_time()));
 
     let pause = endpoint.record_unreachable();
 
     let end = boot_time() + pause + endpoint::RESTART_DOUBT;
-    assert!(endpoint.may_be_cold(boot_time() + pause) && !endpoint.may_be_cold(end));
+    assert!(
+        endpoint.needs_admission(ColdLimit::Restarts, boot_time() + pause)
+            && !endpoint.needs_admission(ColdLimit::Restarts, end)
+    );
     assert!(!endpoint.is_cold(boot_time()));
 }
 
--- a/crates/fleet-entry/tests/extremes.rs
+++ b/crates/fleet-entry/tests/extremes.rs
@@ -31,6 +31,7 @@
 use hickoryreel_fleet_entry::dialect::PromptPart;
 use hickoryreel_fleet_entry::dialect::RequestMetadata;
 use hickoryreel_fleet_entry::endpoint;
+use hickoryreel_fleet_entry::endpoint::ColdLimit;
 use hickoryreel_fleet_entry::kept::Outlook;
 use hickoryreel_fleet_entry::pick;
 use hickoryreel_fleet_entry::pick::PickContext;
@@ -171,7 +172,7 @@
         token_ms: Some(0.01),
         is_in_region: &|_| true,
         zones: Zones::new(&settings, &route, None, &[]),
-        limits_cold: false,
+        cold_limit: ColdLimit::None,
         kept: KEPT,
     };
 
--- a/crates/fleet-entry/tests/pick.rs
+++ b/crates/fleet-entry/tests/pick.rs
@@ -21,6 +21,7 @@
 use hickoryreel_fleet_entry::dialect::PromptPart;
 use hickoryreel_fleet_entry::dialect::RequestMetadata;
 use hickoryreel_fleet_entry::directory::Directory;
+use hickoryreel_fleet_entry::endpoint::ColdLimit;
 use hickoryreel_fleet_entry::kept::Outlook;
 use hickoryreel_fleet_entry::pick;
 use hickoryreel_fleet_entry::pick::PickContext;
@@ -102,7 +103,7 @@
         token_ms: Some(token_ms),
         is_in_region: &|zone| zone == "near",
         zones: Zones::new(&settings, &route, None, &[]),
-        limits_cold: false,
+        cold_limit: ColdLimit::None,
         kept,
     };
     let choice = pick::choose(&context, directory.for_service("service")).expect("one is usable");
--- a/crates/fleet-entry/tests/placement.rs
+++ b/crates/fleet-entry/tests/placement.rs
@@ -20,6 +20,7 @@
 use hickoryreel_fleet_entry::availability::Outlook;
 use hickoryreel_fleet_entry::dialect::PromptPart;
 use hickoryreel_fleet_entry::dialect::RequestMetadata;
+use hickoryreel_fleet_entry::endpoint::ColdLimit;
 use hickoryreel_fleet_entry::endpoint::Endpoint;
 use hickoryreel_fleet_entry::kept;
 use hickoryreel_fleet_entry::pick;
@@ -152,7 +153,7 @@
             token_ms: Some(0.05),
             is_in_region: &|zone| zone.starts_with("north"),
             zones: Zones::new(&settings, &route, None, &evacuated),
-            limits_cold: true,
+            cold_limit: ColdLimit::Announced,
             kept: kept::Outlook { uses_per_s: 1.0, retention_s: 20.0 },
         };
         let may_serve = |endpoint: &Endpoint| {
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -107,6 +107,8 @@
 pub struct ColdStart {
     /// Requests per second that an endpoint tolerates from all entries together.
     pub requests_per_s: f64,
+    /// Whether endpoints are cold after each start. Otherwise they are only when they say so.
+    pub after_start: bool,
 }
 
 /// Properties of the model engines of a service.
