Explain where a request would go now, without sending it

Cause: nobody could ask a running entry where it would send a request and why; the log tells it only of requests that were sent, and not why the other endpoints were left out.

Change: `hickoryreel route` asks an entry over a link on the first port of its port range. fleet_entry::explain answers with the functions that serve requests. For that, pick::Candidates has what pick::choose draws from, spread::Spread the probabilities, and Endpoint::reason and Availability::reason define is_usable and is_available. prepare::find, forward::with_context, forward::next_look and prompt::block_left are the former bodies of methods. Links of an entry answer questions only and read at most 256 KiB; control replicas refuse questions. The question changes no state, and API keys are neither logged nor printed. Wrong arguments of all verbs are now reported in one line.

--- a/crates/fleet-control/src/control.rs
+++ b/crates/fleet-control/src/control.rs
@@ -370,6 +370,8 @@
                 }
             }
             Request::ForwardedAdmitCold(request) => self.admit_cold(&request).await,
+            // Only entries choose endpoints.
+            Request::Explain(_) => Answer::Refused,
             Request::ReportLoad(report) => {
                 let now = boot_time();
                 let mut send_totals = self.send_totals.borrow_mut();
--- a/crates/fleet-entry/src/availability.rs
+++ b/crates/fleet-entry/src/availability.rs
@@ -6,6 +6,7 @@
 
 use std::time::Duration;
 
+use hickoryreel_fleet::explanation::Reason;
 use hickoryreel_fleet::load::RANKS;
 
 /// Requests without an answer that an endpoint may have when its pause has ended. Each request that
@@ -78,9 +79,20 @@
 
     /// Whether it may get a request at time `now`.
     pub fn is_available(&self, now: Duration) -> bool {
-        !self.leaving
-            && !self.is_paused(now)
-            && self.trial.is_none_or(|trial| trial.unanswered < trial.limit)
+        self.reason(now).is_none()
+    }
+
+    /// Returns why it may not get a request at time `now`, or `None` if it may.
+    pub fn reason(&self, now: Duration) -> Option<Reason> {
+        if self.leaving {
+            Some(Reason::Leaving)
+        } else if self.is_paused(now) {
+            let left = self.paused_until.saturating_sub(now);
+            Some(Reason::Paused { left_ms: left.as_millis() as u64 })
+        } else {
+            let is_full = self.trial.is_some_and(|trial| trial.unanswered >= trial.limit);
+            is_full.then_some(Reason::OnTrial)
+        }
     }
 
     /// Counts a request that is sent while the endpoint is available.
--- a/crates/fleet-entry/src/endpoint.rs
+++ b/crates/fleet-entry/src/endpoint.rs
@@ -9,6 +9,7 @@
 use hickoryreel_base::time::boot_time;
 use hickoryreel_fleet::Name;
 use hickoryreel_fleet::endpoint::Announcement;
+use hickoryreel_fleet::explanation::Reason;
 use hickoryreel_fleet::load::EndpointKey;
 use hickoryreel_fleet::load::EndpointLoad;
 use hickoryreel_fleet::load::RANKS;
@@ -179,15 +180,27 @@
 
     /// Whether it may get new requests.
     pub fn is_usable(&self) -> bool {
-        let now = boot_time();
+        self.reason(boot_time()).is_none()
+    }
+
+    /// Returns why it may not get new requests at time `now`, or `None` if it may.
+    pub fn reason(&self, now: Duration) -> Option<Reason> {
         let recently_active =
             self.last_activity.get().is_some_and(|at| now < at + ACTIVITY_MAX_AGE);
-        !self.gone.get()
-            && !self.announcement.borrow().draining
-            && now >= self.ejected_until.get()
-            && (!self.is_silent() || recently_active)
-            && !self.is_suspect()
-            && self.is_available(now)
+        if self.gone.get() {
+            Some(Reason::Gone)
+        } else if self.announcement.borrow().draining {
+            Some(Reason::Draining)
+        } else if let Some(reason) = self.availability().reason(now) {
+            Some(reason)
+        } else if now < self.ejected_until.get() {
+            let left = self.ejected_until.get().saturating_sub(now);
+            Some(Reason::Ejected { left_ms: left.as_millis() as u64 })
+        } else if self.is_silent() && !recently_active {
+            Some(Reason::Silent)
+        } else {
+            self.is_suspect(now).then_some(Reason::Suspect)
+        }
     }
 
     /// Its availability according to its answers.
@@ -316,13 +329,17 @@
 
     /// Load of the other entries, unless it is unknown or outdated.
     fn others(&self) -> Option<OtherEntries> {
+        self.others_at(boot_time())
+    }
+
+    fn others_at(&self, now: Duration) -> Option<OtherEntries> {
         let (others, at) = self.others.get()?;
-        (boot_time() < at + TOTALS_MAX_AGE).then_some(others)
+        (now < at + TOTALS_MAX_AGE).then_some(others)
     }
 
     /// Whether nearly all recent sends of all entries failed.
-    fn is_suspect(&self) -> bool {
-        self.others().is_some_and(|others| {
+    fn is_suspect(&self, now: Duration) -> bool {
+        self.others_at(now).is_some_and(|others| {
             others.failed >= SUSPECT_FAILURES && others.failed > SUSPECT_RATIO * others.succeeded
         })
     }
@@ -442,6 +459,16 @@
         self.load.get().map(|(_, at)| boot_time().saturating_sub(at))
     }
 
+    /// Time since the totals over all entries arrived.
+    pub fn totals_age(&self) -> Option<Duration> {
+        self.others.get().map(|(_, at)| boot_time().saturating_sub(at))
+    }
+
+    /// Time since the latest figure of its pace.
+    pub fn pace_age(&self) -> Option<Duration> {
+        self.pace.get().age(boot_time())
+    }
+
     /// Requests that wait there according to the latest load that the endpoint reported.
     pub fn waiting(&self) -> f64 {
         let now = boot_time();
--- a/crates/fleet-entry/src/entry.rs
+++ b/crates/fleet-entry/src/entry.rs
@@ -211,6 +211,14 @@
         service.is_some_and(|service| service.cold_start.is_some())
     }
 
+    /// Prefill time per prompt token of a model of a service.
+    pub fn token_ms(&self, service: &Name, model: &Name) -> f64 {
+        match self.cascades.borrow().get(service) {
+            Some(cascade) => cascade.token_ms(model),
+            None => Cascade::default().token_ms(model),
+        }
+    }
+
     /// Maximum number of idle connections to one endpoint of a service: this entry's share of half
     /// of the connections that the endpoint accepts. The other half is left for active requests.
     pub fn max_idle_connections(&self, service: &Name) -> usize {
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -25,7 +25,6 @@
 use crate::availability::Outlook;
 use crate::body::Body;
 use crate::cascade::AnswerEstimate;
-use crate::cascade::Cascade;
 use crate::cold;
 use crate::dialect::RequestMetadata;
 use crate::endpoint::Endpoint;
@@ -149,6 +148,79 @@
     pub passed_on: Cell<bool>,
 }
 
+/// A request whose route and service are known.
+pub struct Routed<'a> {
+    pub route: &'a Route,
+    pub metadata: &'a RequestMetadata,
+    pub service: &'a Name,
+    /// `None` if the route needs no key.
+    pub workspace: Option<&'a Workspace>,
+}
+
+/// Calls a function of [`pick`] with the endpoints of a request's service.
+pub fn with_context<T>(
+    entry: &Entry,
+    routed: &Routed<'_>,
+    tried: &[Name],
+    token_ms: Option<f64>,
+    function: impl Fn(&PickContext<'_>, &[Rc<Endpoint>]) -> T,
+) -> T {
+    let Routed { route, metadata, service, workspace } = *routed;
+    let view = entry.view.borrow();
+    let directory = entry.directory.borrow();
+    let is_in_region = |zone: &str| entry.is_in_region(zone);
+    let context = PickContext {
+        route,
+        metadata,
+        service,
+        roll_outs: &view.roll_outs,
+        tried,
+        entries: entry.entries.get(),
+        token_ms,
+        is_in_region: &is_in_region,
+        zones: Zones::new(&entry.settings, route, workspace, &view.evacuated),
+        limits_cold: entry.limits_cold(service),
+    };
+    function(&context, directory.for_service(service))
+}
+
+/// Returns the model at `index` among those of the route, or `None` if the client chose one.
+pub fn choose_model(metadata: &RequestMetadata, route: &Route, index: usize) -> Option<Name> {
+    metadata.any_model.then(|| route.models.get(index).cloned()).flatten()
+}
+
+/// Time for which a request with `left` to its deadline waits for an endpoint to announce itself.
+pub fn endpoint_wait(left: Duration) -> Duration {
+    (left / 3).min(MAX_STATE_WAIT)
+}
+
+/// Latest time at which the answer of an endpoint whose pause ends is expected in time. Until then
+/// waiting is faster than a refusal, after which the client may come back through another entry.
+pub fn latest_start(route: &Route, arrived: Duration, deadline: Duration) -> Duration {
+    let target = arrived + Duration::from_millis(route.target_ms) / 2;
+    target.min(deadline.saturating_sub(Duration::from_millis(MIN_SEND_TIME_MS)))
+}
+
+/// Returns until when a request waits at time `now` if no endpoint can take it, and when it looks for
+/// one again, or `None` if it does not wait. `room_at` is the time before which the endpoints that warm
+/// up have no room, `until` the end of the wait for an endpoint to announce itself.
+pub fn next_look(
+    outlook: Outlook,
+    room_at: Option<Duration>,
+    now: Duration,
+    until: Duration,
+    latest_start: Duration,
+) -> Option<(Duration, Duration)> {
+    let paused = |end: Duration| (latest_start, end.max(now + TRIAL_CHECK_INTERVAL));
+    let (until, wake_at) = match (room_at, outlook) {
+        (Some(room_at), _) => paused(room_at),
+        (None, Outlook::Unknown) => (until, until),
+        (None, Outlook::Leaving | Outlook::Excluded) => return None,
+        (None, Outlook::Paused(end)) => paused(end),
+    };
+    (now < until && wake_at <= until).then_some((until, wake_at))
+}
+
 async fn answer(
     entry: &Rc<Entry>,
     head: Parts,
@@ -383,7 +455,7 @@
     /// If all are leaving or have asked for pauses, it waits only for a pause that ends in time.
     pub async fn wait_for_endpoint(&mut self) -> Option<Rc<Endpoint>> {
         let entry = Rc::clone(&self.entry);
-        let until = boot_time() + Duration::from_millis(self.left_ms() / 3).min(MAX_STATE_WAIT);
+        let until = boot_time() + endpoint_wait(Duration::from_millis(self.left_ms()));
         loop {
             let state_changed = entry.state_changed.notified();
             if let Some(endpoint) = self.pick() {
@@ -402,26 +474,15 @@
                 return None;
             }
             let now = boot_time();
-            let paused = |end: Duration| (self.latest_start(), end.max(now + TRIAL_CHECK_INTERVAL));
-            let (until, wake_at) = match (room_at, self.outlook(now)) {
-                (Some(room_at), _) => paused(room_at),
-                (None, Outlook::Unknown) => (until, until),
-                (None, Outlook::Leaving | Outlook::Excluded) => return None,
-                (None, Outlook::Paused(end)) => paused(end),
-            };
-            if now >= until || wake_at > until {
-                return None;
-            }
+            let (outlook, latest_start) = (self.outlook(now), self.latest_start());
+            let (_, wake_at) = next_look(outlook, room_at, now, until, latest_start)?;
             // The end of the wait is checked above.
             let _ = tokio::time::timeout(wake_at - now, state_changed).await;
         }
     }
 
-    /// Latest time at which the answer of an endpoint whose pause ends is expected in time. Until then
-    /// waiting is faster than a refusal, after which the client may come back through another entry.
     fn latest_start(&self) -> Duration {
-        let target = self.arrived + Duration::from_millis(self.route.target_ms) / 2;
-        target.min(self.deadline.saturating_sub(Duration::from_millis(MIN_SEND_TIME_MS)))
+        latest_start(&self.route, self.arrived, self.deadline)
     }
 
     fn outlook(&self, now: Duration) -> Outlook {
@@ -485,35 +546,18 @@
         token_ms: Option<f64>,
         function: impl Fn(&PickContext<'_>, &[Rc<Endpoint>]) -> T,
     ) -> T {
-        let view = self.entry.view.borrow();
-        let directory = self.entry.directory.borrow();
-        let is_in_region = |zone: &str| self.entry.is_in_region(zone);
-        let context = PickContext {
+        let routed = Routed {
             route: &self.route,
             metadata: &self.metadata,
             service: &self.service,
-            roll_outs: &view.roll_outs,
-            tried,
-            entries: self.entry.entries.get(),
-            token_ms,
-            is_in_region: &is_in_region,
-            zones: Zones::new(
-                &self.entry.settings,
-                &self.route,
-                self.workspace.as_deref(),
-                &view.evacuated,
-            ),
-            limits_cold: self.entry.limits_cold(&self.service),
+            workspace: self.workspace.as_deref(),
         };
-        function(&context, directory.for_service(&self.service))
+        with_context(&self.entry, &routed, tried, token_ms, function)
     }
 
     /// Returns the model of the next send, or `None` if the client chose it.
     pub fn choose_model(&self) -> Option<Name> {
-        if !self.metadata.any_model {
-            return None;
-        }
-        self.route.models.get(self.model_index).cloned()
+        choose_model(&self.metadata, &self.route, self.model_index)
     }
 
     /// Expected prefill time of the prompt without cached tokens.
@@ -534,15 +578,7 @@
 
     /// Prefill time per prompt token of the latest send's model; `None` if the entry chose no model.
     fn token_ms(&self) -> Option<f64> {
-        let cascades = self.entry.cascades.borrow();
-        let cascade = cascades.get(&self.service);
-        let model = self.model.as_ref()?;
-        Some(
-            cascade.map_or_else(
-                || Cascade::default().token_ms(model),
-                |cascade| cascade.token_ms(model),
-            ),
-        )
+        Some(self.entry.token_ms(&self.service, self.model.as_ref()?))
     }
 
     /// Decides whether the answer is dropped and the request sent to a larger model.
--- a/crates/fleet-entry/src/lib.rs
+++ b/crates/fleet-entry/src/lib.rs
@@ -10,7 +10,8 @@
 //! What an endpoint may send is bounded by [`head_limit`], [`memory`] and [`progress`].
 //! [`control_poll`] keeps the view and the [`directory`] of [`endpoint`]s current over links to the
 //! control replicas, of which [`source`] chooses one to send configurations, and [`load_report`]
-//! exchanges the load of the endpoints, and their crashes, with the other entries.
+//! exchanges the load of the endpoints, and their crashes, with the other entries. [`explain`] tells
+//! operators where a request would go.
 
 pub mod answer;
 pub mod availability;
@@ -25,6 +26,7 @@
 pub mod endpoint;
 pub mod entry;
 pub mod exchange;
+pub mod explain;
 pub mod forward;
 pub mod head_limit;
 pub mod in_flight;
--- a/crates/fleet-entry/src/metrics.rs
+++ b/crates/fleet-entry/src/metrics.rs
@@ -42,6 +42,8 @@
     pub cold_admissions: Counter,
     /// Requests for which such endpoints had no room.
     pub cold_refusals: Counter,
+    /// Choices that were explained to operators.
+    pub explanations: Counter,
     /// Endpoints that say that they are leaving.
     pub leaving: Gauge,
     /// Pauses in force that endpoints asked for.
@@ -85,6 +87,7 @@
             counter("cold_admissions", "Requests admitted to endpoints that warm up");
         let cold_refusals =
             counter("cold_refusals", "Requests that endpoints that warm up had no room for");
+        let explanations = counter("explanations", "Choices explained to operators");
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
@@ -119,6 +122,7 @@
             withdrawn,
             cold_admissions,
             cold_refusals,
+            explanations,
             leaving,
             asked_pauses,
             open,
--- a/crates/fleet-entry/src/pace.rs
+++ b/crates/fleet-entry/src/pace.rs
@@ -71,6 +71,11 @@
         average + weight * (latest - average)
     }
 
+    /// Age at time `now` of the latest figure, if there is one.
+    pub fn age(&self, now: Duration) -> Option<Duration> {
+        self.latest.map(|(_, at)| now.saturating_sub(at))
+    }
+
     /// Average and latest figure in percent, for a report; 0 if unknown.
     pub fn percent(&self) -> (u16, u16) {
         let percent = |figure: f64| (100.0 * figure).round() as u16;
--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -8,12 +8,14 @@
 //!
 //! This answers a burst of long prompts at hundreds of entries, each with a few requests a second.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hickoryreel_base::time::boot_time;
 use hickoryreel_fleet::Name;
 use hickoryreel_fleet::configuration::Route;
+use hickoryreel_fleet::explanation::Reason;
 use hickoryreel_fleet::roll_out::Phase;
 use hickoryreel_fleet::roll_out::RollOuts;
 use rand::RngExt;
@@ -26,6 +28,7 @@
 use crate::placement::Permitted;
 use crate::placement::Zones;
 use crate::spread;
+use crate::spread::Spread;
 
 /// Denominator of the share of requests that go to a new version.
 const SHARE_SCALE: u64 = 1_000;
@@ -151,7 +154,7 @@
 }
 
 /// Whether a request, or its session, falls into the share of the new version.
-fn in_trial(context: &PickContext<'_>, share: u32) -> bool {
+pub fn in_trial(context: &PickContext<'_>, share: u32) -> bool {
     let key = context.metadata.session.as_deref().unwrap_or(&context.metadata.id);
     xxh3_64(key.as_bytes()) / 7 % SHARE_SCALE < u64::from(share)
 }
@@ -163,44 +166,149 @@
     pub wait_ms: f64,
     /// Expected prefill time of the request; 0 for plain services.
     pub prefill_ms: f64,
+    /// Expected factor on the usual time of the work, included in both times.
+    pub pace: f64,
 }
 
 /// Chooses an endpoint. Returns `None` if no endpoint can take the request.
 pub fn choose(context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]) -> Option<Choice> {
-    let mut candidates = allowed_endpoints(context, endpoints);
-    let now = boot_time();
-    candidates.retain(|endpoint| {
-        let needs_admission = context.limits_cold && endpoint.is_cold(now);
-        !needs_admission && !context.tried.contains(&endpoint.id())
-    });
-    if candidates.iter().any(|endpoint| endpoint.is_usable()) {
-        candidates.retain(|endpoint| endpoint.is_usable());
-    } else {
-        candidates.retain(|endpoint| endpoint.is_last_resort());
+    let candidates = Candidates::new(context, endpoints, boot_time())?;
+    let drawn = candidates.spread.draw(rand::rng().random());
+    Some(candidates.choice(candidates.prefer(drawn)))
+}
+
+/// Endpoints that can take a request, and what the choice among them depends on.
+pub struct Candidates<'a> {
+    context: &'a PickContext<'a>,
+    pub endpoints: Permitted,
+    shared: Option<SharedPrefix>,
+    loads: SmallVec<[spread::Load; 64]>,
+    spread: Spread,
+    /// Index of the best of the preferred endpoints.
+    preferred: Option<usize>,
+}
+
+impl<'a> Candidates<'a> {
+    /// Selects the endpoints that can take a request at time `now`; `None` if there are none.
+    pub fn new(
+        context: &'a PickContext<'a>,
+        endpoints: &[Rc<Endpoint>],
+        now: Duration,
+    ) -> Option<Self> {
+        let mut endpoints = allowed_endpoints(context, endpoints);
+        endpoints.retain(|endpoint| {
+            !needs_admission(context, endpoint, now) && !context.tried.contains(&endpoint.id())
+        });
+        if endpoints.iter().any(|endpoint| endpoint.reason(now).is_none()) {
+            endpoints.retain(|endpoint| endpoint.reason(now).is_none());
+        } else {
+            endpoints.retain(|endpoint| endpoint.is_last_resort());
+        }
+        let shared = preferred(context.metadata, &endpoints);
+        let loads = loads(context, &endpoints);
+        let volume_ms = unseen_ms(context) * near_count(context, &endpoints) as f64;
+        let spread = Spread::new(&loads, volume_ms)?;
+        let mut candidates = Self { context, endpoints, shared, loads, spread, preferred: None };
+        let preferred = (0..candidates.endpoints.len()).filter(|at| candidates.saved_ms(*at) > 0.0);
+        let expected = |index: &usize| candidates.expected_ms(*index);
+        candidates.preferred =
+            preferred.min_by(|left, right| expected(left).total_cmp(&expected(right)));
+        Some(candidates)
     }
-    let shared = preferred(context.metadata, &candidates);
-    let cached_tokens = |endpoint: &Endpoint| {
-        shared.as_ref().map_or(0.0, |shared| shared.cached_tokens(&endpoint.id()))
-    };
-    let token_ms = context.token_ms.unwrap_or(0.0);
-    let loads = loads(context, &candidates);
-    let volume_ms = unseen_ms(context) * near_count(context, &candidates) as f64;
-    let spread = spread::choose(&loads, volume_ms, rand::rng().random())?;
-    // An endpoint below the level is expected to be filled up to it before this request arrives.
-    let saved = |index: usize| {
-        RECOMPUTE_WEIGHT * token_ms * cached_tokens(&candidates[index]) / loads[index].capacity
+
+    fn token_ms(&self) -> f64 {
+        self.context.token_ms.unwrap_or(0.0)
+    }
+
+    /// Prompt tokens that are expected in the KV cache of the endpoint at `index`.
+    pub fn cached_tokens(&self, index: usize) -> f64 {
+        let id = self.endpoints[index].id();
+        self.shared.as_ref().map_or(0.0, |shared| shared.cached_tokens(&id))
+    }
+
+    /// Estimated cost of the endpoint at `index`, without the prefill that cached parts save.
+    pub fn cost_ms(&self, index: usize) -> f64 {
+        self.loads[index].time
+    }
+
+    /// Cost up to which the endpoints are expected to be filled.
+    pub fn level_ms(&self) -> f64 {
+        self.spread.level
+    }
+
+    /// Worth of the prefill that cached parts save.
+    pub fn saved_ms(&self, index: usize) -> f64 {
+        RECOMPUTE_WEIGHT * self.token_ms() * self.cached_tokens(index) / self.loads[index].capacity
+    }
+
+    /// An endpoint below the level is expected to be filled up to it before this request arrives.
+    fn expected_ms(&self, index: usize) -> f64 {
+        self.loads[index].time.max(self.spread.level) - self.saved_ms(index)
+    }
+
+    /// Returns the index of the endpoint that is chosen if the spread draws the one at `drawn`: a
+    /// preferred endpoint may be worth more.
+    fn prefer(&self, drawn: usize) -> usize {
+        let better = |preferred: &usize| {
+            let drawn_ms = self.expected_ms(drawn);
+            self.expected_ms(*preferred).total_cmp(&drawn_ms).is_le()
+        };
+        self.preferred.filter(better).unwrap_or(drawn)
+    }
+
+    /// Probability with which each endpoint is chosen.
+    pub fn shares(&self) -> SmallVec<[f64; 64]> {
+        let mut shares = SmallVec::from_elem(0.0, self.endpoints.len());
+        for (drawn, share) in self.spread.shares().into_iter().enumerate() {
+            if share > 0.0 {
+                shares[self.prefer(drawn)] += share;
+            }
+        }
+        shares
+    }
+
+    /// Expected times at the endpoint at `index`.
+    pub fn choice(&self, index: usize) -> Choice {
+        let (context, token_ms) = (self.context, self.token_ms());
+        let endpoint = Rc::clone(&self.endpoints[index]);
+        let uncached = context.metadata.prompt_tokens as f64 - self.cached_tokens(index);
+        let prefill_ms = uncached.max(0.0) * token_ms;
+        let waiting_ms = WAITING_PROMPT_TOKENS * token_ms;
+        let wait_ms = endpoint.prefill_wait_ms(context.route.rank, waiting_ms);
+        let pace = endpoint.pace(wait_ms + prefill_ms);
+        Choice { endpoint, wait_ms: pace * wait_ms, prefill_ms: pace * prefill_ms, pace }
+    }
+}
+
+/// Whether an endpoint warms up at time `now` and gets requests only with an admission.
+fn needs_admission(context: &PickContext<'_>, endpoint: &Endpoint, now: Duration) -> bool {
+    context.limits_cold && endpoint.is_cold(now)
+}
+
+/// Returns what speaks at time `now` against each of the endpoints of the service, apart from earlier
+/// sends of the request, in their order. An endpoint with a reason may still be a last resort.
+pub fn reasons(
+    context: &PickContext<'_>,
+    endpoints: &[Rc<Endpoint>],
+    now: Duration,
+) -> SmallVec<[Option<Reason>; 16]> {
+    let allowed = allowed_endpoints(context, endpoints);
+    let allowed: HashSet<*const Endpoint> = allowed.iter().map(Rc::as_ptr).collect();
+    let reason = |endpoint: &Rc<Endpoint>| {
+        if let Some(exclusion) = context.zones.exclusion_of(endpoint) {
+            return Some(exclusion.into());
+        }
+        if !allowed.contains(&Rc::as_ptr(endpoint)) {
+            let withdrawn = context.roll_outs.is_withdrawn(context.service, &endpoint.version());
+            return Some(if withdrawn { Reason::Withdrawn } else { Reason::OtherVersion });
+        }
+        endpoint.reason(now).or_else(|| {
+            let left = endpoint.cold_until().saturating_sub(now);
+            let left_ms = left.as_millis() as u64;
+            needs_admission(context, endpoint, now).then_some(Reason::WarmingUp { left_ms })
+        })
     };
-    let expected = |index: usize| loads[index].time.max(spread.level) - saved(index);
-    let preferred = (0..candidates.len()).filter(|index| saved(*index) > 0.0);
-    let index = preferred
-        .chain([spread.index])
-        .min_by(|left, right| expected(*left).total_cmp(&expected(*right)))?;
-    let endpoint = Rc::clone(&candidates[index]);
-    let uncached = context.metadata.prompt_tokens as f64 - cached_tokens(&endpoint);
-    let prefill_ms = uncached.max(0.0) * token_ms;
-    let wait_ms = endpoint.prefill_wait_ms(context.route.rank, WAITING_PROMPT_TOKENS * token_ms);
-    let pace = endpoint.pace(wait_ms + prefill_ms);
-    Some(Choice { endpoint, wait_ms: pace * wait_ms, prefill_ms: pace * prefill_ms })
+    endpoints.iter().map(reason).collect()
 }
 
 /// Returns the endpoints that warm up and could get the request with an admission, the best first.
--- a/crates/fleet-entry/src/placement.rs
+++ b/crates/fleet-entry/src/placement.rs
@@ -13,6 +13,7 @@
 use hickoryreel_fleet::Name;
 use hickoryreel_fleet::configuration::Route;
 use hickoryreel_fleet::configuration::Workspace;
+use hickoryreel_fleet::explanation::Reason;
 use smallvec::SmallVec;
 
 use crate::endpoint::Endpoint;
@@ -28,6 +29,15 @@
     Evacuated,
 }
 
+impl From<Exclusion> for Reason {
+    fn from(exclusion: Exclusion) -> Self {
+        match exclusion {
+            Exclusion::Region => Self::Region,
+            Exclusion::Evacuated => Self::Evacuated,
+        }
+    }
+}
+
 /// Rules for one request.
 #[derive(Clone, Copy, Debug)]
 pub struct Zones<'a> {
--- a/crates/fleet-entry/src/prepare.rs
+++ b/crates/fleet-entry/src/prepare.rs
@@ -62,14 +62,19 @@
     let (index, route, workspace) =
         wait_and_admit(entry, &head, &metadata, arrived).await.map_err(refused)?;
     let limits = &index.configuration.limits;
-    let time_ms = metadata.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS).min(route.timeout_ms);
-    let deadline = arrived + Duration::from_millis(time_ms);
+    let deadline = arrived + time_limit(&metadata, &route);
     let service = pick::service(&route, &metadata).cloned().ok_or(Refusal::NoEndpoint);
     let service = service.map_err(refused)?;
     let body = read_body(entry, body, limits.body_bytes, deadline).await.map_err(refused)?;
     Ok((Prepared { head, metadata, body, route, service, workspace }, deadline))
 }
 
+/// Time for which a request waits for agreed state at most.
+pub fn state_wait(metadata: &RequestMetadata) -> Duration {
+    let max_wait = Duration::from_millis(metadata.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS)) / 3;
+    max_wait.min(MAX_STATE_WAIT)
+}
+
 /// Admits a request. Without current agreed state it waits for it, because the state arrives soon
 /// after a restart or an election, and clients may retry only once.
 async fn wait_and_admit(
@@ -78,8 +83,7 @@
     metadata: &RequestMetadata,
     arrived: Duration,
 ) -> Result<Admitted, Refusal> {
-    let max_wait = Duration::from_millis(metadata.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS)) / 3;
-    let until = arrived + max_wait.min(MAX_STATE_WAIT);
+    let until = arrived + state_wait(metadata);
     loop {
         let state_changed = entry.state_changed.notified();
         match admit(entry, head, metadata, arrived) {
@@ -94,6 +98,12 @@
     }
 }
 
+/// Time from the arrival of a request to its deadline.
+pub fn time_limit(metadata: &RequestMetadata, route: &Route) -> Duration {
+    let wait_ms = metadata.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+    Duration::from_millis(wait_ms.min(route.timeout_ms))
+}
+
 type Admitted = (Arc<Index>, Arc<Route>, Option<Arc<Workspace>>);
 
 fn admit(
@@ -102,20 +112,29 @@
     metadata: &RequestMetadata,
     arrived: Duration,
 ) -> Result<Admitted, Refusal> {
+    let admitted = find(entry, metadata, head.uri.path())?;
+    let (index, _, workspace) = &admitted;
+    let view = entry.view.borrow();
+    // The configuration that makes a credential a key may be on its way.
+    let is_doubtful = workspace.is_none()
+        && index.needs_keys()
+        && credentials::has_unknown_key(&head.headers, |word| view.is_key(word));
+    if is_doubtful && !view.is_confirmed_since(arrived) {
+        entry.request_confirmation(arrived);
+        return Err(Refusal::NoLease);
+    }
+    Ok(admitted)
+}
+
+/// Finds the route of a request, and its workspace if the route needs a key.
+pub fn find(entry: &Entry, metadata: &RequestMetadata, path: &str) -> Result<Admitted, Refusal> {
     let view = entry.view.borrow();
     let index = view.index.as_ref().ok_or(Refusal::NoConfiguration)?;
     let unless_stale = |refusal| if view.is_fresh() { refusal } else { Refusal::NoLease };
-    let route = index.route(&metadata.host, head.uri.path());
+    let route = index.route(&metadata.host, path);
     let route = route.ok_or_else(|| unless_stale(Refusal::UnknownRoute))?;
     let needs_key = index.needs_keys() && !route.public;
     if !needs_key {
-        // The configuration that makes a credential a key may be on its way.
-        let is_doubtful = index.needs_keys()
-            && credentials::has_unknown_key(&head.headers, |word| view.is_key(word));
-        if is_doubtful && !view.is_confirmed_since(arrived) {
-            entry.request_confirmation(arrived);
-            return Err(Refusal::NoLease);
-        }
         return Ok((Arc::clone(index), Arc::clone(route), None));
     }
     if !view.has_lease(entry.settings.lease) {
--- a/crates/fleet-entry/src/prompt.rs
+++ b/crates/fleet-entry/src/prompt.rs
@@ -6,7 +6,9 @@
 use hickoryreel_base::time::boot_time;
 use slog::info;
 
+use crate::dialect::RequestMetadata;
 use crate::endpoint::Endpoint;
+use crate::entry::Entry;
 use crate::forward::ActiveRequest;
 use crate::quarantine;
 use crate::quarantine::Prefix;
@@ -14,24 +16,33 @@
 /// Endpoints that a request may crash before it waits for a verdict on its prompt.
 const MAX_CRASHES_WITHOUT_VERDICT: usize = 2;
 
+fn shared_parts(metadata: &RequestMetadata) -> Prefix {
+    let shared = metadata.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    let first = shared.len().min(quarantine::MAX_PARTS / 2);
+    let deepest = shared.len().saturating_sub(quarantine::MAX_PARTS / 2).max(first);
+    shared[..first].iter().chain(&shared[deepest..]).map(|part| part.id).collect()
+}
+
+/// Time until a request may be sent, if a part of its prompt is blocked.
+pub fn block_left(entry: &Entry, metadata: &RequestMetadata) -> Option<Duration> {
+    if metadata.parts.len() < 2 {
+        return None;
+    }
+    let now = boot_time();
+    let blocked = entry.quarantine.borrow().blocked(&shared_parts(metadata), now);
+    blocked.map(|(_, until)| until.saturating_sub(now))
+}
+
 impl ActiveRequest {
     /// Ids of the parts of the prompt that other requests may share, without the middle ones of a
     /// prompt with very many.
     pub fn shared_parts(&self) -> Prefix {
-        let shared = self.metadata.parts.split_last().map_or(&[][..], |(_, shared)| shared);
-        let first = shared.len().min(quarantine::MAX_PARTS / 2);
-        let deepest = shared.len().saturating_sub(quarantine::MAX_PARTS / 2).max(first);
-        shared[..first].iter().chain(&shared[deepest..]).map(|part| part.id).collect()
+        shared_parts(&self.metadata)
     }
 
     /// Time until the request may be sent, if a part of its prompt is blocked.
     pub fn block_left(&self) -> Option<Duration> {
-        if self.metadata.parts.len() < 2 {
-            return None;
-        }
-        let now = boot_time();
-        let blocked = self.entry.quarantine.borrow().blocked(&self.shared_parts(), now);
-        blocked.map(|(_, until)| until.saturating_sub(now))
+        block_left(&self.entry, &self.metadata)
     }
 
     /// Records that the connection to an endpoint broke before any part of an answer arrived. The
--- a/crates/fleet-entry/src/settings.rs
+++ b/crates/fleet-entry/src/settings.rs
@@ -15,6 +15,8 @@
     pub regions: Vec<(String, String)>,
     /// Address for clients.
     pub listen: SocketAddrV4,
+    /// Address for links, on which operators ask for explanations; `None` for none.
+    pub links: Option<SocketAddrV4>,
     /// Link addresses of the control replicas to poll first; they name the others.
     pub seeds: Vec<SocketAddrV4>,
     /// Duration of the lease under which keys are accepted, from the start of the poll that renews
@@ -42,6 +44,7 @@
             zone: String::new(),
             regions: Vec::new(),
             listen: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0),
+            links: None,
             seeds: Vec::new(),
             lease: Duration::from_millis(4_200),
             grace: Duration::from_secs(8),
--- a/crates/fleet-entry/src/spread.rs
+++ b/crates/fleet-entry/src/spread.rs
@@ -25,26 +25,59 @@
     pub level: f64,
 }
 
-/// Chooses one of the endpoints whose loads and capacities are given. A load is a time, and the capacity
-/// is the work that the endpoint does in a time unit. `volume` is the work that is expected to arrive at
-/// all of them before the loads are updated, and `point`, from 0 to 1, selects among the endpoints with
-/// room. Returns `None` if there are no endpoints.
-pub fn choose(endpoints: &[Load], volume: f64, point: f64) -> Option<Choice> {
-    let level = level(endpoints, volume)?;
-    let room = |endpoint: &Load| (level - endpoint.time).max(0.0) * endpoint.capacity;
-    let total: f64 = endpoints.iter().map(room).sum();
-    let mut left = point * total;
-    for (index, endpoint) in endpoints.iter().enumerate() {
-        let room = room(endpoint);
-        if room > 0.0 && left < room {
-            return Some(Choice { index, level });
+/// Distribution of the choice among endpoints.
+#[derive(Clone, Debug)]
+pub struct Spread {
+    /// Load up to which the endpoints are expected to be filled.
+    pub level: f64,
+    /// Work that fits below the level, by endpoint.
+    rooms: SmallVec<[f64; 64]>,
+    /// Index of the least loaded endpoint.
+    lowest: usize,
+}
+
+impl Spread {
+    /// Creates the distribution for endpoints whose loads and capacities are given. A load is a time,
+    /// and the capacity is the work that the endpoint does in a time unit. `volume` is the work that is
+    /// expected to arrive at all of them before the loads are updated. Returns `None` if there are no
+    /// endpoints.
+    pub fn new(endpoints: &[Load], volume: f64) -> Option<Self> {
+        let level = level(endpoints, volume)?;
+        let room = |endpoint: &Load| (level - endpoint.time).max(0.0) * endpoint.capacity;
+        let lowest = endpoints.iter().enumerate();
+        let lowest = lowest.min_by(|left, right| left.1.time.total_cmp(&right.1.time));
+        let (lowest, _) = lowest?;
+        Some(Self { level, rooms: endpoints.iter().map(room).collect(), lowest })
+    }
+
+    /// Returns the index of the endpoint that `point`, from 0 to 1, selects among those with room.
+    pub fn draw(&self, point: f64) -> usize {
+        let mut left = point * self.rooms.iter().sum::<f64>();
+        for (index, room) in self.rooms.iter().enumerate() {
+            if *room > 0.0 && left < *room {
+                return index;
+            }
+            left -= room;
         }
-        left -= room;
+        // The point is at the end of the range, or no load is expected.
+        self.lowest
+    }
+
+    /// Probability of each endpoint.
+    pub fn shares(&self) -> SmallVec<[f64; 64]> {
+        let total: f64 = self.rooms.iter().sum();
+        let share = |(index, room): (usize, &f64)| match total > 0.0 {
+            true => room / total,
+            false => f64::from(u8::from(index == self.lowest)),
+        };
+        self.rooms.iter().enumerate().map(share).collect()
     }
-    // The point is at the end of the range, or no load is expected.
-    let lowest = endpoints.iter().enumerate();
-    let lowest = lowest.min_by(|left, right| left.1.time.total_cmp(&right.1.time));
-    lowest.map(|(index, _)| Choice { index, level })
+}
+
+/// Chooses one of some endpoints, see [`Spread`].
+pub fn choose(endpoints: &[Load], volume: f64, point: f64) -> Option<Choice> {
+    let spread = Spread::new(endpoints, volume)?;
+    Some(Choice { index: spread.draw(point), level: spread.level })
 }
 
 /// Level up to which `volume` fills the endpoints.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,10 +4,12 @@
 //! [`endpoint`] announcements. Each entry keeps one [`link`] to every control replica and asks for
 //! changes with long polls, whose answers also renew its lease. Entries exchange the [`load`] that
 //! they put on endpoints, and what they know about a [`crash`] of one, through a control replica.
+//! An operator gets an [`explanation`] of an entry's choices over a link.
 
 pub mod configuration;
 pub mod crash;
 pub mod endpoint;
+pub mod explanation;
 pub mod histogram;
 pub mod link;
 pub mod load;
--- a/crates/fleet/src/link/message.rs
+++ b/crates/fleet/src/link/message.rs
@@ -11,13 +11,15 @@
 use crate::configuration::Configuration;
 use crate::endpoint::Announcement;
 use crate::endpoint::EndpointUpdate;
+use crate::explanation::Explanation;
+use crate::explanation::Question;
 use crate::load::EndpointKey;
 use crate::load::Report;
 use crate::load::Totals;
 use crate::roll_out::RollOuts;
 use crate::roll_out::Tally;
 
-/// Request to a control replica.
+/// Request to a control replica, or to an entry ([`Self::Explain`] only).
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Request {
     /// Consensus messages from another replica.
@@ -43,6 +45,8 @@
     /// A [`Request::AdmitCold`] that another replica forwards to the leader. It is not forwarded
     /// again.
     ForwardedAdmitCold(ColdRequest),
+    /// Asks an entry where a request would go now.
+    Explain(Box<Question>),
 }
 
 /// Asks for permission to send one request to an endpoint that warms up.
@@ -149,4 +153,6 @@
     Totals(Totals),
     /// Decision of the leader on a request to an endpoint that warms up.
     Cold(ColdDecision),
+    /// Where an entry would send a request.
+    Explanation(Box<Explanation>),
 }
--- a/crates/fleet/src/link/server.rs
+++ b/crates/fleet/src/link/server.rs
@@ -12,6 +12,7 @@
 use tokio::sync::mpsc;
 
 use super::Answer;
+use super::MAX_FRAME_BYTES;
 use super::Request;
 use super::decode;
 use super::encode;
@@ -29,6 +30,9 @@
 
 /// Handles the requests of all links of a server.
 pub trait Handler: 'static {
+    /// Maximum size of a request; a connection with a larger one is closed.
+    const MAX_REQUEST_BYTES: usize = MAX_FRAME_BYTES;
+
     fn handle(self: Rc<Self>, request: Request) -> impl Future<Output = Answer> + 'static;
 }
 
@@ -59,6 +63,10 @@
         }
     });
     while let Ok(Some(Ok(bytes))) = tokio::time::timeout(IDLE_TIMEOUT, frames.next()).await {
+        if bytes.len() > H::MAX_REQUEST_BYTES {
+            debug!(log, "a link sent a frame that is too large"; "bytes" => bytes.len());
+            break;
+        }
         let (number, request) = match decode::<Request>(&bytes) {
             Ok(decoded) => decoded,
             Err(cause) => {
--- a/crates/operator/src/cli/mod.rs
+++ b/crates/operator/src/cli/mod.rs
@@ -23,6 +23,7 @@
 mod resume;
 mod revert;
 mod roll_out;
+mod route;
 mod sign_off;
 mod status;
 mod submit;
@@ -30,6 +31,9 @@
 
 const WRONG_ARGUMENTS: u8 = 2;
 
+/// Environment variable with the operator key.
+const KEY_VARIABLE: &str = "HICKORYREEL_KEY";
+
 const HELP_COLUMNS: usize = 100;
 
 /// Operates a hickoryreel deployment.
@@ -50,9 +54,9 @@
     /// Address of a control replica's administration interface; may be repeated
     #[bpaf(argument("ADDRESS:PORT"), many)]
     control: Vec<SocketAddr>,
-    /// Operator key
-    #[bpaf(env("HICKORYREEL_KEY"), argument("KEY"), fallback(String::new()))]
-    key: String,
+    /// Operator key; HICKORYREEL_KEY from the environment by default
+    #[bpaf(argument("KEY"))]
+    key: Option<String>,
     /// How long to retry until the leader answers, in seconds
     #[bpaf(argument("S"), fallback(10))]
     patience_s: u64,
@@ -105,6 +109,9 @@
     /// Show the events of one request in the logs of several processes
     #[bpaf(command)]
     Explain(#[bpaf(external(explain::cli))] explain::Explain),
+    /// Show where a running entry would send a request now, without sending it
+    #[bpaf(command)]
+    Route(#[bpaf(external(route::cli))] route::Route),
     /// Add or remove control replicas
     #[bpaf(command)]
     Replica(#[bpaf(external(replica::cli))] replica::Replica),
@@ -113,6 +120,8 @@
 /// Client and output format for a subcommand.
 pub struct Context {
     pub admin: AdminClient,
+    /// Key from the command line.
+    pub key: Option<String>,
     /// Whether to print JSON instead of tables.
     pub json: bool,
 }
@@ -123,7 +132,9 @@
     let arguments = match arguments().run_inner(bpaf::Args::current_args()) {
         Ok(arguments) => arguments,
         Err(bpaf::ParseFailure::Stderr(message)) => {
-            eprintln!("error: {}", message.monochrome(true));
+            // Long messages are wrapped; scripts expect one line.
+            let message = message.monochrome(true);
+            eprintln!("error: {}", message.split_whitespace().collect::<Vec<_>>().join(" "));
             return ExitCode::from(WRONG_ARGUMENTS);
         }
         Err(failure) => {
@@ -132,8 +143,9 @@
         }
     };
     let Connection { control, key, patience_s } = arguments.connection;
-    let admin = AdminClient::new(control, key, Duration::from_secs(patience_s));
-    let context = Context { admin, json: arguments.json };
+    let operator_key = key.clone().or_else(|| std::env::var(KEY_VARIABLE).ok()).unwrap_or_default();
+    let admin = AdminClient::new(control, operator_key, Duration::from_secs(patience_s));
+    let context = Context { admin, key, json: arguments.json };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let result = match runtime {
         Ok(runtime) => runtime.block_on(exec(&context, arguments.command)),
@@ -165,6 +177,7 @@
         Command::Burn(arguments) => burn::exec(context, &arguments).await,
         Command::InForce(arguments) => in_force::exec(context, &arguments).await,
         Command::Explain(arguments) => explain::exec(context, &arguments),
+        Command::Route(arguments) => route::exec(context, arguments).await,
         Command::Replica(arguments) => replica::exec(context, &arguments).await,
     }
 }
