--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -26,7 +26,6 @@
 use crate::availability::Outlook;
 use crate::body::Body;
 use crate::cascade::AnswerEstimate;
-use crate::cascade::Cascade;
 use crate::cold;
 use crate::dialect::RequestMetadata;
 use crate::endpoint::Endpoint;
@@ -48,6 +47,7 @@
 use crate::prepare::prepare;
 use crate::relay;
 use crate::send::Sent;
+use crate::settings::Settings;
 use crate::view::View;
 
 /// Minimum time before the deadline at which a request is still sent.
@@ -153,6 +153,107 @@
     pub passed_on: Cell<bool>,
 }
 
+/// A request whose route and service are known.
+pub struct Routed<'a> {
+    pub route: &'a Route,
+    pub metadata: &'a RequestMetadata,
+    pub service: &'a Name,
+    /// `None` if the route needs no key.
+    pub workspace: Option<&'a Workspace>,
+    pub path: &'a str,
+    /// Model of the next send, if the entry chooses it.
+    pub model: Option<&'a str>,
+}
+
+impl<'a> Routed<'a> {
+    /// Rules of the configuration under which the request was accepted and of the one in force. The
+    /// choice of an endpoint and the check before a write use the same ones: a choice that the check
+    /// never permits would be repeated until the deadline.
+    fn zones(&self, settings: &'a Settings, view: &'a View) -> Zones<'a> {
+        let zones = Zones::new(settings, self.route, self.workspace, &view.evacuated);
+        let current = view.index.as_ref().and_then(|index| {
+            let route = index.route(&self.metadata.host, self.path)?;
+            Some((index, route))
+        });
+        let Some((index, route)) = current else { return zones };
+        let key = self.metadata.key.as_deref().filter(|_| self.workspace.is_some());
+        let workspace = key.and_then(|key| index.workspace(key));
+        zones.restricted_by(route, workspace.map(|workspace| &**workspace))
+    }
+
+    /// Identifies the shared beginning of the prompt and the model that reads it.
+    fn prefix_key(&self) -> Option<u64> {
+        let (_, shared) = self.metadata.parts.split_last()?;
+        Some(shared.last()?.id ^ xxh3_64(self.model.unwrap_or_default().as_bytes()))
+    }
+}
+
+/// Calls a function of [`pick`] with the endpoints of a request's service.
+pub fn with_context<T>(
+    entry: &Entry,
+    routed: &Routed<'_>,
+    tried: &[Name],
+    token_ms: Option<f64>,
+    function: impl Fn(&PickContext<'_>, &[Rc<Endpoint>]) -> T,
+) -> T {
+    let Routed { route, metadata, service, .. } = *routed;
+    let view = entry.view.borrow();
+    let directory = entry.directory.borrow();
+    let is_in_region = |zone: &str| entry.is_in_region(zone);
+    let endpoints = directory.for_service(service);
+    let context = PickContext {
+        route,
+        metadata,
+        service,
+        roll_outs: &view.roll_outs,
+        tried,
+        entries: entry.entries.get(),
+        token_ms,
+        is_in_region: &is_in_region,
+        zones: routed.zones(&entry.settings, &view),
+        cold_limit: entry.cold_limit(service),
+        kept: entry.kept_outlook(service, routed.prefix_key(), endpoints.len()),
+    };
+    function(&context, endpoints)
+}
+
+/// Returns the model at `index` among those of the route, or `None` if the client chose one.
+pub fn choose_model(metadata: &RequestMetadata, route: &Route, index: usize) -> Option<Name> {
+    metadata.any_model.then(|| route.models.get(index).cloned()).flatten()
+}
+
+/// Time for which a request with `left` to its deadline waits for an endpoint to announce itself.
+pub fn endpoint_wait(left: Duration) -> Duration {
+    (left / 3).min(MAX_STATE_WAIT)
+}
+
+/// Latest time at which the answer of an endpoint whose pause ends is expected in time. Until then
+/// waiting is faster than a refusal, after which the client may come back through another entry.
+pub fn latest_start(route: &Route, arrived: Duration, deadline: Duration) -> Duration {
+    let target = arrived + Duration::from_millis(route.target_ms) / 2;
+    target.min(deadline.saturating_sub(Duration::from_millis(MIN_SEND_TIME_MS)))
+}
+
+/// Returns until when a request waits at time `now` if no endpoint can take it, and when it looks for
+/// one again, or `None` if it does not wait. `room_at` is the time before which the endpoints that warm
+/// up have no room, `until` the end of the wait for an endpoint to announce itself.
+pub fn next_look(
+    outlook: Outlook,
+    room_at: Option<Duration>,
+    now: Duration,
+    until: Duration,
+    latest_start: Duration,
+) -> Option<(Duration, Duration)> {
+    let paused = |end: Duration| (latest_start, end.max(now + TRIAL_CHECK_INTERVAL));
+    let (until, wake_at) = match (room_at, outlook) {
+        (Some(room_at), _) => paused(room_at),
+        (None, Outlook::Unknown) => (until, until),
+        (None, Outlook::Leaving | Outlook::Excluded) => return None,
+        (None, Outlook::Paused(end)) => paused(end),
+    };
+    (now < until && wake_at <= until).then_some((until, wake_at))
+}
+
 async fn answer(
     entry: &Rc<Entry>,
     head: Parts,
@@ -393,7 +494,7 @@
     /// If all are leaving or have asked for pauses, it waits only for a pause that ends in time.
     pub async fn wait_for_endpoint(&mut self) -> Option<Rc<Endpoint>> {
         let entry = Rc::clone(&self.entry);
-        let until = boot_time() + Duration::from_millis(self.left_ms() / 3).min(MAX_STATE_WAIT);
+        let until = boot_time() + endpoint_wait(Duration::from_millis(self.left_ms()));
         loop {
             let state_changed = entry.state_changed.notified();
             if let Some(endpoint) = self.pick() {
@@ -412,26 +513,15 @@
                 return None;
             }
             let now = boot_time();
-            let paused = |end: Duration| (self.latest_start(), end.max(now + TRIAL_CHECK_INTERVAL));
-            let (until, wake_at) = match (room_at, self.outlook(now)) {
-                (Some(room_at), _) => paused(room_at),
-                (None, Outlook::Unknown) => (until, until),
-                (None, Outlook::Leaving | Outlook::Excluded) => return None,
-                (None, Outlook::Paused(end)) => paused(end),
-            };
-            if now >= until || wake_at > until {
-                return None;
-            }
+            let (outlook, latest_start) = (self.outlook(now), self.latest_start());
+            let (_, wake_at) = next_look(outlook, room_at, now, until, latest_start)?;
             // The end of the wait is checked above.
             let _ = tokio::time::timeout(wake_at - now, state_changed).await;
         }
     }
 
-    /// Latest time at which the answer of an endpoint whose pause ends is expected in time. Until then
-    /// waiting is faster than a refusal, after which the client may come back through another entry.
     fn latest_start(&self) -> Duration {
-        let target = self.arrived + Duration::from_millis(self.route.target_ms) / 2;
-        target.min(self.deadline.saturating_sub(Duration::from_millis(MIN_SEND_TIME_MS)))
+        latest_start(&self.route, self.arrived, self.deadline)
     }
 
     fn outlook(&self, now: Duration) -> Outlook {
@@ -465,23 +555,8 @@
 
     /// Whether the request may be served in the availability zone of an endpoint.
     pub fn may_be_served_by(&self, endpoint: &Endpoint) -> bool {
-        self.zones(&self.entry.view.borrow()).exclusion_of(endpoint).is_none()
-    }
-
-    /// Rules of the configuration under which the request was accepted and of the one in force. The
-    /// choice of an endpoint and the check before a write use the same ones: a choice that the check
-    /// never permits would be repeated until the deadline.
-    fn zones<'a>(&'a self, view: &'a View) -> Zones<'a> {
-        let accepted = self.workspace.as_deref();
-        let zones = Zones::new(&self.entry.settings, &self.route, accepted, &view.evacuated);
-        let current = view.index.as_ref().and_then(|index| {
-            let route = index.route(&self.metadata.host, self.head.uri.path())?;
-            Some((index, route))
-        });
-        let Some((index, route)) = current else { return zones };
-        let key = self.metadata.key.as_deref().filter(|_| accepted.is_some());
-        let workspace = key.and_then(|key| index.workspace(key));
-        zones.restricted_by(route, workspace.map(|workspace| &**workspace))
+        let view = self.entry.view.borrow();
+        self.routed().zones(&self.entry.settings, &view).exclusion_of(endpoint).is_none()
     }
 
     fn pick(&self) -> Option<Rc<Endpoint>> {
@@ -499,36 +574,23 @@
         token_ms: Option<f64>,
         function: impl Fn(&PickContext<'_>, &[Rc<Endpoint>]) -> T,
     ) -> T {
-        let view = self.entry.view.borrow();
-        let directory = self.entry.directory.borrow();
-        let is_in_region = |zone: &str| self.entry.is_in_region(zone);
-        let endpoints = directory.for_service(&self.service);
-        let context = PickContext {
+        with_context(&self.entry, &self.routed(), tried, token_ms, function)
+    }
+
+    fn routed(&self) -> Routed<'_> {
+        Routed {
             route: &self.route,
             metadata: &self.metadata,
             service: &self.service,
-            roll_outs: &view.roll_outs,
-            tried,
-            entries: self.entry.entries.get(),
-            token_ms,
-            is_in_region: &is_in_region,
-            zones: self.zones(&view),
-            cold_limit: self.entry.cold_limit(&self.service),
-            kept: self.entry.kept_outlook(&self.service, self.prefix_key(), endpoints.len()),
-        };
-        function(&context, endpoints)
-    }
-
-    /// Identifies the shared beginning of the prompt and the model that reads it.
-    fn prefix_key(&self) -> Option<u64> {
-        let (_, shared) = self.metadata.parts.split_last()?;
-        let model = self.model.as_deref().unwrap_or_default();
-        Some(shared.last()?.id ^ xxh3_64(model.as_bytes()))
+            workspace: self.workspace.as_deref(),
+            path: self.head.uri.path(),
+            model: self.model.as_deref(),
+        }
     }
 
     /// Records the use of the shared beginning of the prompt by a send.
     pub fn record_use(&self) {
-        let Some(key) = self.prefix_key() else { return };
+        let Some(key) = self.routed().prefix_key() else { return };
         let mut kept = self.entry.kept.borrow_mut();
         let uses = kept.entry(self.service.clone()).or_default();
         uses.record(key, self.metadata.prompt_tokens, boot_time());
@@ -536,10 +598,7 @@
 
     /// Returns the model of the next send, or `None` if the client chose it.
     pub fn choose_model(&self) -> Option<Name> {
-        if !self.metadata.any_model {
-            return None;
-        }
-        self.route.models.get(self.model_index).cloned()
+        choose_model(&self.metadata, &self.route, self.model_index)
     }
 
     /// Expected prefill time of the prompt without cached tokens.
@@ -560,15 +619,7 @@
 
     /// Prefill time per prompt token of the latest send's model; `None` if the entry chose no model.
     fn token_ms(&self) -> Option<f64> {
-        let cascades = self.entry.cascades.borrow();
-        let cascade = cascades.get(&self.service);
-        let model = self.model.as_ref()?;
-        Some(
-            cascade.map_or_else(
-                || Cascade::default().token_ms(model),
-                |cascade| cascade.token_ms(model),
-            ),
-        )
+        Some(self.entry.token_ms(&self.service, self.model.as_ref()?))
     }
 
     /// Decides whether the answer is dropped and the request sent to a larger model.
