Give replicas of a test addresses of their own

Cause: the tests let the system choose the ports of replicas. While a killed replica was down, the port was given to another socket, and the replica could not start again: one of 699 tests failed in one run so.

Change: replicas listen on a fixed port at loopback addresses that belong to the process.

--- a/crates/fleet-control/tests/evacuations.rs
+++ b/crates/fleet-control/tests/evacuations.rs
@@ -8,6 +8,8 @@
 use std::net::SocketAddrV4;
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -38,7 +40,6 @@
 use hickoryreel_fleet_control::run;
 use hickoryreel_fleet_control::settings::Settings;
 use tempfile::TempDir;
-use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::task::LocalSet;
@@ -58,6 +59,9 @@
 /// Requests that are admitted to one endpoint within [`WINDOW`].
 const ADMISSIONS: usize = 3;
 
+/// Port below those that the system gives to outgoing connections.
+const LINK_PORT: u16 = 7_340;
+
 const ZONE: &str = "south-a";
 
 type Task = Box<dyn FnOnce(Rc<Control>) -> LocalBoxFuture<'static, ()> + Send>;
@@ -171,6 +175,15 @@
     Client::start(SocketAddr::V4(address), logging::discard())
 }
 
+/// Returns an address of this process alone. A port that the system chooses may be given to another
+/// socket while the replica that had it is down.
+fn own_address() -> SocketAddrV4 {
+    static COUNT: AtomicU8 = AtomicU8::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let last = COUNT.fetch_add(1, Ordering::Relaxed);
+    SocketAddrV4::new(Ipv4Addr::new(127, high | 0x80, low, last), LINK_PORT)
+}
+
 /// Three replicas with their disks.
 struct Cluster {
     seeds: Vec<SocketAddrV4>,
@@ -179,14 +192,8 @@
 }
 
 impl Cluster {
-    async fn start() -> Self {
-        let mut seeds = Vec::new();
-        for _ in 0..3 {
-            let listener =
-                TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("loopback works");
-            let port = listener.local_addr().expect("it is bound").port();
-            seeds.push(SocketAddrV4::new(Ipv4Addr::LOCALHOST, port));
-        }
+    fn start() -> Self {
+        let seeds: Vec<SocketAddrV4> = (0..3).map(|_| own_address()).collect();
         let new_dir = |_| TempDir::new().expect("a folder can be made");
         let data_dirs = seeds.iter().map(new_dir).collect();
         let mut cluster = Self { seeds, data_dirs, replicas: vec![None, None, None] };
@@ -325,7 +332,7 @@
 async fn evacuation_survives_the_leader_that_is_killed_meanwhile(at_leader: bool) {
     LocalSet::new()
         .run_until(async {
-            let mut cluster = Cluster::start().await;
+            let mut cluster = Cluster::start();
             let leader = cluster.leader().await;
             let asked = if at_leader { leader } else { (leader + 1) % 3 };
             let order = |control: Rc<Control>| {
@@ -362,7 +369,7 @@
 async fn evacuation_is_not_acknowledged_without_a_quorum() {
     LocalSet::new()
         .run_until(async {
-            let mut cluster = Cluster::start().await;
+            let mut cluster = Cluster::start();
             let leader = cluster.leader().await;
             let others = [(leader + 1) % 3, (leader + 2) % 3];
             others.iter().for_each(|index| cluster.kill(*index));
@@ -387,7 +394,7 @@
 async fn orders_in_quick_succession_take_effect_in_their_order() {
     LocalSet::new()
         .run_until(async {
-            let cluster = Cluster::start().await;
+            let cluster = Cluster::start();
             cluster.leader().await;
             cluster.order(false).await;
 
@@ -420,7 +427,7 @@
 ) {
     LocalSet::new()
         .run_until(async {
-            let mut cluster = Cluster::start().await;
+            let mut cluster = Cluster::start();
             for evacuated in orders {
                 cluster.order(*evacuated).await;
             }
@@ -438,7 +445,7 @@
 async fn admissions_of_all_replicas_stay_within_one_limit() {
     LocalSet::new()
         .run_until(async {
-            let cluster = Cluster::start().await;
+            let cluster = Cluster::start();
             cluster.limit_cold_starts().await;
             cluster.leader().await;
             let begun = cluster.first_admission().await;
@@ -464,7 +471,7 @@
 async fn new_leader_waits_for_the_admissions_of_the_old_one(restarts: bool) {
     LocalSet::new()
         .run_until(async {
-            let mut cluster = Cluster::start().await;
+            let mut cluster = Cluster::start();
             cluster.limit_cold_starts().await;
             cluster.first_admission().await;
             let leader = cluster.leader().await;
@@ -487,7 +494,7 @@
 async fn leader_without_a_quorum_admits_nothing() {
     LocalSet::new()
         .run_until(async {
-            let mut cluster = Cluster::start().await;
+            let mut cluster = Cluster::start();
             cluster.limit_cold_starts().await;
             cluster.first_admission().await;
             let leader = cluster.leader().await;
@@ -514,7 +521,7 @@
 async fn follower_admits_nothing_itself() {
     LocalSet::new()
         .run_until(async {
-            let cluster = Cluster::start().await;
+            let cluster = Cluster::start();
             cluster.limit_cold_starts().await;
             cluster.first_admission().await;
             let follower = cluster.replica((cluster.leader().await + 1) % 3);
