Log why no endpoint may take a request

A request that is refused because all endpoints leave or are excluded gets a line with the regions that its route and workspace allow, the evacuated zones and the configuration. The line on a send that is withdrawn says whether the zone is permitted and the request admitted.

--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -415,7 +415,10 @@
             let (until, wake_at) = match (room_at, self.outlook(now)) {
                 (Some(room_at), _) => paused(room_at),
                 (None, Outlook::Unknown) => (until, until),
-                (None, Outlook::Leaving | Outlook::Excluded) => return None,
+                (None, outlook @ (Outlook::Leaving | Outlook::Excluded)) => {
+                    self.log_exclusion(outlook);
+                    return None;
+                }
                 (None, Outlook::Paused(end)) => paused(end),
             };
             if now >= until || wake_at > until {
@@ -426,6 +429,17 @@
         }
     }
 
+    fn log_exclusion(&self, outlook: Outlook) {
+        let view = self.entry.view.borrow();
+        let workspace = self.workspace.as_deref();
+        info!(self.entry.log, "no endpoint may take the request"; "request" => &self.metadata.id,
+            "outlook" => ?outlook, "route" => &*self.route.name,
+            "route_regions" => self.route.allowed_regions.join(", "),
+            "workspace" => workspace.map(|workspace| &*workspace.name),
+            "workspace_regions" => workspace.map(|workspace| workspace.allowed_regions.join(", ")),
+            "evacuated" => view.evacuated.join(", "), "configuration" => view.number());
+    }
+
     /// Latest time at which the answer of an endpoint whose pause ends is expected in time. Until then
     /// waiting is faster than a refusal, after which the client may come back through another entry.
     fn latest_start(&self) -> Duration {
--- a/crates/fleet-entry/src/metrics.rs
+++ b/crates/fleet-entry/src/metrics.rs
@@ -79,7 +79,7 @@
             counter("blocked", "Requests refused because a part of their prompt crashes endpoints");
         let withdrawn = counter(
             "withdrawn_sends",
-            "Sends withdrawn before they were written as the endpoint left or paused",
+            "Sends withdrawn before they were written as the endpoint or its zone became unavailable",
         );
         let cold_admissions =
             counter("cold_admissions", "Requests admitted to endpoints that warm up");
--- a/crates/fleet-entry/src/send.rs
+++ b/crates/fleet-entry/src/send.rs
@@ -349,7 +349,9 @@
             Err(Failure::Withdrawn) if self.left_ms() > MIN_SEND_TIME_MS && self.has_lease() => {
                 self.entry.metrics.withdrawn.inc();
                 info!(self.entry.log, "request is sent elsewhere"; "endpoint" => &*endpoint.id(),
-                    "request" => &self.metadata.id, "availability" => ?endpoint.availability());
+                    "request" => &self.metadata.id, "availability" => ?endpoint.availability(),
+                    "zone_permitted" => self.may_be_served_by(endpoint),
+                    "admitted" => self.is_admitted_by(endpoint));
                 Err(SendEnd::NotSent)
             }
             Err(Failure::Withdrawn) => {
