--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -514,12 +514,26 @@
             }
             let now = boot_time();
             let (outlook, latest_start) = (self.outlook(now), self.latest_start());
+            if room_at.is_none() && matches!(outlook, Outlook::Leaving | Outlook::Excluded) {
+                self.log_exclusion(outlook);
+            }
             let (_, wake_at) = next_look(outlook, room_at, now, until, latest_start)?;
             // The end of the wait is checked above.
             let _ = tokio::time::timeout(wake_at - now, state_changed).await;
         }
     }
 
+    fn log_exclusion(&self, outlook: Outlook) {
+        let view = self.entry.view.borrow();
+        let workspace = self.workspace.as_deref();
+        info!(self.entry.log, "no endpoint may take the request"; "request" => &self.metadata.id,
+            "outlook" => ?outlook, "route" => &*self.route.name,
+            "route_regions" => self.route.allowed_regions.join(", "),
+            "workspace" => workspace.map(|workspace| &*workspace.name),
+            "workspace_regions" => workspace.map(|workspace| workspace.allowed_regions.join(", ")),
+            "evacuated" => view.evacuated.join(", "), "configuration" => view.number());
+    }
+
     fn latest_start(&self) -> Duration {
         latest_start(&self.route, self.arrived, self.deadline)
     }
--- a/crates/fleet-entry/tests/explain.rs
+++ b/crates/fleet-entry/tests/explain.rs
@@ -497,7 +497,8 @@
 fn excluded_endpoint_has_its_reason(drawn: Drawn, expected: Reason) {
     let mut configuration = configuration(1);
     configuration.routes.iter_mut().for_each(|route| route.allowed_regions = names(&["north"]));
-    configuration.services[0].cold_start = Some(ColdStart { requests_per_s: 1.0, after_start: true });
+    configuration.services[0].cold_start =
+        Some(ColdStart { requests_per_s: 1.0, after_start: true });
     let entry = entry(configuration, roll_outs(Some(Phase::Pending), true), &["north-b"]);
     add(&entry, 0, Drawn::default());
     add(&entry, 1, drawn);
