Bound and count what an entry holds for slow readers

The relay of a stream buffered up to 8 chunks of 64 KiB for a client that did not read, and none of it was counted; an answer without events and the body of a request were counted only while they were read. Many slow readers together could take more memory than a VM of 120 MB has.

Without room the stream is not read further and its endpoint has to wait; that time is no pause of the endpoint, and a stream that it gives up meanwhile is no failure of it. Answers without events and bodies of requests count until they are written or the request ends.

Metrics: client_bytes, answer_bytes, body_bytes, client_waits.

--- a/crates/fleet-entry/src/body.rs
+++ b/crates/fleet-entry/src/body.rs
@@ -4,30 +4,74 @@
 use std::task::Context;
 use std::task::Poll;
 
+use bytes::Buf;
 use bytes::Bytes;
 use derive_more::Display;
 use derive_more::Error;
+use derive_more::From;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 use tokio::sync::mpsc;
 
+use crate::client_memory::Hold;
 use crate::entry::RequestGuard;
+use crate::memory::Reservation;
 
 /// The source of a stream failed and the response is incomplete.
 #[derive(Clone, Copy, Debug, Display, Error)]
 #[display("the stream was interrupted")]
 pub struct StreamInterrupted;
 
+/// Memory that is released when a part has been written.
+#[derive(Debug, From)]
+#[expect(dead_code, reason = "the fields release their memory when they are dropped")]
+enum Held {
+    Answer(Reservation),
+    Stream(Hold),
+}
+
+/// Bytes of a body. The connection drops it when all of them are written.
+#[derive(Debug, Default)]
+pub struct Part {
+    bytes: Bytes,
+    #[expect(dead_code, reason = "it releases its memory when it is dropped")]
+    held: Option<Held>,
+}
+
+impl Part {
+    /// Creates a part of a stream, and the memory that it takes.
+    pub fn of_stream(bytes: Bytes, hold: Hold) -> Self {
+        Self { bytes, held: Some(hold.into()) }
+    }
+}
+
+impl Buf for Part {
+    fn remaining(&self) -> usize {
+        self.bytes.len()
+    }
+
+    fn chunk(&self) -> &[u8] {
+        &self.bytes
+    }
+
+    fn advance(&mut self, count: usize) {
+        self.bytes.advance(count);
+        if self.bytes.is_empty() {
+            *self = Self::default();
+        }
+    }
+}
+
 /// A chunk of a stream.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum Chunk {
-    Data(Bytes),
+    Data(Part),
     /// End of a complete stream.
     End,
 }
 
 enum Source {
-    Whole(Option<Bytes>),
+    Whole(Part),
     /// A stream that is interrupted if all senders are dropped before [`Chunk::End`].
     Chunks(mpsc::Receiver<Chunk>),
 }
@@ -42,7 +86,13 @@
 impl Body {
     /// Creates a body from bytes that are all in memory.
     pub fn whole(bytes: Bytes) -> Self {
-        Self { source: Source::Whole(Some(bytes)), guard: None }
+        Self { source: Source::Whole(Part { bytes, held: None }), guard: None }
+    }
+
+    /// Creates a body from an answer, and the memory that it takes.
+    pub fn answer(bytes: Bytes, memory: Reservation) -> Self {
+        let part = Part { bytes, held: Some(memory.into()) };
+        Self { source: Source::Whole(part), guard: None }
     }
 
     /// Creates a body whose chunks arrive over time.
@@ -57,19 +107,20 @@
 }
 
 impl hyper::body::Body for Body {
-    type Data = Bytes;
+    type Data = Part;
     type Error = StreamInterrupted;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, StreamInterrupted>>> {
+    ) -> Poll<Option<Result<Frame<Part>, StreamInterrupted>>> {
         match &mut self.source {
-            Source::Whole(bytes) => Poll::Ready(
-                bytes.take().filter(|bytes| !bytes.is_empty()).map(|bytes| Ok(Frame::data(bytes))),
-            ),
+            Source::Whole(part) if part.has_remaining() => {
+                Poll::Ready(Some(Ok(Frame::data(std::mem::take(part)))))
+            }
+            Source::Whole(_) => Poll::Ready(None),
             Source::Chunks(chunks) => chunks.poll_recv(context).map(|chunk| match chunk {
-                Some(Chunk::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+                Some(Chunk::Data(part)) => Some(Ok(Frame::data(part))),
                 Some(Chunk::End) => None,
                 None => Some(Err(StreamInterrupted)),
             }),
@@ -77,14 +128,12 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(&self.source, Source::Whole(bytes) if bytes.as_ref().is_none_or(Bytes::is_empty))
+        matches!(&self.source, Source::Whole(part) if !part.has_remaining())
     }
 
     fn size_hint(&self) -> SizeHint {
         match &self.source {
-            Source::Whole(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
-            }
+            Source::Whole(part) => SizeHint::with_exact(part.remaining() as u64),
             Source::Chunks(_) => SizeHint::default(),
         }
     }
--- a/crates/fleet-entry/src/entry.rs
+++ b/crates/fleet-entry/src/entry.rs
@@ -30,7 +30,8 @@
 use crate::tally::Tallies;
 use crate::view::View;
 
-/// Request bodies and answers may each take this part (1/n) of the memory of the process.
+/// Request bodies, answers, and the parts of streams that wait for clients may each take this part
+/// (1/n) of the memory of the process.
 const BODY_MEMORY_DIVISOR: usize = 4;
 
 /// State of an entry.
@@ -64,10 +65,12 @@
     pub state_changed: Notify,
     /// Requests of clients that are not finished.
     pub outstanding: Cell<u32>,
-    /// Memory for the request bodies that are being read.
-    pub body_memory: memory::Budget,
-    /// Memory for the answers without events that are being read.
-    pub answer_memory: memory::Budget,
+    /// Memory for the bodies of requests that are not finished.
+    pub body_memory: Rc<memory::Budget>,
+    /// Memory for the answers without events that are being read or wait for their clients.
+    pub answer_memory: Rc<memory::Budget>,
+    /// Memory for the parts of streams that wait for their clients.
+    pub client_memory: Rc<memory::Budget>,
     /// Time of SIGTERM, once it has arrived.
     pub stopping: Cell<Option<Duration>>,
     /// Notified when the last outstanding request ends.
@@ -101,6 +104,7 @@
             outstanding: Cell::new(0),
             body_memory: memory::Budget::new(body_bytes),
             answer_memory: memory::Budget::new(body_bytes),
+            client_memory: memory::Budget::new(body_bytes),
             stopping: Cell::new(None),
             closed: Notify::new(),
             ending: CancellationToken::new(),
@@ -231,6 +235,10 @@
         let now = boot_time();
         self.metrics.leaving.set(count(&|availability| availability.is_leaving()));
         self.metrics.asked_pauses.set(count(&|availability| availability.is_paused(now)));
+        let bytes = |budget: &memory::Budget| i64::try_from(budget.used()).unwrap_or(i64::MAX);
+        self.metrics.body_bytes.set(bytes(&self.body_memory));
+        self.metrics.answer_bytes.set(bytes(&self.answer_memory));
+        self.metrics.client_bytes.set(bytes(&self.client_memory));
         self.metrics.text()
     }
 
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -30,6 +30,7 @@
 use crate::dialect::RequestMetadata;
 use crate::endpoint::Endpoint;
 use crate::entry::Entry;
+use crate::memory;
 use crate::outcome;
 use crate::outcome::Delivered;
 use crate::outcome::Fallback;
@@ -84,6 +85,9 @@
     pub head: Parts,
     pub metadata: RequestMetadata,
     pub body: Bytes,
+    /// Memory that the body takes.
+    #[expect(dead_code, reason = "it releases its memory when it is dropped")]
+    body_memory: Option<memory::Reservation>,
     pub route: Arc<Route>,
     pub service: Name,
     /// `None` if the route needs no key.
@@ -205,12 +209,13 @@
         deadline: Duration,
         handling: Rc<Handling>,
     ) -> Self {
-        let Prepared { head, metadata, body, route, service, workspace } = prepared;
+        let Prepared { head, metadata, body, body_memory, route, service, workspace } = prepared;
         Self {
             entry,
             head,
             metadata,
             body,
+            body_memory,
             route,
             service,
             workspace,
--- a/crates/fleet-entry/src/lib.rs
+++ b/crates/fleet-entry/src/lib.rs
@@ -7,7 +7,9 @@
 //! endpoint among those that [`placement`] permits, [`cold`] asks for an admission to one that warms up, [`send`] sends the request over an [`exchange`], [`outcome`] decides what follows from
 //! the way in which a send ended, and [`relay`] forwards a stream event by event. [`quarantine`] finds
 //! the [`prompt`]s that crash endpoints; what endpoints say of themselves is kept in [`availability`].
-//! What an endpoint may send is bounded by [`head_limit`], [`memory`] and [`progress`].
+//! What an endpoint may send is bounded by [`head_limit`], [`memory`] and [`progress`], and what waits
+//! for a client by [`client_memory`] and
+//! [`client_stream`].
 //! [`control_poll`] keeps the view and the [`directory`] of [`endpoint`]s current over links to the
 //! control replicas, of which [`source`] chooses one to send configurations, and [`load_report`]
 //! exchanges the load of the endpoints, and their crashes, with the other entries.
@@ -17,6 +19,8 @@
 pub mod body;
 pub mod budget;
 pub mod cascade;
+pub mod client_memory;
+pub mod client_stream;
 pub mod cold;
 pub mod control_poll;
 pub mod credentials;
--- a/crates/fleet-entry/src/memory.rs
+++ b/crates/fleet-entry/src/memory.rs
@@ -1,6 +1,7 @@
-//! Memory for the bodies of requests and answers that are being read.
+//! Memory for the bodies of requests and answers, and for the parts of streams that wait for clients.
 
 use std::cell::Cell;
+use std::rc::Rc;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -14,15 +15,15 @@
 
 /// Bytes of a [`Budget`], released when it is dropped.
 #[derive(Debug)]
-pub struct Reservation<'a> {
-    budget: &'a Budget,
+pub struct Reservation {
+    budget: Rc<Budget>,
     bytes: usize,
 }
 
 impl Budget {
     /// Creates a budget of `limit` bytes.
-    pub fn new(limit: usize) -> Self {
-        Self { used: Cell::new(0), limit }
+    pub fn new(limit: usize) -> Rc<Self> {
+        Rc::new(Self { used: Cell::new(0), limit })
     }
 
     /// Bytes that are reserved.
@@ -30,14 +31,24 @@
         self.used.get()
     }
 
+    /// Bytes that are not reserved.
+    pub fn free(&self) -> usize {
+        self.limit.saturating_sub(self.used.get())
+    }
+
+    /// Begins a reservation without bytes.
+    pub fn begin(self: &Rc<Self>) -> Reservation {
+        Reservation { budget: Rc::clone(self), bytes: 0 }
+    }
+
     /// Reserves bytes. Returns `None` if that exceeds the limit.
-    pub fn reserve(&self, bytes: usize) -> Option<Reservation<'_>> {
-        let mut reservation = Reservation { budget: self, bytes: 0 };
+    pub fn reserve(self: &Rc<Self>, bytes: usize) -> Option<Reservation> {
+        let mut reservation = self.begin();
         reservation.grow(bytes).then_some(reservation)
     }
 }
 
-impl Reservation<'_> {
+impl Reservation {
     /// Bytes of this reservation.
     pub fn bytes(&self) -> usize {
         self.bytes
@@ -45,43 +56,40 @@
 
     /// Reserves more bytes. Returns whether the limit allows it.
     pub fn grow(&mut self, bytes: usize) -> bool {
-        let used = self.budget.used.get().saturating_add(bytes);
-        if used > self.budget.limit {
+        if bytes > self.budget.free() {
             return false;
         }
-        self.budget.used.set(used);
+        self.budget.used.set(self.budget.used.get() + bytes);
         self.bytes += bytes;
         true
     }
+
+    /// Moves bytes to a reservation of their own; at most those of this one.
+    pub fn split(&mut self, bytes: usize) -> Self {
+        let bytes = bytes.min(self.bytes);
+        self.bytes -= bytes;
+        Self { budget: Rc::clone(&self.budget), bytes }
+    }
 }
 
-impl Drop for Reservation<'_> {
+impl Drop for Reservation {
     fn drop(&mut self) {
         self.budget.used.set(self.budget.used.get() - self.bytes);
     }
 }
 
-/// Parts of a body. A body that arrives in one part is not copied; further parts are copied together,
-/// so that many small ones take no more memory than their bytes.
+/// Parts of a body. They are copied, because a part refers to the read buffer of its connection and
+/// would keep all of it in memory.
 #[derive(Debug, Default)]
-pub struct Parts {
-    first: Bytes,
-    all: BytesMut,
-}
+pub struct Parts(BytesMut);
 
 impl Parts {
-    pub fn push(&mut self, part: Bytes) {
-        if self.first.is_empty() && self.all.is_empty() {
-            self.first = part;
-            return;
-        }
-        let first = std::mem::take(&mut self.first);
-        self.all.extend_from_slice(&first);
-        self.all.extend_from_slice(&part);
+    pub fn push(&mut self, part: &[u8]) {
+        self.0.extend_from_slice(part);
     }
 
-    /// Returns the whole body.
+    /// Returns the whole body, without the spare capacity that it grew by.
     pub fn whole(self) -> Bytes {
-        if self.all.is_empty() { self.first } else { self.all.freeze() }
+        Bytes::from(Vec::from(self.0).into_boxed_slice())
     }
 }
--- a/crates/fleet-entry/src/metrics.rs
+++ b/crates/fleet-entry/src/metrics.rs
@@ -46,6 +46,13 @@
     pub leaving: Gauge,
     /// Pauses in force that endpoints asked for.
     pub asked_pauses: Gauge,
+    /// Times that a stream waited until its client left room.
+    pub client_waits: Counter,
+    /// Bytes held for the bodies of requests, for answers without events, and for the clients of
+    /// streams.
+    pub body_bytes: Gauge,
+    pub answer_bytes: Gauge,
+    pub client_bytes: Gauge,
     /// Outstanding requests.
     pub open: Gauge,
     /// Number of the configuration in force.
@@ -85,12 +92,17 @@
             counter("cold_admissions", "Requests admitted to endpoints that warm up");
         let cold_refusals =
             counter("cold_refusals", "Requests that endpoints that warm up had no room for");
+        let client_waits =
+            counter("client_waits", "Times that a stream waited until its client left room");
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
             gauge
         };
         let open = gauge("open", "Requests under way");
+        let body_bytes = gauge("body_bytes", "Bytes held for the bodies of requests");
+        let answer_bytes = gauge("answer_bytes", "Bytes held for answers without events");
+        let client_bytes = gauge("client_bytes", "Bytes of streams that wait for their clients");
         let blocked_parts = gauge("blocked_parts", "Prompt parts that are blocked");
         let leaving = gauge("leaving_endpoints", "Endpoints that say that they are leaving");
         let asked_pauses = gauge("asked_pauses", "Pauses in force that endpoints asked for");
@@ -121,6 +133,10 @@
             cold_refusals,
             leaving,
             asked_pauses,
+            client_waits,
+            body_bytes,
+            answer_bytes,
+            client_bytes,
             open,
             configuration,
             first_part,
--- a/crates/fleet-entry/src/prepare.rs
+++ b/crates/fleet-entry/src/prepare.rs
@@ -37,6 +37,8 @@
     pub head: Parts,
     pub metadata: RequestMetadata,
     pub body: Bytes,
+    /// Memory that the body takes.
+    pub body_memory: Option<memory::Reservation>,
     pub route: Arc<Route>,
     pub service: Name,
     /// `None` if the route needs no key.
@@ -66,8 +68,9 @@
     let deadline = arrived + Duration::from_millis(time_ms);
     let service = pick::service(&route, &metadata).cloned().ok_or(Refusal::NoEndpoint);
     let service = service.map_err(refused)?;
-    let body = read_body(entry, body, limits.body_bytes, deadline).await.map_err(refused)?;
-    Ok((Prepared { head, metadata, body, route, service, workspace }, deadline))
+    let read = read_body(entry, body, limits.body_bytes, deadline).await.map_err(refused)?;
+    let (body, body_memory) = read;
+    Ok((Prepared { head, metadata, body, body_memory, route, service, workspace }, deadline))
 }
 
 /// Admits a request. Without current agreed state it waits for it, because the state arrives soon
@@ -131,18 +134,18 @@
     mut body: Incoming,
     limit: usize,
     deadline: Duration,
-) -> Result<Bytes, Refusal> {
+) -> Result<(Bytes, Option<memory::Reservation>), Refusal> {
     let expected = body.size_hint().lower() as usize;
     if expected > limit {
         return Err(Refusal::BodyTooLarge);
     }
     if body.is_end_stream() {
-        return Ok(Bytes::new());
+        return Ok((Bytes::new(), None));
     }
     // A body of unknown length reserves memory as it is read; reserving the limit would refuse too
     // many requests.
     let mut memory = entry.body_memory.reserve(expected).ok_or(Refusal::NoMemory)?;
-    let read = async {
+    let read = async move {
         let mut parts = memory::Parts::default();
         let mut bytes = 0;
         while let Some(frame) = body.frame().await {
@@ -154,9 +157,9 @@
             if !memory.grow(bytes.saturating_sub(memory.bytes())) {
                 return Err(Refusal::NoMemory);
             }
-            parts.push(data);
+            parts.push(&data);
         }
-        Ok(parts.whole())
+        Ok((parts.whole(), Some(memory)))
     };
     let left = deadline.saturating_sub(boot_time());
     tokio::time::timeout(left, read).await.unwrap_or(Err(Refusal::BodyLate))
--- a/crates/fleet-entry/src/progress.rs
+++ b/crates/fleet-entry/src/progress.rs
@@ -27,6 +27,11 @@
         *self = Self::new(now);
     }
 
+    /// Excludes a time from the pause, in which the endpoint could not send.
+    pub fn exclude(&mut self, time: Duration) {
+        self.at += time;
+    }
+
     /// Counts bytes without progress and returns their number since the last progress.
     pub fn receive(&mut self, bytes: usize) -> usize {
         self.bytes = self.bytes.saturating_add(bytes);
--- a/crates/fleet-entry/src/relay.rs
+++ b/crates/fleet-entry/src/relay.rs
@@ -23,6 +23,10 @@
 
 use crate::body::Body;
 use crate::body::Chunk;
+use crate::body::Part;
+use crate::client_memory::Account;
+use crate::client_memory::Hold;
+use crate::client_memory::Room;
 use crate::endpoint::Endpoint;
 use crate::exchange;
 use crate::exchange::Exchange;
@@ -70,6 +74,18 @@
 /// Maximum of the delay.
 const MAX_REFUSED_RESUME_DELAY: Duration = Duration::from_millis(1_600);
 
+/// Time in ms for which a client left no room, after which a lost connection is not held against the
+/// endpoint. Endpoints abort an answer that is not read for some seconds.
+const MAX_UNREAD_TIME: Duration = Duration::from_millis(1_000);
+
+/// Time in ms without data after which all that the endpoint sent has arrived: two round trips between
+/// regions.
+const MIN_IDLE_TIME: Duration = Duration::from_millis(50);
+
+/// Time in ms from which a wait for a client is logged and counted. Shorter ones are also caused by the
+/// order in which tasks run.
+const MIN_CLIENT_WAIT: Duration = Duration::from_millis(100);
+
 /// Splits a stream into whole events.
 #[derive(Debug, Default)]
 pub struct Events {
@@ -138,6 +154,11 @@
         !self.partial.is_empty()
     }
 
+    /// Bytes of the incomplete event.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Drops the incomplete event.
     pub fn drop_partial(&mut self) {
         self.partial.clear();
@@ -171,7 +192,9 @@
     let time = boot_time().saturating_sub(request.arrived);
     request.entry.metrics.first_part.observe(time.as_secs_f64());
     let first = (received.status(), media_type(received.headers()));
-    let relay = Relay { request, chunks, events: Events::default(), first };
+    let account = Account::new(Rc::clone(&request.entry.client_memory));
+    let assembling = account.hold();
+    let relay = Relay { request, chunks, account, assembling, events: Events::default(), first };
     tokio::task::spawn_local(relay.run(Source::new(sent)));
     response
 }
@@ -189,6 +212,9 @@
     resumes: bool,
     /// Whether it has sent a new event.
     answered: bool,
+    /// Time in which it was not read because the client left no room, since it last had nothing to
+    /// read.
+    unread: Duration,
 }
 
 impl Source {
@@ -207,6 +233,7 @@
             is_unframed,
             resumes: false,
             answered: false,
+            unread: Duration::ZERO,
         }
     }
 
@@ -251,6 +278,10 @@
 struct Relay {
     request: ActiveRequest,
     chunks: mpsc::Sender<Chunk>,
+    /// Bytes that wait for the client.
+    account: Rc<Account>,
+    /// Those of the incomplete event.
+    assembling: Hold,
     events: Events,
     /// Status and media type of the answer that the client gets.
     first: (StatusCode, Option<String>),
@@ -274,21 +305,31 @@
             let (ended, cause) = match end {
                 End::Complete => return self.complete(source).await,
                 End::ClientGone => return self.request.log_end(499, "client left"),
-                End::Failed(ended, cause) => (ended, cause),
+                End::Failed(ended, cause) => (ended, Some(cause)),
+                End::Lost(cause) if source.unread >= MAX_UNREAD_TIME => {
+                    info!(self.request.entry.log, "stream that its client did not read is lost";
+                        "request" => &self.request.metadata.id,
+                        "endpoint" => &*source.in_flight.endpoint.id(), "cause" => cause,
+                        "unread_ms" => source.unread.as_millis() as u64);
+                    (SendEnd::Unknown, None)
+                }
                 End::Lost(cause) => {
                     if !source.answered {
                         self.request.record_loss(&source.in_flight.endpoint);
                     }
-                    (SendEnd::Unknown, cause)
+                    (SendEnd::Unknown, Some(cause))
                 }
             };
             if ended != SendEnd::DeadlineExceeded {
-                self.request.record_endpoint_failure(&source.in_flight.endpoint, &cause);
+                if let Some(cause) = cause {
+                    self.request.record_endpoint_failure(&source.in_flight.endpoint, &cause);
+                }
                 source.in_flight.record_verdict(Verdict::Neutral);
             }
             // Closes the connection, so that the endpoint stops before another one resumes.
             drop(source);
             self.events.drop_partial();
+            self.assembling = self.account.hold();
             match self.resume(ended).await {
                 Some(next) => source = next,
                 None if self.chunks.is_closed() => {
@@ -330,6 +371,7 @@
             }
             let until = self.request.next_check(now, stalls_at);
             watch.begin_wait(now);
+            let asked = boot_time();
             let frame = tokio::select! {
                 biased;
                 frame = tokio::time::timeout(until - now, source.incoming.frame()) => frame,
@@ -339,6 +381,10 @@
                     continue;
                 }
             };
+            if boot_time() >= asked + MIN_IDLE_TIME {
+                // All that had arrived was read, and the connection was not lost.
+                source.unread = Duration::ZERO;
+            }
             let data = match frame {
                 Ok(Some(Ok(frame))) => frame.into_data(),
                 Ok(Some(Err(cause))) => {
@@ -355,52 +401,129 @@
                 Err(_) => continue,
             };
             source.in_flight.endpoint.record_activity();
-            let Ok(data) = data else { continue };
-            let max_bytes = self.request.entry.settings.max_event_bytes;
-            let received = progress.receive(data.len());
-            let last = self.events.last_id();
-            let batch = self.events.push(&data);
-            if let Some(batch) = &batch
-                && let Some(end) =
-                    Self::find_break(&batch.bytes, source.resumes && !source.answered, last)
-            {
-                let whole = batch.bytes.slice(..end);
-                let mut before = Events { partial: BytesMut::new(), last_id: last };
-                before.push(&whole);
-                self.events = before;
-                self.request.last_event = self.events.last_id();
-                if !whole.is_empty() && self.chunks.send(Chunk::Data(whole)).await.is_err() {
-                    return End::ClientGone;
+            let Ok(mut data) = data else { continue };
+            while !data.is_empty() {
+                let (began, room) = (boot_time(), self.wait_for_room(data.len()).await);
+                let waited = boot_time().saturating_sub(began);
+                // The time that a slow client takes is no pause of the endpoint.
+                progress.exclude(waited);
+                watch.exclude(waited);
+                self.record_client_wait(source, waited);
+                let piece = match room {
+                    Ok(bytes) => data.split_to(bytes),
+                    Err(end) => return end,
+                };
+                match self.forward_piece(&piece, source, &mut progress).await {
+                    Ok(true) => pause = Pause::default(),
+                    Ok(false) => {}
+                    Err(end) => return end,
                 }
-                let cause = "the events do not continue the stream".to_owned();
-                return End::Failed(SendEnd::Unknown, cause);
             }
-            let events = batch.as_ref().map_or(0, |batch| batch.progress);
-            if events > 0 {
-                watch.record_events(boot_time(), events);
+        }
+    }
+
+    /// Waits until the client leaves room for some of a number of bytes, and holds them. The source is
+    /// not read meanwhile, so that its endpoint has to wait.
+    async fn wait_for_room(&mut self, wanted: usize) -> Result<usize, End> {
+        loop {
+            let has_slot = self.chunks.capacity() > 0;
+            match self.account.room(wanted, self.assembling.bytes()) {
+                _ if !has_slot => {}
+                Room::Bytes(bytes) if self.assembling.grow(bytes) => return Ok(bytes),
+                Room::Bytes(_) | Room::Full => {}
+                Room::EventTooLarge => {
+                    let cause = format!("{} bytes without an event", self.assembling.bytes());
+                    return Err(End::Failed(SendEnd::Unknown, cause));
+                }
             }
-            let is_progress = events > 0;
-            if !is_progress && received > max_bytes {
-                let cause = format!("{received} bytes without an event");
-                return End::Failed(SendEnd::Unknown, cause);
+            let freed = async {
+                if has_slot {
+                    self.account.changed().await;
+                } else {
+                    let _ = self.chunks.reserve().await;
+                }
+            };
+            let left = self.request.deadline.saturating_sub(boot_time());
+            tokio::select! {
+                biased;
+                () = self.chunks.closed() => return Err(End::ClientGone),
+                () = freed => {}
+                () = tokio::time::sleep(left) => {
+                    let cause = "the client did not read in time".to_owned();
+                    return Err(End::Failed(SendEnd::DeadlineExceeded, cause));
+                }
             }
-            let Some(batch) = batch else { continue };
-            self.request.first_at.get_or_insert_with(boot_time);
+        }
+    }
+
+    /// Records for how long the source was not read.
+    fn record_client_wait(&self, source: &mut Source, waited: Duration) {
+        if waited >= MIN_CLIENT_WAIT {
+            let request = &self.request;
+            request.entry.metrics.client_waits.inc();
+            info!(request.entry.log, "stream waited for its client";
+                "request" => &request.metadata.id, "endpoint" => &*source.in_flight.endpoint.id(),
+                "waited_ms" => waited.as_millis() as u64, "held_bytes" => self.account.held(),
+                "all_bytes" => request.entry.client_memory.used());
+        }
+        source.unread += waited;
+    }
+
+    /// Forwards the whole events that end in a piece of the stream. Returns whether there is a new one.
+    async fn forward_piece(
+        &mut self,
+        piece: &[u8],
+        source: &mut Source,
+        progress: &mut Progress,
+    ) -> Result<bool, End> {
+        let max_bytes = self.request.entry.settings.max_event_bytes;
+        let received = progress.receive(piece.len());
+        let last = self.events.last_id();
+        let batch = self.events.push(piece);
+        if let Some(batch) = &batch
+            && let Some(end) =
+                Self::find_break(&batch.bytes, source.resumes && !source.answered, last)
+        {
+            let whole = batch.bytes.slice(..end);
+            let mut before = Events { partial: BytesMut::new(), last_id: last };
+            before.push(&whole);
+            self.events = before;
             self.request.last_event = self.events.last_id();
-            if is_progress && !source.answered {
-                source.answered = true;
-                let parts = self.request.shared_parts();
-                self.request.entry.quarantine.borrow_mut().record_answer(&parts, boot_time());
-            }
-            if self.chunks.send(Chunk::Data(batch.bytes)).await.is_err() {
-                return End::ClientGone;
-            }
-            if is_progress {
-                // The time that a slow client takes is no pause of the endpoint.
-                progress.advance(boot_time());
-                pause = Pause::default();
+            if !whole.is_empty() {
+                self.pass_on(whole).await?;
             }
+            let cause = "the events do not continue the stream".to_owned();
+            return Err(End::Failed(SendEnd::Unknown, cause));
+        }
+        let events = batch.as_ref().map_or(0, |batch| batch.progress);
+        if events > 0 {
+            source.in_flight.watch.record_events(boot_time(), events);
+        }
+        let is_progress = events > 0;
+        if !is_progress && received > max_bytes {
+            let cause = format!("{received} bytes without an event");
+            return Err(End::Failed(SendEnd::Unknown, cause));
         }
+        let Some(batch) = batch else { return Ok(false) };
+        self.request.first_at.get_or_insert_with(boot_time);
+        self.request.last_event = self.events.last_id();
+        if is_progress && !source.answered {
+            source.answered = true;
+            let parts = self.request.shared_parts();
+            self.request.entry.quarantine.borrow_mut().record_answer(&parts, boot_time());
+        }
+        self.pass_on(batch.bytes).await?;
+        if is_progress {
+            progress.advance(boot_time());
+        }
+        Ok(is_progress)
+    }
+
+    /// Passes whole events to the client.
+    async fn pass_on(&mut self, events: Bytes) -> Result<(), End> {
+        let hold = self.assembling.split(events.len());
+        let part = Part::of_stream(events, hold);
+        self.chunks.send(Chunk::Data(part)).await.map_err(|_| End::ClientGone)
     }
 
     /// Returns the end of the events that belong to the stream, if not all of them do.
@@ -426,8 +549,11 @@
         }
         drop(in_flight);
         self.request.log_end(200, "answered");
+        let Self { request, chunks, .. } = self;
+        // The client may read the rest slowly, which does not need the request any more.
+        drop(request);
         // Sending fails if the client has closed its connection.
-        let _ = self.chunks.send(Chunk::End).await;
+        let _ = chunks.send(Chunk::End).await;
     }
 
     /// Whether the answer can be the rest of the stream: it has the status of the first one, and its
--- a/crates/fleet-entry/src/send.rs
+++ b/crates/fleet-entry/src/send.rs
@@ -29,6 +29,7 @@
 use crate::forward::rank;
 use crate::in_flight::InFlight;
 use crate::memory::Parts;
+use crate::memory::Reservation;
 use crate::outcome::SendEnd;
 use crate::progress::Progress;
 use crate::tally::Verdict;
@@ -407,7 +408,7 @@
     pub async fn read_whole(&mut self, sent: Sent) -> Result<Response<Body>, SendEnd> {
         let Sent { exchange: Exchange { mut connection, response }, reply, in_flight } = sent;
         let (head, body) = response.into_parts();
-        let read = match self.read_body(body).await {
+        let (read, memory) = match self.read_body(body).await {
             Ok(read) => read,
             Err(BodyFailure::DeadlineExceeded) => return Err(SendEnd::DeadlineExceeded),
             Err(BodyFailure::NoMemory) => {
@@ -439,7 +440,7 @@
             self.entry.quarantine.borrow_mut().record_answer(&parts, boot_time());
             in_flight.endpoint.record_success();
         }
-        let mut response = Response::new(Body::whole(read));
+        let mut response = Response::new(Body::answer(read, memory));
         *response.status_mut() = head.status;
         *response.headers_mut() = self.entry.dialect.response_headers(&head.headers);
         Ok(response)
@@ -447,13 +448,13 @@
 
     /// Reads the body of an answer until its end. The deadline always ends the wait; a stalled body
     /// is given up sooner only if the request can be sent to another endpoint.
-    async fn read_body(&self, mut body: Incoming) -> Result<Bytes, BodyFailure> {
+    async fn read_body(&self, mut body: Incoming) -> Result<(Bytes, Reservation), BodyFailure> {
         let max_bytes = self.entry.settings.max_answer_bytes;
         let too_large = || BodyFailure::Broken(format!("the answer is over {max_bytes} bytes"));
         if body.size_hint().lower() > max_bytes as u64 {
             return Err(too_large());
         }
-        let mut memory = self.entry.answer_memory.reserve(0).ok_or(BodyFailure::NoMemory)?;
+        let mut memory = self.entry.answer_memory.begin();
         let mut progress = Progress::new(boot_time());
         let mut parts = Parts::default();
         loop {
@@ -482,8 +483,8 @@
             if progress.receive(data.len()) >= MIN_BODY_PROGRESS {
                 progress.advance(boot_time());
             }
-            parts.push(data);
+            parts.push(&data);
         }
-        Ok(parts.whole())
+        Ok((parts.whole(), memory))
     }
 }
--- a/crates/fleet-entry/src/server.rs
+++ b/crates/fleet-entry/src/server.rs
@@ -16,6 +16,7 @@
 use slog::info;
 use tokio::net::TcpListener;
 
+use crate::client_stream::ClientStream;
 use crate::entry::Entry;
 use crate::forward;
 
@@ -108,8 +109,6 @@
             return tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
         }
     };
-    // Without this, an event would wait for the acknowledgement of the previous one.
-    let _ = stream.set_nodelay(true);
     let index = entry.view.borrow().index.clone();
     let idle_ms = index.map_or(DEFAULT_IDLE_MS, |index| index.configuration.limits.idle_ms);
     let service_entry = Rc::clone(entry);
@@ -117,10 +116,13 @@
         let entry = Rc::clone(&service_entry);
         async move { Ok::<_, Infallible>(forward::handle(entry, request).await) }
     });
+    // A client that accepts nothing is as idle as one that asks for nothing.
+    let max_idle = Duration::from_millis(idle_ms.saturating_add(IDLE_MARGIN_MS));
+    let stream = ClientStream::new(stream, max_idle);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // Counts from the end of the previous request, so it is also the idle timeout.
-        .header_read_timeout(Duration::from_millis(idle_ms.saturating_add(IDLE_MARGIN_MS)))
+        .header_read_timeout(max_idle)
         .max_buf_size(READ_BUFFER)
         .serve_connection(TokioIo::new(stream), service);
     let connection = graceful.watch(connection);
--- a/crates/fleet-entry/src/tally.rs
+++ b/crates/fleet-entry/src/tally.rs
@@ -71,6 +71,11 @@
         self.waiting_since.set(self.waiting_since.get().or(Some(now)));
     }
 
+    /// Excludes a time from the wait, in which the endpoint could not send.
+    pub fn exclude(&self, time: Duration) {
+        self.waiting_since.set(self.waiting_since.get().map(|since| since + time));
+    }
+
     /// Ends the wait with some new events.
     pub fn record_events(&self, now: Duration, events: u64) {
         let since = self.waiting_since.take().unwrap_or(now);
--- a/crates/fleet-entry/tests/common/harness.rs
+++ b/crates/fleet-entry/tests/common/harness.rs
@@ -270,7 +270,15 @@
 
 /// Starts an entry with endpoints but without a configuration.
 pub(crate) async fn serve_without_configuration(endpoints: &[&Endpoint]) -> (TestEntry, Rc<Entry>) {
-    let entry = new_entry(endpoints, Settings::default().grace);
+    serve_with_settings(endpoints, settings()).await
+}
+
+/// Like [`serve_without_configuration`], with settings.
+pub(crate) async fn serve_with_settings(
+    endpoints: &[&Endpoint],
+    settings: Settings,
+) -> (TestEntry, Rc<Entry>) {
+    let entry = entry_with_settings(endpoints, settings);
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback works");
     let address = listener.local_addr().expect("loopback works");
     let serving = server::serve(Rc::clone(&entry), listener, std::future::pending());
@@ -278,17 +286,24 @@
     (TestEntry { address }, entry)
 }
 
-/// Creates an entry with endpoints and a time between SIGTERM and SIGKILL.
-pub(crate) fn new_entry(endpoints: &[&Endpoint], grace: Duration) -> Rc<Entry> {
-    let settings = Settings {
-        grace,
+/// Settings of an entry in the region of the first endpoint.
+pub(crate) fn settings() -> Settings {
+    Settings {
         zone: "a".to_owned(),
         regions: vec![("a".to_owned(), "near".to_owned()), ("b".to_owned(), "far".to_owned())],
         retry_ratio: 1.0,
         retry_slack: 100.0,
         max_answer_bytes: 1 << 20,
         ..Settings::default()
-    };
+    }
+}
+
+/// Creates an entry with endpoints and a time between SIGTERM and SIGKILL.
+pub(crate) fn new_entry(endpoints: &[&Endpoint], grace: Duration) -> Rc<Entry> {
+    entry_with_settings(endpoints, Settings { grace, ..settings() })
+}
+
+fn entry_with_settings(endpoints: &[&Endpoint], settings: Settings) -> Rc<Entry> {
     let entry = Entry::new(settings, Box::new(TestDialect), logging::discard());
     for (number, endpoint) in endpoints.iter().enumerate() {
         let mut announcement = announcement(number, endpoint.address);
