Send an endpoint no more prompt tokens than its KV cache holds

An entry knew the expected prefill at an endpoint but not the prompt tokens there, so that entries together could send more than its KV cache holds; the rest waited at the endpoint while others had room.

Entries now report the prompt tokens of their outstanding requests with the loads (EndpointLoad::prompt_tokens), LoadTotals sums them, and pick leaves out endpoints whose KV cache does not hold the prompt beside the others. If no usable endpoint has room, the request waits until half of its target and is then refused as overloaded; a prompt that exceeds the KV cache by itself gets 413. The reports are binary and not self-describing, so entries and control replicas have to be of the same build, as with earlier fields.

--- a/crates/fleet-control/src/load_totals.rs
+++ b/crates/fleet-control/src/load_totals.rs
@@ -34,6 +34,7 @@
 struct EndpointTotals {
     outstanding: i64,
     prefill_ms: [i64; RANKS],
+    prompt_tokens: i64,
     /// Sends that succeeded, weighted by their age.
     succeeded: f64,
     /// Sends that failed, weighted by their age.
@@ -71,6 +72,7 @@
     fn is_empty(&self) -> bool {
         self.outstanding <= 0
             && self.prefill_ms.iter().all(|prefill_ms| *prefill_ms <= 0)
+            && self.prompt_tokens <= 0
             && self.succeeded + self.failed < MIN_WEIGHT
     }
 }
@@ -104,6 +106,8 @@
             endpoint: *endpoint,
             outstanding: u32::try_from(total.outstanding).unwrap_or(0),
             prefill_ms: total.prefill_ms.map(|prefill_ms| u32::try_from(prefill_ms).unwrap_or(0)),
+            // More than any endpoint holds.
+            prompt_tokens: u32::try_from(total.prompt_tokens.max(0)).unwrap_or(u32::MAX),
             succeeded: total.succeeded.round() as u32,
             failed: total.failed.round() as u32,
             pace: total.average_pace(),
@@ -116,6 +120,7 @@
         for load in loads {
             let total = self.totals.entry(load.endpoint).or_default();
             total.outstanding += sign * i64::from(load.outstanding);
+            total.prompt_tokens += sign * i64::from(load.prompt_tokens);
             for (total_ms, prefill_ms) in total.prefill_ms.iter_mut().zip(load.prefill_ms) {
                 *total_ms += sign * i64::from(prefill_ms);
             }
--- a/crates/fleet-control/tests/load_totals.rs
+++ b/crates/fleet-control/tests/load_totals.rs
@@ -13,6 +13,7 @@
         endpoint: EndpointKey::of("e1"),
         outstanding,
         prefill_ms: [0, prefill_ms, 0],
+        prompt_tokens: 0,
         succeeded,
         failed,
         pace: 0,
@@ -44,6 +45,23 @@
     assert_eq!(totals, [load(5, 150, 0, 0)]);
 }
 
+/// Guards against prompts of one entry that the others do not learn of, and against those of a previous
+/// report that still count.
+#[test]
+fn prompt_tokens_are_summed_over_the_latest_reports() {
+    let with_prompts = |prompt_tokens| EndpointLoad { prompt_tokens, ..load(1, 0, 0, 0) };
+    let mut load_totals = LoadTotals::default();
+    load_totals.add_report(report("a", &[with_prompts(4_000)]), START);
+    load_totals.add_report(report("b", &[with_prompts(u32::MAX)]), START);
+
+    let highest = load_totals.add_report(report("a", &[with_prompts(3_000)]), START);
+    let totals = load_totals.add_report(report("b", &[with_prompts(500)]), START);
+    let rest = load_totals.add_report(report("a", &[]), START);
+
+    let tokens = |totals: &[EndpointLoad]| totals[0].prompt_tokens;
+    assert_eq!([&highest, &totals, &rest].map(|totals| tokens(totals)), [u32::MAX, 3_500, 500]);
+}
+
 /// Guards against an endpoint that seems busy because of requests of an entry that has stopped.
 #[test]
 fn load_of_an_entry_that_stopped_reporting_is_dropped() {
--- a/crates/fleet-entry/src/answer.rs
+++ b/crates/fleet-entry/src/answer.rs
@@ -21,6 +21,8 @@
     UnknownKey,
     /// The body is larger than the limit.
     BodyTooLarge,
+    /// No endpoint of the service holds a prompt of that length in its KV cache.
+    PromptTooLarge,
     /// The body did not arrive in time or is incomplete.
     BodyLate,
     /// The entry has no configuration yet.
@@ -52,7 +54,7 @@
             Self::Malformed => (StatusCode::BAD_REQUEST, None),
             Self::UnknownRoute => (StatusCode::NOT_FOUND, None),
             Self::UnknownKey => (StatusCode::UNAUTHORIZED, None),
-            Self::BodyTooLarge => (StatusCode::PAYLOAD_TOO_LARGE, None),
+            Self::BodyTooLarge | Self::PromptTooLarge => (StatusCode::PAYLOAD_TOO_LARGE, None),
             Self::BodyLate => (StatusCode::REQUEST_TIMEOUT, None),
             // A new process gets the configuration, and a lease is renewed, within a second.
             Self::NoConfiguration | Self::NoLease => {
--- a/crates/fleet-entry/src/endpoint.rs
+++ b/crates/fleet-entry/src/endpoint.rs
@@ -82,6 +82,8 @@
     pub outstanding: Cell<u32>,
     /// Expected prefill time of this entry's requests without an answer, by rank.
     prefill_ms: Cell<[f64; RANKS]>,
+    /// Prompt tokens of this entry's outstanding requests.
+    prompt_tokens: Cell<u64>,
     load: Cell<Option<(Load, Duration)>>,
     pace: Cell<Pace>,
     /// Whether the endpoint has stated its pace since the latest report of this entry.
@@ -108,6 +110,7 @@
 struct Reported {
     outstanding: u32,
     prefill_ms: [u32; RANKS],
+    prompt_tokens: u32,
 }
 
 /// Load of the other entries at an endpoint, and ends of recent sends of all entries.
@@ -115,6 +118,7 @@
 struct OtherEntries {
     outstanding: u32,
     prefill_ms: [u32; RANKS],
+    prompt_tokens: u32,
     succeeded: f64,
     failed: f64,
 }
@@ -130,6 +134,7 @@
             gone: Cell::new(false),
             outstanding: Cell::new(0),
             prefill_ms: Cell::default(),
+            prompt_tokens: Cell::new(0),
             load: Cell::new(None),
             pace: Cell::default(),
             pace_seen: Cell::new(false),
@@ -273,7 +278,8 @@
     /// there is nothing to report.
     pub fn take_report(&self) -> Option<EndpointLoad> {
         let prefill_ms = self.prefill_ms.get().map(|time_ms| time_ms as u32);
-        let reported = Reported { outstanding: self.outstanding.get(), prefill_ms };
+        let prompt_tokens = u32::try_from(self.prompt_tokens.get()).unwrap_or(u32::MAX);
+        let reported = Reported { outstanding: self.outstanding.get(), prefill_ms, prompt_tokens };
         self.reported.set(reported);
         let seen = self.pace_seen.take();
         let (pace, latest_pace) = if seen { self.pace.get().percent() } else { (0, 0) };
@@ -281,6 +287,7 @@
             endpoint: self.key,
             outstanding: reported.outstanding,
             prefill_ms: reported.prefill_ms,
+            prompt_tokens: reported.prompt_tokens,
             succeeded: self.succeeded.take(),
             failed: self.failed.take(),
             pace,
@@ -297,6 +304,7 @@
             prefill_ms: std::array::from_fn(|rank| {
                 total.prefill_ms[rank].saturating_sub(reported.prefill_ms[rank])
             }),
+            prompt_tokens: total.prompt_tokens.saturating_sub(reported.prompt_tokens),
             succeeded: f64::from(total.succeeded),
             failed: f64::from(total.failed),
         });
@@ -335,6 +343,23 @@
         self.prefill_ms.set(prefill_ms);
     }
 
+    /// Adds the prompt of a request of this entry.
+    pub fn add_prompt(&self, tokens: u32) {
+        self.prompt_tokens.set(self.prompt_tokens.get() + u64::from(tokens));
+    }
+
+    /// Removes the prompt of a request that has ended.
+    pub fn remove_prompt(&self, tokens: u32) {
+        self.prompt_tokens.set(self.prompt_tokens.get().saturating_sub(u64::from(tokens)));
+    }
+
+    /// Prompt tokens of the outstanding requests of all entries; of this one alone if the totals are
+    /// unknown or outdated.
+    pub fn prompt_tokens(&self) -> u64 {
+        let others = self.others().map_or(0, |others| others.prompt_tokens);
+        self.prompt_tokens.get() + u64::from(others)
+    }
+
     /// Whether this entry has no outstanding prefill there.
     pub fn is_prefill_done(&self) -> bool {
         self.prefill_ms.get().iter().all(|time_ms| *time_ms == 0.0)
--- a/crates/fleet-entry/src/entry.rs
+++ b/crates/fleet-entry/src/entry.rs
@@ -215,6 +215,13 @@
         service.is_some_and(|service| service.cold_start.is_some())
     }
 
+    /// Tokens that the KV cache of an endpoint of a service holds; `None` if there is no limit.
+    pub fn memory_tokens(&self, service: &Name) -> Option<u64> {
+        let view = self.view.borrow();
+        let service = view.index.as_ref().and_then(|index| index.service(service))?;
+        service.engine.as_ref().map(|engine| engine.memory_tokens).filter(|tokens| *tokens > 0)
+    }
+
     /// Maximum number of idle connections to one endpoint of a service: this entry's share of half
     /// of the connections that the endpoint accepts. The other half is left for active requests.
     pub fn max_idle_connections(&self, service: &Name) -> usize {
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -52,7 +52,8 @@
 /// Minimum time before the deadline at which a request is still sent.
 pub const MIN_SEND_TIME_MS: u64 = 30;
 
-/// Interval at which a request that waits for an endpoint on trial looks for another one.
+/// Interval in ms at which a request that waits for an endpoint on trial, or for room in the KV cache of
+/// one, looks for another one. Several times within the 250 ms in which other entries report loads.
 const TRIAL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Additional sends of a request that endpoints refuse without running it.
@@ -244,6 +245,13 @@
         if self.block_left().is_some() {
             return self.conclude(Fallback::Refuse(Refusal::Overloaded), None);
         }
+        if self
+            .entry
+            .memory_tokens(&self.service)
+            .is_some_and(|tokens| self.metadata.prompt_tokens > tokens)
+        {
+            return self.conclude(Fallback::Refuse(Refusal::PromptTooLarge), None);
+        }
         let mut failed: Option<Response<Body>> = None;
         loop {
             let ended = match self.send(None).await {
@@ -311,7 +319,9 @@
         };
         let excused = match obstacle {
             Some(Obstacle::Attempts) => ended == SendEnd::NotSent,
-            Some(Obstacle::Endpoint) => ended == SendEnd::NotSent || has_cold(),
+            Some(Obstacle::Endpoint) => {
+                ended == SendEnd::NotSent || has_cold() || self.waits_for_memory()
+            }
             _ => false,
         };
         if excused { None } else { obstacle }
@@ -389,6 +399,7 @@
     pub async fn wait_for_endpoint(&mut self) -> Option<Rc<Endpoint>> {
         let entry = Rc::clone(&self.entry);
         let until = boot_time() + Duration::from_millis(self.left_ms() / 3).min(MAX_STATE_WAIT);
+        let mut lacked_memory = false;
         loop {
             let state_changed = entry.state_changed.notified();
             if let Some(endpoint) = self.pick() {
@@ -403,10 +414,22 @@
                 cold::Answer::Wait(room_at) => Some(room_at),
                 cold::Answer::None => None,
             };
+            let now = boot_time();
+            if self.lacks_memory() {
+                if !std::mem::replace(&mut lacked_memory, true) {
+                    self.record_memory_wait(now);
+                }
+                let until = self.latest_memory_wait();
+                if now >= until {
+                    return None;
+                }
+                let wake_at = until.min(now + TRIAL_CHECK_INTERVAL);
+                let _ = tokio::time::timeout(wake_at - now, state_changed).await;
+                continue;
+            }
             if self.sends > self.withdrawn {
                 return None;
             }
-            let now = boot_time();
             let paused = |end: Duration| (self.latest_start(), end.max(now + TRIAL_CHECK_INTERVAL));
             let (until, wake_at) = match (room_at, self.outlook(now)) {
                 (Some(room_at), _) => paused(room_at),
@@ -429,6 +452,32 @@
         target.min(self.deadline.saturating_sub(Duration::from_millis(MIN_SEND_TIME_MS)))
     }
 
+    /// Whether the request lacks nothing but room in the KV caches of the endpoints.
+    fn lacks_memory(&self) -> bool {
+        self.with_context(&self.tried, None, pick::lacks_memory)
+    }
+
+    /// Whether the request waits for such room before its next send.
+    fn waits_for_memory(&self) -> bool {
+        boot_time() < self.latest_memory_wait() && self.lacks_memory()
+    }
+
+    /// Time until which the request waits for such room. A stream that has begun can't be refused.
+    fn latest_memory_wait(&self) -> Duration {
+        match self.first_at {
+            Some(_) => self.deadline.saturating_sub(Duration::from_millis(MIN_SEND_TIME_MS)),
+            None => self.latest_start(),
+        }
+    }
+
+    fn record_memory_wait(&self, now: Duration) {
+        self.entry.metrics.memory_waits.inc();
+        info!(self.entry.log, "request waits for room in the KV caches";
+            "request" => &self.metadata.id, "prompt_tokens" => self.metadata.prompt_tokens,
+            "memory_tokens" => self.entry.memory_tokens(&self.service),
+            "until_ms" => self.latest_memory_wait().saturating_sub(now).as_millis() as u64);
+    }
+
     fn outlook(&self, now: Duration) -> Outlook {
         let outlook = |context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]| {
             pick::outlook(context, endpoints, now)
@@ -509,6 +558,7 @@
                 &view.evacuated,
             ),
             limits_cold: self.entry.limits_cold(&self.service),
+            memory_tokens: self.entry.memory_tokens(&self.service),
         };
         function(&context, directory.for_service(&self.service))
     }
--- a/crates/fleet-entry/src/in_flight.rs
+++ b/crates/fleet-entry/src/in_flight.rs
@@ -22,6 +22,7 @@
     key: Key,
     rank: u8,
     prefill_ms: f64,
+    prompt_tokens: u32,
     permit: Option<PrefillPermit>,
     /// Present until the answer begins.
     admission: Option<Admission>,
@@ -32,21 +33,34 @@
 }
 
 impl InFlight {
-    /// Counts a send with a rank and the expected prefill time of its prompt.
+    /// Counts a send with a rank, and the expected prefill time and the tokens of its prompt.
     pub fn new(
         entry: Rc<Entry>,
         endpoint: Rc<Endpoint>,
         (service, route): (Name, Name),
-        (rank, prefill_ms): (u8, f64),
+        (rank, prefill_ms, prompt_tokens): (u8, f64, u64),
         permit: Option<PrefillPermit>,
     ) -> Self {
         let key = Key { service, version: endpoint.version(), route };
         let admission = Some(endpoint.record_send());
         endpoint.add_prefill(rank, prefill_ms);
+        let prompt_tokens = u32::try_from(prompt_tokens).unwrap_or(u32::MAX);
+        endpoint.add_prompt(prompt_tokens);
         let began = boot_time();
         let watch = entry.tallies.borrow_mut().record_send(&key, began);
         entry.metrics.sends.inc();
-        Self { entry, endpoint, key, rank, prefill_ms, permit, admission, began, watch }
+        Self {
+            entry,
+            endpoint,
+            key,
+            rank,
+            prefill_ms,
+            prompt_tokens,
+            permit,
+            admission,
+            began,
+            watch,
+        }
     }
 
     /// Whether the request may still be written.
@@ -88,6 +102,7 @@
     fn drop(&mut self) {
         self.prefill_done();
         self.record_head(false);
+        self.endpoint.remove_prompt(self.prompt_tokens);
         self.endpoint.outstanding.set(self.endpoint.outstanding.get().saturating_sub(1));
         let mut tallies = self.entry.tallies.borrow_mut();
         tallies.record_end(&self.key, &self.watch, boot_time());
--- a/crates/fleet-entry/src/metrics.rs
+++ b/crates/fleet-entry/src/metrics.rs
@@ -48,6 +48,8 @@
     pub asked_pauses: Gauge,
     /// Times that a stream waited until its client left room.
     pub client_waits: Counter,
+    /// Requests that waited for room in the KV caches of the endpoints.
+    pub memory_waits: Counter,
     /// Bytes held for the bodies of requests, for answers without events, and for the clients of
     /// streams.
     pub body_bytes: Gauge,
@@ -94,6 +96,10 @@
             counter("cold_refusals", "Requests that endpoints that warm up had no room for");
         let client_waits =
             counter("client_waits", "Times that a stream waited until its client left room");
+        let memory_waits = counter(
+            "memory_waits",
+            "Requests that waited until their prompt had room in the KV cache of an endpoint",
+        );
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
@@ -134,6 +140,7 @@
             leaving,
             asked_pauses,
             client_waits,
+            memory_waits,
             body_bytes,
             answer_bytes,
             client_bytes,
--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -82,6 +82,17 @@
     pub zones: Zones<'a>,
     /// Whether an endpoint that warms up gets requests only with an admission.
     pub limits_cold: bool,
+    /// Tokens that the KV cache of an endpoint holds; `None` if there is no limit.
+    pub memory_tokens: Option<u64>,
+}
+
+impl PickContext<'_> {
+    /// Whether the KV cache of an endpoint holds the prompt beside those that all entries have there.
+    fn has_memory(&self, endpoint: &Endpoint) -> bool {
+        self.memory_tokens.is_none_or(|capacity| {
+            endpoint.prompt_tokens().saturating_add(self.metadata.prompt_tokens) <= capacity
+        })
+    }
 }
 
 /// Chooses the service of a request by weight, with a hash of the request id.
@@ -178,6 +189,7 @@
     } else {
         candidates.retain(|endpoint| endpoint.is_last_resort());
     }
+    candidates.retain(|endpoint| context.has_memory(endpoint));
     let shared = preferred(context.metadata, &candidates);
     let cached_tokens = |endpoint: &Endpoint| {
         shared.as_ref().map_or(0.0, |shared| shared.cached_tokens(&endpoint.id()))
@@ -215,12 +227,23 @@
     candidates.retain(|endpoint| {
         endpoint.is_cold(now) && endpoint.is_usable() && !context.tried.contains(&endpoint.id())
     });
+    candidates.retain(|endpoint| context.has_memory(endpoint));
     let loads = loads(context, &candidates);
     let mut order: SmallVec<[usize; 16]> = (0..candidates.len()).collect();
     order.sort_by(|left, right| loads[*left].time.total_cmp(&loads[*right].time));
     order.into_iter().take(MAX_COLD_CANDIDATES).map(|index| Rc::clone(&candidates[index])).collect()
 }
 
+/// Whether endpoints could get the request, but the prompts of others fill their KV caches.
+pub fn lacks_memory(context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]) -> bool {
+    if context.memory_tokens.is_none() {
+        return false;
+    }
+    let mut candidates = allowed_endpoints(context, endpoints);
+    candidates.retain(|endpoint| endpoint.is_usable() && !context.tried.contains(&endpoint.id()));
+    !candidates.is_empty() && !candidates.iter().any(|endpoint| context.has_memory(endpoint))
+}
+
 /// Returns when the endpoints that may get the request take one again, if none of them does at time
 /// `now`.
 pub fn outlook(context: &PickContext<'_>, endpoints: &[Rc<Endpoint>], now: Duration) -> Outlook {
--- a/crates/fleet-entry/src/send.rs
+++ b/crates/fleet-entry/src/send.rs
@@ -131,7 +131,7 @@
             Rc::clone(&self.entry),
             Rc::clone(&endpoint),
             (self.service.clone(), self.route.name.clone()),
-            (self.route.rank, self.prefill_ms()),
+            (self.route.rank, self.prefill_ms(), self.metadata.prompt_tokens),
             permit,
         );
         let build = || self.permitted_request(&in_flight, after_event);
--- a/crates/fleet-entry/tests/extremes.rs
+++ b/crates/fleet-entry/tests/extremes.rs
@@ -169,6 +169,7 @@
         is_in_region: &|_| true,
         zones: Zones::new(&settings, &route, None, &[]),
         limits_cold: false,
+        memory_tokens: None,
     };
 
     assert!(pick::choose(&context, &[endpoint]).is_some());
--- a/crates/fleet-entry/tests/load.rs
+++ b/crates/fleet-entry/tests/load.rs
@@ -37,6 +37,7 @@
         endpoint: endpoint.key(),
         outstanding,
         prefill_ms,
+        prompt_tokens: 0,
         succeeded: good,
         failed: bad,
         pace: 0,
@@ -64,6 +65,26 @@
     assert!(urgent > 210.0 && urgent < normal);
 }
 
+/// Guards against own prompts that are counted twice or not at all, and against prompts of other entries
+/// that are not counted.
+#[test]
+fn prompt_tokens_are_summed_over_all_entries() {
+    let endpoint = endpoint();
+    endpoint.record_send();
+    endpoint.add_prompt(1_000);
+    let report = endpoint.take_report().expect("a request is outstanding");
+    endpoint.add_prompt(200);
+
+    let total = EndpointLoad { prompt_tokens: 5_000, ..total(&endpoint, 2, [0; RANKS], 0, 0) };
+    endpoint.apply_totals(Some(&total));
+    let sum = endpoint.prompt_tokens();
+    endpoint.remove_prompt(1_000);
+
+    assert_eq!(report.prompt_tokens, 1_000);
+    assert_eq!(sum, 5_200);
+    assert_eq!(endpoint.prompt_tokens(), 4_200);
+}
+
 /// Guards against reporting ended sends twice, and against reporting idle endpoints.
 #[test]
 fn ended_sends_are_reported_once() {
--- a/crates/fleet-entry/tests/pick.rs
+++ b/crates/fleet-entry/tests/pick.rs
@@ -50,6 +50,7 @@
             endpoint: endpoint.key(),
             outstanding: 1,
             prefill_ms,
+            prompt_tokens: 0,
             succeeded: 0,
             failed: 0,
             pace: 0,
@@ -94,6 +95,7 @@
         is_in_region: &|zone| zone == "near",
         zones: Zones::new(&settings, &route, None, &[]),
         limits_cold: false,
+        memory_tokens: None,
     };
     let choice = pick::choose(&context, directory.for_service("service")).expect("one is usable");
     choice.endpoint.id()
--- a/crates/fleet-entry/tests/placement.rs
+++ b/crates/fleet-entry/tests/placement.rs
@@ -152,6 +152,7 @@
             is_in_region: &|zone| zone.starts_with("north"),
             zones: Zones::new(&settings, &route, None, &evacuated),
             limits_cold: true,
+            memory_tokens: None,
         };
         let may_serve = |endpoint: &Endpoint| {
             let zone = endpoint.announcement.borrow().zone.clone();
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -40,6 +40,8 @@
     pub outstanding: u32,
     /// Expected time to prefill the prompts that wait there, by rank of the route.
     pub prefill_ms: [u32; RANKS],
+    /// Prompt tokens of the outstanding requests.
+    pub prompt_tokens: u32,
     /// Sends that succeeded: since the entry's previous report, or recently over all entries.
     pub succeeded: u32,
     /// Sends that failed in the same time.
