--- a/crates/fleet-entry/src/entry.rs
+++ b/crates/fleet-entry/src/entry.rs
@@ -33,7 +33,8 @@
 use crate::tally::Tallies;
 use crate::view::View;
 
-/// Request bodies and answers may each take this part (1/n) of the memory of the process.
+/// Request bodies, answers, and the parts of streams that wait for clients may each take this part
+/// (1/n) of the memory of the process.
 const BODY_MEMORY_DIVISOR: usize = 4;
 
 /// State of an entry.
@@ -69,10 +70,12 @@
     pub state_changed: Notify,
     /// Requests of clients that are not finished.
     pub outstanding: Cell<u32>,
-    /// Memory for the request bodies that are being read.
-    pub body_memory: memory::Budget,
-    /// Memory for the answers without events that are being read.
-    pub answer_memory: memory::Budget,
+    /// Memory for the bodies of requests that are not finished.
+    pub body_memory: Rc<memory::Budget>,
+    /// Memory for the answers without events that are being read or wait for their clients.
+    pub answer_memory: Rc<memory::Budget>,
+    /// Memory for the parts of streams that wait for their clients.
+    pub client_memory: Rc<memory::Budget>,
     /// Time of SIGTERM, once it has arrived.
     pub stopping: Cell<Option<Duration>>,
     /// Notified when the last outstanding request ends.
@@ -107,6 +110,7 @@
             outstanding: Cell::new(0),
             body_memory: memory::Budget::new(body_bytes),
             answer_memory: memory::Budget::new(body_bytes),
+            client_memory: memory::Budget::new(body_bytes),
             stopping: Cell::new(None),
             closed: Notify::new(),
             ending: CancellationToken::new(),
@@ -248,6 +252,13 @@
         }
     }
 
+    /// Tokens that the KV cache of an endpoint of a service holds; `None` if there is no limit.
+    pub fn memory_tokens(&self, service: &Name) -> Option<u64> {
+        let view = self.view.borrow();
+        let service = view.index.as_ref().and_then(|index| index.service(service))?;
+        service.engine.as_ref().map(|engine| engine.memory_tokens).filter(|tokens| *tokens > 0)
+    }
+
     /// Maximum number of idle connections to one endpoint of a service: this entry's share of half
     /// of the connections that the endpoint accepts. The other half is left for active requests.
     pub fn max_idle_connections(&self, service: &Name) -> usize {
@@ -268,6 +279,10 @@
         let now = boot_time();
         self.metrics.leaving.set(count(&|availability| availability.is_leaving()));
         self.metrics.asked_pauses.set(count(&|availability| availability.is_paused(now)));
+        let bytes = |budget: &memory::Budget| i64::try_from(budget.used()).unwrap_or(i64::MAX);
+        self.metrics.body_bytes.set(bytes(&self.body_memory));
+        self.metrics.answer_bytes.set(bytes(&self.answer_memory));
+        self.metrics.client_bytes.set(bytes(&self.client_memory));
         self.metrics.text()
     }
 
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -30,6 +30,7 @@
 use crate::dialect::RequestMetadata;
 use crate::endpoint::Endpoint;
 use crate::entry::Entry;
+use crate::memory;
 use crate::outcome;
 use crate::outcome::Delivered;
 use crate::outcome::Fallback;
@@ -53,7 +54,8 @@
 /// Minimum time before the deadline at which a request is still sent.
 pub const MIN_SEND_TIME_MS: u64 = 30;
 
-/// Interval at which a request that waits for an endpoint on trial looks for another one.
+/// Interval in ms at which a request that waits for an endpoint on trial, or for room in the KV cache of
+/// one, looks for another one. Several times within the 250 ms in which other entries report loads.
 const TRIAL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Additional sends of a request that endpoints refuse without running it.
@@ -86,6 +88,9 @@
     pub head: Parts,
     pub metadata: RequestMetadata,
     pub body: Bytes,
+    /// Memory that the body takes.
+    #[expect(dead_code, reason = "it releases its memory when it is dropped")]
+    body_memory: Option<memory::Reservation>,
     pub route: Arc<Route>,
     pub service: Name,
     /// `None` if the route needs no key.
@@ -212,6 +217,7 @@
         is_in_region: &is_in_region,
         zones: routed.zones(&entry.settings, &view),
         cold_limit: entry.cold_limit(service),
+        memory_tokens: entry.memory_tokens(service),
         kept: entry.kept_outlook(service, routed.prefix_key(), endpoints.len()),
     };
     function(&context, endpoints)
@@ -310,12 +316,13 @@
         deadline: Duration,
         handling: Rc<Handling>,
     ) -> Self {
-        let Prepared { head, metadata, body, route, service, workspace } = prepared;
+        let Prepared { head, metadata, body, body_memory, route, service, workspace } = prepared;
         Self {
             entry,
             head,
             metadata,
             body,
+            body_memory,
             route,
             service,
             workspace,
@@ -345,6 +352,13 @@
         if self.block_left().is_some() {
             return self.conclude(Fallback::Refuse(Refusal::Overloaded), None);
         }
+        if self
+            .entry
+            .memory_tokens(&self.service)
+            .is_some_and(|tokens| self.metadata.prompt_tokens > tokens)
+        {
+            return self.conclude(Fallback::Refuse(Refusal::PromptTooLarge), None);
+        }
         let mut failed: Option<Response<Body>> = None;
         loop {
             let ended = match self.send(None).await {
@@ -416,7 +430,7 @@
             Some(Obstacle::Attempts) => ended == SendEnd::NotSent,
             Some(Obstacle::Endpoint) => {
                 let may_ask = !self.found_none || self.first_at.is_some();
-                ended == SendEnd::NotSent || (may_ask && has_cold())
+                ended == SendEnd::NotSent || (may_ask && has_cold()) || self.waits_for_memory()
             }
             _ => false,
         };
@@ -495,6 +509,7 @@
     pub async fn wait_for_endpoint(&mut self) -> Option<Rc<Endpoint>> {
         let entry = Rc::clone(&self.entry);
         let until = boot_time() + endpoint_wait(Duration::from_millis(self.left_ms()));
+        let mut lacked_memory = false;
         loop {
             let state_changed = entry.state_changed.notified();
             if let Some(endpoint) = self.pick() {
@@ -509,10 +524,22 @@
                 cold::Answer::Wait(room_at) => Some(room_at),
                 cold::Answer::None => None,
             };
+            let now = boot_time();
+            if self.lacks_memory() {
+                if !std::mem::replace(&mut lacked_memory, true) {
+                    self.record_memory_wait(now);
+                }
+                let until = self.latest_memory_wait();
+                if now >= until {
+                    return None;
+                }
+                let wake_at = until.min(now + TRIAL_CHECK_INTERVAL);
+                let _ = tokio::time::timeout(wake_at - now, state_changed).await;
+                continue;
+            }
             if self.sends > self.withdrawn {
                 return None;
             }
-            let now = boot_time();
             let (outlook, latest_start) = (self.outlook(now), self.latest_start());
             if room_at.is_none() && matches!(outlook, Outlook::Leaving | Outlook::Excluded) {
                 self.log_exclusion(outlook);
@@ -538,6 +565,32 @@
         latest_start(&self.route, self.arrived, self.deadline)
     }
 
+    /// Whether the request lacks nothing but room in the KV caches of the endpoints.
+    fn lacks_memory(&self) -> bool {
+        self.with_context(&self.tried, None, pick::lacks_memory)
+    }
+
+    /// Whether the request waits for such room before its next send.
+    fn waits_for_memory(&self) -> bool {
+        boot_time() < self.latest_memory_wait() && self.lacks_memory()
+    }
+
+    /// Time until which the request waits for such room. A stream that has begun can't be refused.
+    fn latest_memory_wait(&self) -> Duration {
+        match self.first_at {
+            Some(_) => self.deadline.saturating_sub(Duration::from_millis(MIN_SEND_TIME_MS)),
+            None => self.latest_start(),
+        }
+    }
+
+    fn record_memory_wait(&self, now: Duration) {
+        self.entry.metrics.memory_waits.inc();
+        info!(self.entry.log, "request waits for room in the KV caches";
+            "request" => &self.metadata.id, "prompt_tokens" => self.metadata.prompt_tokens,
+            "memory_tokens" => self.entry.memory_tokens(&self.service),
+            "until_ms" => self.latest_memory_wait().saturating_sub(now).as_millis() as u64);
+    }
+
     fn outlook(&self, now: Duration) -> Outlook {
         let outlook = |context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]| {
             pick::outlook(context, endpoints, now)
--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -86,6 +86,17 @@
     pub cold_limit: ColdLimit,
     /// What is known of the shared beginning of the prompt.
     pub kept: kept::Outlook,
+    /// Tokens that the KV cache of an endpoint holds; `None` if there is no limit.
+    pub memory_tokens: Option<u64>,
+}
+
+impl PickContext<'_> {
+    /// Whether the KV cache of an endpoint holds the prompt beside those that all entries have there.
+    fn has_memory(&self, endpoint: &Endpoint) -> bool {
+        self.memory_tokens.is_none_or(|capacity| {
+            endpoint.prompt_tokens().saturating_add(self.metadata.prompt_tokens) <= capacity
+        })
+    }
 }
 
 /// Chooses the service of a request by weight, with a hash of the request id.
@@ -206,6 +217,7 @@
         } else {
             endpoints.retain(|endpoint| endpoint.is_last_resort());
         }
+        endpoints.retain(|endpoint| context.has_memory(endpoint));
         let holders = holders(context, &endpoints);
         let loads = loads(context, &endpoints);
         let volume_ms = unseen_ms(context) * near_count(context, &endpoints) as f64;
@@ -308,7 +320,9 @@
         endpoint.reason(now).or_else(|| {
             let left = endpoint.cold_until().saturating_sub(now);
             let left_ms = left.as_millis() as u64;
-            needs_admission(context, endpoint, now).then_some(Reason::WarmingUp { left_ms })
+            needs_admission(context, endpoint, now)
+                .then_some(Reason::WarmingUp { left_ms })
+                .or_else(|| (!context.has_memory(endpoint)).then_some(Reason::NoMemory))
         })
     };
     endpoints.iter().map(reason).collect()
@@ -328,12 +342,23 @@
             && endpoint.is_usable()
             && !context.tried.contains(&endpoint.id())
     });
+    candidates.retain(|endpoint| context.has_memory(endpoint));
     let loads = loads(context, &candidates);
     let mut order: SmallVec<[usize; 16]> = (0..candidates.len()).collect();
     order.sort_by(|left, right| loads[*left].time.total_cmp(&loads[*right].time));
     order.into_iter().take(MAX_COLD_CANDIDATES).map(|index| Rc::clone(&candidates[index])).collect()
 }
 
+/// Whether endpoints could get the request, but the prompts of others fill their KV caches.
+pub fn lacks_memory(context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]) -> bool {
+    if context.memory_tokens.is_none() {
+        return false;
+    }
+    let mut candidates = allowed_endpoints(context, endpoints);
+    candidates.retain(|endpoint| endpoint.is_usable() && !context.tried.contains(&endpoint.id()));
+    !candidates.is_empty() && !candidates.iter().any(|endpoint| context.has_memory(endpoint))
+}
+
 /// Returns when the endpoints that may get the request take one again, if none of them does at time
 /// `now`.
 pub fn outlook(context: &PickContext<'_>, endpoints: &[Rc<Endpoint>], now: Duration) -> Outlook {
--- a/crates/fleet-entry/tests/explain.rs
+++ b/crates/fleet-entry/tests/explain.rs
@@ -190,6 +190,7 @@
             failed,
             pace: drawn.pace,
             latest_pace: 0,
+            prompt_tokens: 0,
         }));
     }
     endpoint.add_prefill(1, f64::from(drawn.own_prefill_ms));
--- a/crates/fleet-entry/tests/extremes.rs
+++ b/crates/fleet-entry/tests/extremes.rs
@@ -174,6 +174,7 @@
         zones: Zones::new(&settings, &route, None, &[]),
         cold_limit: ColdLimit::None,
         kept: KEPT,
+        memory_tokens: None,
     };
 
     assert!(pick::choose(&context, &[endpoint]).is_some());
--- a/crates/fleet-entry/tests/pick.rs
+++ b/crates/fleet-entry/tests/pick.rs
@@ -55,6 +55,7 @@
             endpoint: endpoint.key(),
             outstanding: 1,
             prefill_ms,
+            prompt_tokens: 0,
             succeeded: 0,
             failed: 0,
             pace: 0,
@@ -105,6 +106,7 @@
         zones: Zones::new(&settings, &route, None, &[]),
         cold_limit: ColdLimit::None,
         kept,
+        memory_tokens: None,
     };
     let choice = pick::choose(&context, directory.for_service("service")).expect("one is usable");
     choice.endpoint.id()
--- a/crates/fleet-entry/tests/placement.rs
+++ b/crates/fleet-entry/tests/placement.rs
@@ -155,6 +155,7 @@
             zones: Zones::new(&settings, &route, None, &evacuated),
             cold_limit: ColdLimit::Announced,
             kept: kept::Outlook { uses_per_s: 1.0, retention_s: 20.0 },
+        memory_tokens: None,
         };
         let may_serve = |endpoint: &Endpoint| {
             let zone = endpoint.announcement.borrow().zone.clone();
--- a/crates/fleet/src/explanation.rs
+++ b/crates/fleet/src/explanation.rs
@@ -216,6 +216,8 @@
     /// It gets requests only with an admission of the leader.
     #[display("it is warming up, {left_ms} ms left")]
     WarmingUp { left_ms: u64 },
+    #[display("its KV cache has no room for the prompt")]
+    NoMemory,
     #[display("it is left out for another reason")]
     Other,
 }
