Refuse requests that no endpoint can begin to answer in time

Cause: in an overload that lasts longer than the deadlines, requests of the least urgent rank waited at endpoints until their deadline and then failed without an answer.

Change: before the first send and before each retry, `admission::decide` compares the shortest expected wait for the rank with the time left. The waits come from `pick::offers`, corrected by what the entry has observed. A refused request gets 503 with a `Retry-After` that follows from the excess wait, spread by rank and at random. Nothing is refused while an endpoint has a free slot and no queue, without recent totals, after the request may have run, or once a stream has begun. Each entry remembers the delays that it gave, so that an early return gets the rest of the delay. The test of the outcome table covers the new way to end a send.

--- a/crates/fleet-entry/src/endpoint.rs
+++ b/crates/fleet-entry/src/endpoint.rs
@@ -355,6 +355,14 @@
         sum.sum::<f64>() + unknown
     }
 
+    /// Expected time in milliseconds for the prefill of the prompts of the same or a more urgent rank
+    /// that wait there. `None` without recent totals.
+    pub fn rank_wait_ms(&self, rank: u8) -> Option<f64> {
+        let (own, others) = (self.prefill_ms.get(), self.others()?);
+        let ranks = 0..=usize::from(rank).min(RANKS - 1);
+        Some(ranks.map(|rank| own[rank] + f64::from(others.prefill_ms[rank])).sum())
+    }
+
     pub fn record_send(&self) -> Admission {
         self.outstanding.set(self.outstanding.get() + 1);
         self.sent_since_load.set(self.sent_since_load.get() + 1);
--- a/crates/fleet-entry/src/entry.rs
+++ b/crates/fleet-entry/src/entry.rs
@@ -8,11 +8,14 @@
 
 use hickoryreel_base::time::boot_time;
 use hickoryreel_fleet::Name;
+use hickoryreel_fleet::load::RANKS;
 use hickoryreel_fleet::load::ServiceSends;
 use slog::Logger;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+use crate::admission::Calibration;
+use crate::admission::Returns;
 use crate::availability::Availability;
 use crate::budget::Counts;
 use crate::budget::Limits;
@@ -48,6 +51,10 @@
     pub budgets: RefCell<HashMap<Name, RetryBudget>>,
     /// Estimates for the models, by service.
     pub cascades: RefCell<HashMap<Name, Cascade>>,
+    /// Observed waits in relation to expected ones, by service and rank.
+    pub calibrations: RefCell<HashMap<Name, [Calibration; RANKS]>>,
+    /// Refused clients that were asked to wait.
+    pub returns: RefCell<Returns>,
     /// Limiters of long prompts, by service.
     pub prefill_limiters: RefCell<HashMap<Name, Rc<PrefillLimiter>>>,
     /// Prompt parts that crash endpoints.
@@ -91,6 +98,8 @@
             entries: Cell::new(1),
             budgets: RefCell::default(),
             cascades: RefCell::default(),
+            calibrations: RefCell::default(),
+            returns: RefCell::default(),
             prefill_limiters: RefCell::default(),
             quarantine: RefCell::default(),
             cold: cold::Client::default(),
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -13,6 +13,7 @@
 use hickoryreel_fleet::configuration::Route;
 use hickoryreel_fleet::configuration::Workspace;
 use hickoryreel_fleet::load::EndpointKey;
+use hickoryreel_fleet::load::RANKS;
 use http::Request;
 use http::Response;
 use http::request::Parts;
@@ -20,7 +21,13 @@
 use rand::RngExt;
 use slog::info;
 use smallvec::SmallVec;
+use xxhash_rust::xxh3::Xxh3Default;
 
+use crate::admission;
+use crate::admission::Calibration;
+use crate::admission::Decision;
+use crate::admission::Demand;
+use crate::admission::Overload;
 use crate::answer::Refusal;
 use crate::availability::Outlook;
 use crate::body::Body;
@@ -121,6 +128,12 @@
     pub endpoint: Option<(Name, Name)>,
     /// Admission to an endpoint that warms up.
     pub admission: Option<cold::Admission>,
+    /// Delay after which the client may repeat the request, if no endpoint was expected to answer it
+    /// in time.
+    refused_for: Option<Duration>,
+    /// Random number from 0 to 1, the same for all decisions on the request, that selects the
+    /// requests that test the estimate.
+    probe_point: f64,
 }
 
 /// Number of route ranks within one workspace rank.
@@ -231,6 +244,8 @@
             last_event: None,
             endpoint: None,
             admission: None,
+            refused_for: None,
+            probe_point: rand::rng().random(),
         }
     }
 
@@ -431,12 +446,150 @@
         self.with_context(&[], None, outlook)
     }
 
-    /// Delay until the client may repeat a refused request, if the endpoints have asked for pauses.
+    /// Delay until the client may repeat a refused request, if the endpoints are overloaded or have
+    /// asked for pauses.
     fn retry_after(&self) -> Option<Duration> {
+        if self.refused_for.is_some() {
+            return self.refused_for;
+        }
         let now = boot_time();
         self.outlook(now).retry_after(now, self.route.rank, rand::rng().random())
     }
 
+    /// Picks an endpoint for the next send, with a permit if the prompt is long, or ends the request
+    /// if no endpoint is expected to answer it in time. Endpoints that warm up take what the others
+    /// can't, if they admit it.
+    pub async fn admitted_endpoint(
+        &mut self,
+    ) -> Result<(Rc<Endpoint>, Option<PrefillPermit>), SendEnd> {
+        if let Some(overload) = self.find_overload() {
+            return Ok((self.admit_cold_or_refuse(overload).await?, None));
+        }
+        let permit = self.acquire_prefill_permit().await;
+        let Some(endpoint) = self.wait_for_endpoint().await else { return Err(SendEnd::NotRun) };
+        if endpoint.is_cold(boot_time()) && self.is_admitted_by(&endpoint) {
+            return Ok((endpoint, permit));
+        }
+        // The load may have changed while the request waited.
+        match self.find_overload() {
+            Some(overload) => Ok((self.admit_cold_or_refuse(overload).await?, permit)),
+            None => Ok((endpoint, permit)),
+        }
+    }
+
+    async fn admit_cold_or_refuse(&mut self, overload: Overload) -> Result<Rc<Endpoint>, SendEnd> {
+        if let cold::Answer::Admitted(admission) = self.admit_cold().await {
+            let endpoint = Rc::clone(&admission.endpoint);
+            self.admission = Some(admission);
+            return Ok(endpoint);
+        }
+        self.entry.metrics.admission_refusals.inc();
+        self.refused_for = Some(overload.retry_after);
+        if let Some(identity) = self.identity() {
+            let now = boot_time();
+            self.entry.returns.borrow_mut().record(identity, now + overload.retry_after, now);
+        }
+        info!(self.entry.log, "no endpoint is expected to answer in time";
+            "request" => &self.metadata.id, "route" => &*self.route.name,
+            "service" => &*self.service, "model" => self.model.as_deref(),
+            "rank" => self.admission_rank(), "endpoints" => overload.endpoints,
+            "wait_ms" => overload.wait_ms as u64, "prefill_ms" => overload.prefill_ms as u64,
+            "limit_ms" => overload.limit_ms as u64, "left_ms" => self.left_ms(),
+            "target_ms" => self.route.target_ms, "sends" => self.sends,
+            "retry_after_ms" => overload.retry_after.as_millis() as u64);
+        Err(SendEnd::NotAdmitted)
+    }
+
+    /// Finds out whether no endpoint is expected to answer the request before its deadline. Only a
+    /// request that has not run is refused, as the refusal says so, and only one whose prefill is
+    /// known.
+    fn find_overload(&self) -> Option<Overload> {
+        let has_begun = self.first_at.is_some() || self.metadata.after_event.is_some();
+        if self.may_have_run || self.runs > 0 || has_begun {
+            return None;
+        }
+        let token_ms = self.token_ms()?;
+        let rank = self.admission_rank();
+        let offers = self.with_context(&self.tried, Some(token_ms), |context, endpoints| {
+            pick::offers(context, endpoints, rank)
+        });
+        let target = self.arrived + Duration::from_millis(self.route.target_ms);
+        let demand = Demand {
+            rank,
+            target_left_ms: target.saturating_sub(boot_time()).as_secs_f64() * 1_000.0,
+            left_ms: self.left_ms() as f64,
+            probe_point: self.probe_point,
+            left_of_delay: self.identity().map_or(Duration::ZERO, |identity| {
+                self.entry.returns.borrow().left(identity, boot_time())
+            }),
+            factor: self.calibration(|calibration| calibration.factor(boot_time())),
+            point: rand::rng().random(),
+        };
+        match admission::decide(&demand, &offers) {
+            Decision::Send(_) => None,
+            Decision::Refuse(overload) => Some(overload),
+        }
+    }
+
+    /// Rank by which the work ahead of the request is counted. The totals do not tell workspaces
+    /// apart; a request of a workspace above the default rank goes before most of its route's rank.
+    fn admission_rank(&self) -> u8 {
+        let workspace = self.workspace.as_ref().and_then(|workspace| workspace.rank);
+        if workspace.is_some_and(|rank| rank < DEFAULT_WORKSPACE_RANK) {
+            0
+        } else {
+            self.route.rank
+        }
+    }
+
+    /// Calls a function with the calibration of the waits of this rank at the service.
+    fn calibration<T>(&self, function: impl FnOnce(&mut Calibration) -> T) -> T {
+        let mut calibrations = self.entry.calibrations.borrow_mut();
+        let ranks = calibrations.entry(self.service.clone()).or_default();
+        function(&mut ranks[usize::from(self.admission_rank()).min(RANKS - 1)])
+    }
+
+    /// Expected wait of the request at an endpoint, to be compared with the observed one.
+    pub fn expected_wait_ms(&self, endpoint: &Endpoint) -> Option<f64> {
+        let wait_ms = endpoint.rank_wait_ms(self.admission_rank())?;
+        let prefill_ms = self.token_ms()? * self.metadata.prompt_tokens as f64;
+        Some(endpoint.pace(wait_ms + prefill_ms) * wait_ms)
+    }
+
+    /// Records how long the request waited at an endpoint that was expected to begin its prefill after
+    /// `expected_ms`, until its answer began or its deadline passed.
+    pub fn record_wait(
+        &self,
+        expected_ms: Option<f64>,
+        took: Duration,
+        endpoint: &Endpoint,
+        is_answered: bool,
+    ) {
+        let Some(expected_ms) = expected_ms else { return };
+        let took_ms = took.as_secs_f64() * 1_000.0;
+        let prefill_ms = endpoint.pace(took_ms) * self.prefill_ms();
+        let wait_ms = took_ms - prefill_ms;
+        let observe = if is_answered { Calibration::observe } else { Calibration::observe_expired };
+        self.calibration(|calibration| observe(calibration, expected_ms, wait_ms, boot_time()));
+    }
+
+    /// Hash of the client and the content of the request. Its id does not count, because a client
+    /// takes a new one for each attempt. `None` for a request without a part of its own, which can't
+    /// be told from others.
+    fn identity(&self) -> Option<u64> {
+        self.metadata.parts.last()?;
+        let mut hasher = Xxh3Default::new();
+        hasher.update(self.metadata.key.as_deref().unwrap_or_default().as_bytes());
+        hasher.update(self.head.uri.path().as_bytes());
+        hasher.update(self.metadata.session.as_deref().unwrap_or_default().as_bytes());
+        for part in &self.metadata.parts {
+            hasher.update(&part.id.to_le_bytes());
+        }
+        hasher.update(&self.metadata.prompt_tokens.to_le_bytes());
+        hasher.update(&self.body);
+        Some(hasher.digest())
+    }
+
     /// Asks for an admission to an endpoint that warms up, if there is one that may serve the request.
     async fn admit_cold(&self) -> cold::Answer {
         let candidates = self.with_context(&self.tried, self.token_ms(), pick::cold_candidates);
--- a/crates/fleet-entry/src/lib.rs
+++ b/crates/fleet-entry/src/lib.rs
@@ -4,7 +4,8 @@
 //! reads its metadata with the [`dialect`] and finds its route and workspace in the [`view`],
 //! [`credentials`] keeps API keys from the endpoints,
 //! [`cascade`] chooses the model, [`prefill`] limits concurrent long prompts, [`pick`] chooses the
-//! endpoint among those that [`placement`] permits, [`cold`] asks for an admission to one that warms up, [`send`] sends the request over an [`exchange`], [`outcome`] decides what follows from
+//! endpoint among those that [`placement`] permits, [`admission`] refuses what none of them can answer in
+//! time, [`cold`] asks for an admission to one that warms up, [`send`] sends the request over an [`exchange`], [`outcome`] decides what follows from
 //! the way in which a send ended, and [`relay`] forwards a stream event by event. [`quarantine`] finds
 //! the [`prompt`]s that crash endpoints; what endpoints say of themselves is kept in [`availability`].
 //! What an endpoint may send is bounded by [`head_limit`], [`memory`] and [`progress`].
@@ -12,6 +13,7 @@
 //! control replicas, of which [`source`] chooses one to send configurations, and [`load_report`]
 //! exchanges the load of the endpoints, and their crashes, with the other entries.
 
+pub mod admission;
 pub mod answer;
 pub mod availability;
 pub mod body;
--- a/crates/fleet-entry/src/metrics.rs
+++ b/crates/fleet-entry/src/metrics.rs
@@ -42,6 +42,8 @@
     pub cold_admissions: Counter,
     /// Requests for which such endpoints had no room.
     pub cold_refusals: Counter,
+    /// Requests refused because no endpoint was expected to answer them in time.
+    pub admission_refusals: Counter,
     /// Endpoints that say that they are leaving.
     pub leaving: Gauge,
     /// Pauses in force that endpoints asked for.
@@ -85,6 +87,10 @@
             counter("cold_admissions", "Requests admitted to endpoints that warm up");
         let cold_refusals =
             counter("cold_refusals", "Requests that endpoints that warm up had no room for");
+        let admission_refusals = counter(
+            "admission_refusals",
+            "Requests refused as no endpoint was expected to answer in time",
+        );
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
@@ -119,6 +125,7 @@
             withdrawn,
             cold_admissions,
             cold_refusals,
+            admission_refusals,
             leaving,
             asked_pauses,
             open,
--- a/crates/fleet-entry/src/outcome.rs
+++ b/crates/fleet-entry/src/outcome.rs
@@ -10,6 +10,8 @@
     NotRun,
     /// The endpoint became unavailable before the request was written.
     NotSent,
+    /// No endpoint is expected to answer in time, and nothing was sent.
+    NotAdmitted,
     /// The endpoint answered with an error.
     EndpointFailed,
     /// The answer is lost or belongs to another request; the request may have run.
@@ -65,6 +67,10 @@
         (SendEnd::DeadlineExceeded, _, Delivered::Nothing) => {
             Next::End(Fallback::Refuse(Refusal::TimedOut))
         }
+        (SendEnd::NotAdmitted, _, Delivered::Partial) => Next::End(Fallback::Abort),
+        (SendEnd::NotAdmitted, _, Delivered::Nothing) => {
+            Next::End(refuse(Refusal::Overloaded, Refusal::Unknown))
+        }
         (
             SendEnd::NotRun | SendEnd::NotSent | SendEnd::Unknown | SendEnd::EndpointFailed,
             Runs::Repeatable,
--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -20,6 +20,7 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::admission::Offer;
 use crate::availability::Outlook;
 use crate::dialect::RequestMetadata;
 use crate::endpoint::Endpoint;
@@ -165,14 +166,51 @@
     pub prefill_ms: f64,
 }
 
-/// Chooses an endpoint. Returns `None` if no endpoint can take the request.
-pub fn choose(context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]) -> Option<Choice> {
+/// Returns the endpoints that may get the request without an admission.
+fn candidates(context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]) -> Permitted {
     let mut candidates = allowed_endpoints(context, endpoints);
     let now = boot_time();
     candidates.retain(|endpoint| {
         let needs_admission = context.limits_cold && endpoint.is_cold(now);
         !needs_admission && !context.tried.contains(&endpoint.id())
     });
+    candidates
+}
+
+/// Returns what the endpoints that may get the request offer to one of `rank`. An idle endpoint is
+/// returned alone, because no other matters then.
+pub fn offers(
+    context: &PickContext<'_>,
+    endpoints: &[Rc<Endpoint>],
+    rank: u8,
+) -> SmallVec<[Offer; 16]> {
+    let candidates = candidates(context, endpoints);
+    let shared = preferred(context.metadata, &candidates);
+    let mut offers = SmallVec::new();
+    for endpoint in candidates.iter() {
+        let cached = shared.as_ref().map_or(0.0, |shared| shared.cached_tokens(&endpoint.id()));
+        let uncached = (context.metadata.prompt_tokens as f64 - cached).max(0.0);
+        let prefill_ms = uncached * context.token_ms.unwrap_or(0.0);
+        let wait_ms = endpoint.rank_wait_ms(rank);
+        let pace = endpoint.pace(wait_ms.unwrap_or(0.0) + prefill_ms);
+        let offer = Offer {
+            is_usable: endpoint.is_usable(),
+            free_slots: f64::from(endpoint.slots()) - endpoint.estimated_load(context.entries),
+            waiting: endpoint.waiting(),
+            wait_ms: wait_ms.map(|wait_ms| pace * wait_ms),
+            prefill_ms: pace * prefill_ms,
+        };
+        if offer.is_idle() {
+            return SmallVec::from_iter([offer]);
+        }
+        offers.push(offer);
+    }
+    offers
+}
+
+/// Chooses an endpoint. Returns `None` if no endpoint can take the request.
+pub fn choose(context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]) -> Option<Choice> {
+    let mut candidates = candidates(context, endpoints);
     if candidates.iter().any(|endpoint| endpoint.is_usable()) {
         candidates.retain(|endpoint| endpoint.is_usable());
     } else {
--- a/crates/fleet-entry/src/send.rs
+++ b/crates/fleet-entry/src/send.rs
@@ -105,8 +105,7 @@
         if after_event.is_none() || self.model.is_none() {
             self.model = self.choose_model();
         }
-        let permit = self.acquire_prefill_permit().await;
-        let Some(endpoint) = self.wait_for_endpoint().await else { return Err(SendEnd::NotRun) };
+        let (endpoint, permit) = self.admitted_endpoint().await?;
         // The lease may have expired while the request waited.
         if !self.has_lease() {
             return Err(SendEnd::NotRun);
@@ -125,6 +124,7 @@
             "left_ms" => left);
         self.sends += 1;
         self.tried.push(id.clone());
+        let expected_wait_ms = self.expected_wait_ms(&endpoint);
         let unloaded = endpoint.is_prefill_done() && endpoint.waiting() == 0.0;
         let mut in_flight = InFlight::new(
             Rc::clone(&self.entry),
@@ -137,6 +137,10 @@
         let exchange = match self.exchange(&endpoint, build, in_flight.began).await {
             Ok(exchange) => exchange,
             Err(ended) => {
+                if ended == SendEnd::DeadlineExceeded {
+                    let took = boot_time().saturating_sub(in_flight.began);
+                    self.record_wait(expected_wait_ms, took, &endpoint, false);
+                }
                 if ended == SendEnd::NotSent {
                     self.withdrawn += 1;
                     self.tried.pop();
@@ -199,6 +203,8 @@
             return Err(SendEnd::Unknown);
         }
         endpoint.record_activity();
+        let took = boot_time().saturating_sub(in_flight.began);
+        self.record_wait(expected_wait_ms, took, &endpoint, true);
         self.confidence = reply.confidence;
         if unloaded && let Some(model) = &self.model {
             let time = boot_time().saturating_sub(in_flight.began);
--- a/crates/fleet-entry/tests/common/harness.rs
+++ b/crates/fleet-entry/tests/common/harness.rs
@@ -65,6 +65,8 @@
             host: "host".to_owned(),
             deadline_ms: number(&head.headers, "deadline"),
             parts: parts(&head.headers),
+            any_model: head.headers.contains_key("any-model"),
+            prompt_tokens: number(&head.headers, "tokens").unwrap_or(0),
             key: head.headers.get("key").map(|key| key.to_str().unwrap_or_default().to_owned()),
             ..RequestMetadata::default()
         })
--- a/crates/fleet-entry/tests/outcome.rs
+++ b/crates/fleet-entry/tests/outcome.rs
@@ -13,6 +13,7 @@
     prop_oneof![
         Just(SendEnd::NotRun),
         Just(SendEnd::NotSent),
+        Just(SendEnd::NotAdmitted),
         Just(SendEnd::EndpointFailed),
         Just(SendEnd::Unknown),
         Just(SendEnd::DeadlineExceeded),
@@ -37,7 +38,10 @@
         let mut ran = false;
         for (turn, ended) in ends.into_iter().enumerate() {
             let delivered = if turn >= passed_at { Delivered::Partial } else { Delivered::Nothing };
-            let may_have_run = !matches!(ended, SendEnd::NotRun | SendEnd::NotSent);
+            let may_have_run = !matches!(
+                ended,
+                SendEnd::NotRun | SendEnd::NotSent | SendEnd::NotAdmitted
+            );
             ran |= may_have_run;
             let (again, fallback) = match decide(ended, runs, delivered, ran) {
                 Next::Retry(fallback) => (true, fallback),
@@ -49,7 +53,9 @@
             }
             prop_assert_eq!(fallback == Fallback::Abort, delivered == Delivered::Partial);
             prop_assert!(!again || repeatable || (!ran && delivered == Delivered::Nothing));
-            prop_assert!(!again || ended != SendEnd::DeadlineExceeded);
+            prop_assert!(
+                !again || !matches!(ended, SendEnd::DeadlineExceeded | SendEnd::NotAdmitted)
+            );
             if !again {
                 break;
             }
