--- a/crates/fleet-entry/src/endpoint.rs
+++ b/crates/fleet-entry/src/endpoint.rs
@@ -9,6 +9,8 @@
 use hickoryreel_base::time::boot_time;
 use hickoryreel_fleet::Name;
 use hickoryreel_fleet::endpoint::Announcement;
+use hickoryreel_fleet::endpoint::WARM_UP_TOLERANCE;
+use hickoryreel_fleet::explanation::Reason;
 use hickoryreel_fleet::load::EndpointKey;
 use hickoryreel_fleet::load::EndpointLoad;
 use hickoryreel_fleet::load::RANKS;
@@ -56,15 +58,30 @@
 /// Smoothing factor of the failure share.
 const FAILURE_SMOOTHING: f64 = 0.15;
 
-/// Maximum warm-up time that is believed.
-const MAX_WARM_UP: Duration = Duration::from_secs(600);
+/// Time for which an endpoint counts as cold after it could not be reached: it may have restarted, and
+/// its first announcement is on its way. Two intervals between announcements and the way to an entry.
+pub const RESTART_DOUBT: Duration = Duration::from_secs(3);
+
+/// The same after its connection broke, until it is known whether it accepts another one: the time
+/// after which an attempt to connect fails.
+const CRASH_CHECK_TIME: Duration = Duration::from_millis(300);
+
+/// Which endpoints of a service get requests only with an admission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ColdLimit {
+    None,
+    /// Those that say that they warm up.
+    Announced,
+    /// Also those that may have restarted and warm up without the entry having their announcement.
+    Restarts,
+}
 
 /// End of the warm-up according to an announcement that has just arrived. The announcement may have
 /// been under way for seconds, so the end is at this time or earlier.
 fn warm_up_end(announcement: &Announcement) -> Duration {
-    match Duration::from_millis(announcement.warm_up_left_ms).min(MAX_WARM_UP) {
+    match announcement.warm_up_left() {
         Duration::ZERO => Duration::ZERO,
-        left => boot_time() + left,
+        left => boot_time() + left + WARM_UP_TOLERANCE,
     }
 }
 
@@ -82,6 +99,8 @@
     pub outstanding: Cell<u32>,
     /// Expected prefill time of this entry's requests without an answer, by rank.
     prefill_ms: Cell<[f64; RANKS]>,
+    /// Prompt tokens of this entry's outstanding requests.
+    prompt_tokens: Cell<u64>,
     load: Cell<Option<(Load, Duration)>>,
     pace: Cell<Pace>,
     /// Whether the endpoint has stated its pace since the latest report of this entry.
@@ -97,6 +116,8 @@
     ejected_until: Cell<Duration>,
     /// Time until which it warms up, by what it has last said.
     cold_until: Cell<Duration>,
+    /// Time until which it may have restarted without an announcement that has arrived.
+    doubtful_until: Cell<Duration>,
     /// Shared by all addresses of the incarnation.
     availability: Rc<Cell<Availability>>,
     /// Time at which this entry last received data from the endpoint.
@@ -108,6 +129,7 @@
 struct Reported {
     outstanding: u32,
     prefill_ms: [u32; RANKS],
+    prompt_tokens: u32,
 }
 
 /// Load of the other entries at an endpoint, and ends of recent sends of all entries.
@@ -115,6 +137,7 @@
 struct OtherEntries {
     outstanding: u32,
     prefill_ms: [u32; RANKS],
+    prompt_tokens: u32,
     succeeded: f64,
     failed: f64,
 }
@@ -130,6 +153,7 @@
             gone: Cell::new(false),
             outstanding: Cell::new(0),
             prefill_ms: Cell::default(),
+            prompt_tokens: Cell::new(0),
             load: Cell::new(None),
             pace: Cell::default(),
             pace_seen: Cell::new(false),
@@ -143,6 +167,7 @@
             failure_share: Cell::new(0.0),
             ejected_until: Cell::new(Duration::ZERO),
             cold_until: Cell::new(cold_until),
+            doubtful_until: Cell::default(),
             availability: Rc::default(),
             last_activity: Cell::new(None),
         }
@@ -169,6 +194,33 @@
         now < self.cold_until.get()
     }
 
+    /// Whether it gets requests at time `now` only with an admission.
+    pub fn needs_admission(&self, limit: ColdLimit, now: Duration) -> bool {
+        match limit {
+            ColdLimit::None => false,
+            ColdLimit::Announced => self.is_cold(now),
+            ColdLimit::Restarts => self.is_cold(now) || now < self.doubtful_until.get(),
+        }
+    }
+
+    fn doubt_until(&self, until: Duration) {
+        self.doubtful_until.set(self.doubtful_until.get().max(until));
+    }
+
+    /// Records that a connection to it broke, which may be the end of it. Returns whether this is yet
+    /// to be found out.
+    pub fn record_break(&self) -> bool {
+        let now = boot_time();
+        let is_new = now >= self.doubtful_until.get();
+        self.doubt_until(now + CRASH_CHECK_TIME);
+        is_new
+    }
+
+    /// Records that it accepts no connection after one broke.
+    pub fn record_crash(&self) {
+        self.doubt_until(boot_time() + RESTART_DOUBT);
+    }
+
     pub fn id(&self) -> Name {
         self.announcement.borrow().id.clone()
     }
@@ -179,15 +231,27 @@
 
     /// Whether it may get new requests.
     pub fn is_usable(&self) -> bool {
-        let now = boot_time();
+        self.reason(boot_time()).is_none()
+    }
+
+    /// Returns why it may not get new requests at time `now`, or `None` if it may.
+    pub fn reason(&self, now: Duration) -> Option<Reason> {
         let recently_active =
             self.last_activity.get().is_some_and(|at| now < at + ACTIVITY_MAX_AGE);
-        !self.gone.get()
-            && !self.announcement.borrow().draining
-            && now >= self.ejected_until.get()
-            && (!self.is_silent() || recently_active)
-            && !self.is_suspect()
-            && self.is_available(now)
+        if self.gone.get() {
+            Some(Reason::Gone)
+        } else if self.announcement.borrow().draining {
+            Some(Reason::Draining)
+        } else if let Some(reason) = self.availability().reason(now) {
+            Some(reason)
+        } else if now < self.ejected_until.get() {
+            let left = self.ejected_until.get().saturating_sub(now);
+            Some(Reason::Ejected { left_ms: left.as_millis() as u64 })
+        } else if self.is_silent() && !recently_active {
+            Some(Reason::Silent)
+        } else {
+            self.is_suspect(now).then_some(Reason::Suspect)
+        }
     }
 
     /// Its availability according to its answers.
@@ -273,7 +337,8 @@
     /// there is nothing to report.
     pub fn take_report(&self) -> Option<EndpointLoad> {
         let prefill_ms = self.prefill_ms.get().map(|time_ms| time_ms as u32);
-        let reported = Reported { outstanding: self.outstanding.get(), prefill_ms };
+        let prompt_tokens = u32::try_from(self.prompt_tokens.get()).unwrap_or(u32::MAX);
+        let reported = Reported { outstanding: self.outstanding.get(), prefill_ms, prompt_tokens };
         self.reported.set(reported);
         let seen = self.pace_seen.take();
         let (pace, latest_pace) = if seen { self.pace.get().percent() } else { (0, 0) };
@@ -281,6 +346,7 @@
             endpoint: self.key,
             outstanding: reported.outstanding,
             prefill_ms: reported.prefill_ms,
+            prompt_tokens: reported.prompt_tokens,
             succeeded: self.succeeded.take(),
             failed: self.failed.take(),
             pace,
@@ -297,6 +363,7 @@
             prefill_ms: std::array::from_fn(|rank| {
                 total.prefill_ms[rank].saturating_sub(reported.prefill_ms[rank])
             }),
+            prompt_tokens: total.prompt_tokens.saturating_sub(reported.prompt_tokens),
             succeeded: f64::from(total.succeeded),
             failed: f64::from(total.failed),
         });
@@ -316,13 +383,17 @@
 
     /// Load of the other entries, unless it is unknown or outdated.
     fn others(&self) -> Option<OtherEntries> {
+        self.others_at(boot_time())
+    }
+
+    fn others_at(&self, now: Duration) -> Option<OtherEntries> {
         let (others, at) = self.others.get()?;
-        (boot_time() < at + TOTALS_MAX_AGE).then_some(others)
+        (now < at + TOTALS_MAX_AGE).then_some(others)
     }
 
     /// Whether nearly all recent sends of all entries failed.
-    fn is_suspect(&self) -> bool {
-        self.others().is_some_and(|others| {
+    fn is_suspect(&self, now: Duration) -> bool {
+        self.others_at(now).is_some_and(|others| {
             others.failed >= SUSPECT_FAILURES && others.failed > SUSPECT_RATIO * others.succeeded
         })
     }
@@ -335,6 +406,23 @@
         self.prefill_ms.set(prefill_ms);
     }
 
+    /// Adds the prompt of a request of this entry.
+    pub fn add_prompt(&self, tokens: u32) {
+        self.prompt_tokens.set(self.prompt_tokens.get() + u64::from(tokens));
+    }
+
+    /// Removes the prompt of a request that has ended.
+    pub fn remove_prompt(&self, tokens: u32) {
+        self.prompt_tokens.set(self.prompt_tokens.get().saturating_sub(u64::from(tokens)));
+    }
+
+    /// Prompt tokens of the outstanding requests of all entries; of this one alone if the totals are
+    /// unknown or outdated.
+    pub fn prompt_tokens(&self) -> u64 {
+        let others = self.others().map_or(0, |others| others.prompt_tokens);
+        self.prompt_tokens.get() + u64::from(others)
+    }
+
     /// Whether this entry has no outstanding prefill there.
     pub fn is_prefill_done(&self) -> bool {
         self.prefill_ms.get().iter().all(|time_ms| *time_ms == 0.0)
@@ -411,7 +499,10 @@
         self.failed.set(self.failed.get() + 1);
         let consecutive_failures = self.consecutive_failures.get() + 1;
         self.consecutive_failures.set(consecutive_failures);
-        self.eject(consecutive_failures - 1)
+        let ejection = self.eject(consecutive_failures - 1);
+        // It is not contacted before the end of the ejection, up to which it may restart.
+        self.doubt_until(boot_time() + ejection + RESTART_DOUBT);
+        ejection
     }
 
     fn eject(&self, doublings: u32) -> Duration {
@@ -450,6 +541,16 @@
         self.load.get().map(|(_, at)| boot_time().saturating_sub(at))
     }
 
+    /// Time since the totals over all entries arrived.
+    pub fn totals_age(&self) -> Option<Duration> {
+        self.others.get().map(|(_, at)| boot_time().saturating_sub(at))
+    }
+
+    /// Time since the latest figure of its pace.
+    pub fn pace_age(&self) -> Option<Duration> {
+        self.pace.get().age(boot_time())
+    }
+
     /// Requests that wait there according to the latest load that the endpoint reported.
     pub fn waiting(&self) -> f64 {
         let now = boot_time();
--- a/crates/fleet-entry/src/entry.rs
+++ b/crates/fleet-entry/src/entry.rs
@@ -8,6 +8,7 @@
 
 use hickoryreel_base::time::boot_time;
 use hickoryreel_fleet::Name;
+use hickoryreel_fleet::configuration::ColdStart;
 use hickoryreel_fleet::load::RANKS;
 use hickoryreel_fleet::load::ServiceSends;
 use slog::Logger;
@@ -24,6 +25,8 @@
 use crate::cold;
 use crate::dialect::Dialect;
 use crate::directory::Directory;
+use crate::endpoint::ColdLimit;
+use crate::kept;
 use crate::memory;
 use crate::metrics::Metrics;
 use crate::prefill;
@@ -33,7 +36,8 @@
 use crate::tally::Tallies;
 use crate::view::View;
 
-/// Request bodies and answers may each take this part (1/n) of the memory of the process.
+/// Request bodies, answers, and the parts of streams that wait for clients may each take this part
+/// (1/n) of the memory of the process.
 const BODY_MEMORY_DIVISOR: usize = 4;
 
 /// State of an entry.
@@ -59,6 +63,8 @@
     pub prefill_limiters: RefCell<HashMap<Name, Rc<PrefillLimiter>>>,
     /// Prompt parts that crash endpoints.
     pub quarantine: RefCell<Quarantine>,
+    /// Recent uses of shared prompt parts, by service.
+    pub kept: RefCell<HashMap<Name, kept::Uses>>,
     /// Admissions to endpoints that warm up.
     pub cold: cold::Client,
     /// Request counts for the decisions on roll-outs.
@@ -71,10 +77,12 @@
     pub state_changed: Notify,
     /// Requests of clients that are not finished.
     pub outstanding: Cell<u32>,
-    /// Memory for the request bodies that are being read.
-    pub body_memory: memory::Budget,
-    /// Memory for the answers without events that are being read.
-    pub answer_memory: memory::Budget,
+    /// Memory for the bodies of requests that are not finished.
+    pub body_memory: Rc<memory::Budget>,
+    /// Memory for the answers without events that are being read or wait for their clients.
+    pub answer_memory: Rc<memory::Budget>,
+    /// Memory for the parts of streams that wait for their clients.
+    pub client_memory: Rc<memory::Budget>,
     /// Time of SIGTERM, once it has arrived.
     pub stopping: Cell<Option<Duration>>,
     /// Notified when the last outstanding request ends.
@@ -102,6 +110,7 @@
             returns: RefCell::default(),
             prefill_limiters: RefCell::default(),
             quarantine: RefCell::default(),
+            kept: RefCell::default(),
             cold: cold::Client::default(),
             tallies: RefCell::default(),
             confirmation_wanted_at: Cell::default(),
@@ -110,6 +119,7 @@
             outstanding: Cell::new(0),
             body_memory: memory::Budget::new(body_bytes),
             answer_memory: memory::Budget::new(body_bytes),
+            client_memory: memory::Budget::new(body_bytes),
             stopping: Cell::new(None),
             closed: Notify::new(),
             ending: CancellationToken::new(),
@@ -213,11 +223,49 @@
         Some((Rc::clone(limiters.entry(service.clone()).or_default()), permits))
     }
 
-    /// Whether the endpoints of a service that warm up get requests only with an admission.
-    pub fn limits_cold(&self, service: &Name) -> bool {
+    /// Which endpoints of a service get requests only with an admission.
+    pub fn cold_limit(&self, service: &Name) -> ColdLimit {
         let view = self.view.borrow();
         let service = view.index.as_ref().and_then(|index| index.service(service));
-        service.is_some_and(|service| service.cold_start.is_some())
+        match service.and_then(|service| service.cold_start) {
+            None => ColdLimit::None,
+            Some(ColdStart { after_start: false, .. }) => ColdLimit::Announced,
+            Some(ColdStart { after_start: true, .. }) => ColdLimit::Restarts,
+        }
+    }
+
+    /// Returns what is known of a shared prompt part at the endpoints of a service.
+    pub fn kept_outlook(
+        &self,
+        service: &Name,
+        key: Option<u64>,
+        endpoints: usize,
+    ) -> kept::Outlook {
+        let view = self.view.borrow();
+        let engine = view.index.as_ref().and_then(|index| index.service(service)?.engine.as_ref());
+        let fleet = kept::Fleet {
+            entries: self.entries.get(),
+            endpoints,
+            memory_tokens: engine.map_or(0, |engine| engine.memory_tokens),
+        };
+        let kept = self.kept.borrow();
+        let outlook = |uses: &kept::Uses| uses.outlook(key, &fleet, boot_time());
+        kept.get(service).map_or_else(|| outlook(&kept::Uses::default()), outlook)
+    }
+
+    /// Prefill time per prompt token of a model of a service.
+    pub fn token_ms(&self, service: &Name, model: &Name) -> f64 {
+        match self.cascades.borrow().get(service) {
+            Some(cascade) => cascade.token_ms(model),
+            None => Cascade::default().token_ms(model),
+        }
+    }
+
+    /// Tokens that the KV cache of an endpoint of a service holds; `None` if there is no limit.
+    pub fn memory_tokens(&self, service: &Name) -> Option<u64> {
+        let view = self.view.borrow();
+        let service = view.index.as_ref().and_then(|index| index.service(service))?;
+        service.engine.as_ref().map(|engine| engine.memory_tokens).filter(|tokens| *tokens > 0)
     }
 
     /// Maximum number of idle connections to one endpoint of a service: this entry's share of half
@@ -240,6 +288,10 @@
         let now = boot_time();
         self.metrics.leaving.set(count(&|availability| availability.is_leaving()));
         self.metrics.asked_pauses.set(count(&|availability| availability.is_paused(now)));
+        let bytes = |budget: &memory::Budget| i64::try_from(budget.used()).unwrap_or(i64::MAX);
+        self.metrics.body_bytes.set(bytes(&self.body_memory));
+        self.metrics.answer_bytes.set(bytes(&self.answer_memory));
+        self.metrics.client_bytes.set(bytes(&self.client_memory));
         self.metrics.text()
     }
 
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -22,6 +22,7 @@
 use slog::info;
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::Xxh3Default;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::admission;
 use crate::admission::Calibration;
@@ -32,11 +33,11 @@
 use crate::availability::Outlook;
 use crate::body::Body;
 use crate::cascade::AnswerEstimate;
-use crate::cascade::Cascade;
 use crate::cold;
 use crate::dialect::RequestMetadata;
 use crate::endpoint::Endpoint;
 use crate::entry::Entry;
+use crate::memory;
 use crate::outcome;
 use crate::outcome::Delivered;
 use crate::outcome::Fallback;
@@ -54,11 +55,14 @@
 use crate::prepare::prepare;
 use crate::relay;
 use crate::send::Sent;
+use crate::settings::Settings;
+use crate::view::View;
 
 /// Minimum time before the deadline at which a request is still sent.
 pub const MIN_SEND_TIME_MS: u64 = 30;
 
-/// Interval at which a request that waits for an endpoint on trial looks for another one.
+/// Interval in ms at which a request that waits for an endpoint on trial, or for room in the KV cache of
+/// one, looks for another one. Several times within the 250 ms in which other entries report loads.
 const TRIAL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Additional sends of a request that endpoints refuse without running it.
@@ -91,6 +95,9 @@
     pub head: Parts,
     pub metadata: RequestMetadata,
     pub body: Bytes,
+    /// Memory that the body takes.
+    #[expect(dead_code, reason = "it releases its memory when it is dropped")]
+    body_memory: Option<memory::Reservation>,
     pub route: Arc<Route>,
     pub service: Name,
     /// `None` if the route needs no key.
@@ -134,6 +141,8 @@
     /// Random number from 0 to 1, the same for all decisions on the request, that selects the
     /// requests that test the estimate.
     probe_point: f64,
+    /// Whether no endpoint was found for the latest send.
+    pub found_none: bool,
 }
 
 /// Number of route ranks within one workspace rank.
@@ -162,6 +171,108 @@
     pub passed_on: Cell<bool>,
 }
 
+/// A request whose route and service are known.
+pub struct Routed<'a> {
+    pub route: &'a Route,
+    pub metadata: &'a RequestMetadata,
+    pub service: &'a Name,
+    /// `None` if the route needs no key.
+    pub workspace: Option<&'a Workspace>,
+    pub path: &'a str,
+    /// Model of the next send, if the entry chooses it.
+    pub model: Option<&'a str>,
+}
+
+impl<'a> Routed<'a> {
+    /// Rules of the configuration under which the request was accepted and of the one in force. The
+    /// choice of an endpoint and the check before a write use the same ones: a choice that the check
+    /// never permits would be repeated until the deadline.
+    fn zones(&self, settings: &'a Settings, view: &'a View) -> Zones<'a> {
+        let zones = Zones::new(settings, self.route, self.workspace, &view.evacuated);
+        let current = view.index.as_ref().and_then(|index| {
+            let route = index.route(&self.metadata.host, self.path)?;
+            Some((index, route))
+        });
+        let Some((index, route)) = current else { return zones };
+        let key = self.metadata.key.as_deref().filter(|_| self.workspace.is_some());
+        let workspace = key.and_then(|key| index.workspace(key));
+        zones.restricted_by(route, workspace.map(|workspace| &**workspace))
+    }
+
+    /// Identifies the shared beginning of the prompt and the model that reads it.
+    fn prefix_key(&self) -> Option<u64> {
+        let (_, shared) = self.metadata.parts.split_last()?;
+        Some(shared.last()?.id ^ xxh3_64(self.model.unwrap_or_default().as_bytes()))
+    }
+}
+
+/// Calls a function of [`pick`] with the endpoints of a request's service.
+pub fn with_context<T>(
+    entry: &Entry,
+    routed: &Routed<'_>,
+    tried: &[Name],
+    token_ms: Option<f64>,
+    function: impl Fn(&PickContext<'_>, &[Rc<Endpoint>]) -> T,
+) -> T {
+    let Routed { route, metadata, service, .. } = *routed;
+    let view = entry.view.borrow();
+    let directory = entry.directory.borrow();
+    let is_in_region = |zone: &str| entry.is_in_region(zone);
+    let endpoints = directory.for_service(service);
+    let context = PickContext {
+        route,
+        metadata,
+        service,
+        roll_outs: &view.roll_outs,
+        tried,
+        entries: entry.entries.get(),
+        token_ms,
+        is_in_region: &is_in_region,
+        zones: routed.zones(&entry.settings, &view),
+        cold_limit: entry.cold_limit(service),
+        memory_tokens: entry.memory_tokens(service),
+        kept: entry.kept_outlook(service, routed.prefix_key(), endpoints.len()),
+    };
+    function(&context, endpoints)
+}
+
+/// Returns the model at `index` among those of the route, or `None` if the client chose one.
+pub fn choose_model(metadata: &RequestMetadata, route: &Route, index: usize) -> Option<Name> {
+    metadata.any_model.then(|| route.models.get(index).cloned()).flatten()
+}
+
+/// Time for which a request with `left` to its deadline waits for an endpoint to announce itself.
+pub fn endpoint_wait(left: Duration) -> Duration {
+    (left / 3).min(MAX_STATE_WAIT)
+}
+
+/// Latest time at which the answer of an endpoint whose pause ends is expected in time. Until then
+/// waiting is faster than a refusal, after which the client may come back through another entry.
+pub fn latest_start(route: &Route, arrived: Duration, deadline: Duration) -> Duration {
+    let target = arrived + Duration::from_millis(route.target_ms) / 2;
+    target.min(deadline.saturating_sub(Duration::from_millis(MIN_SEND_TIME_MS)))
+}
+
+/// Returns until when a request waits at time `now` if no endpoint can take it, and when it looks for
+/// one again, or `None` if it does not wait. `room_at` is the time before which the endpoints that warm
+/// up have no room, `until` the end of the wait for an endpoint to announce itself.
+pub fn next_look(
+    outlook: Outlook,
+    room_at: Option<Duration>,
+    now: Duration,
+    until: Duration,
+    latest_start: Duration,
+) -> Option<(Duration, Duration)> {
+    let paused = |end: Duration| (latest_start, end.max(now + TRIAL_CHECK_INTERVAL));
+    let (until, wake_at) = match (room_at, outlook) {
+        (Some(room_at), _) => paused(room_at),
+        (None, Outlook::Unknown) => (until, until),
+        (None, Outlook::Leaving | Outlook::Excluded) => return None,
+        (None, Outlook::Paused(end)) => paused(end),
+    };
+    (now < until && wake_at <= until).then_some((until, wake_at))
+}
+
 async fn answer(
     entry: &Rc<Entry>,
     head: Parts,
@@ -218,12 +329,13 @@
         deadline: Duration,
         handling: Rc<Handling>,
     ) -> Self {
-        let Prepared { head, metadata, body, route, service, workspace } = prepared;
+        let Prepared { head, metadata, body, body_memory, route, service, workspace } = prepared;
         Self {
             entry,
             head,
             metadata,
             body,
+            body_memory,
             route,
             service,
             workspace,
@@ -246,6 +358,7 @@
             admission: None,
             refused_for: None,
             probe_point: rand::rng().random(),
+            found_none: false,
         }
     }
 
@@ -254,6 +367,13 @@
         if self.block_left().is_some() {
             return self.conclude(Fallback::Refuse(Refusal::Overloaded), None);
         }
+        if self
+            .entry
+            .memory_tokens(&self.service)
+            .is_some_and(|tokens| self.metadata.prompt_tokens > tokens)
+        {
+            return self.conclude(Fallback::Refuse(Refusal::PromptTooLarge), None);
+        }
         let mut failed: Option<Response<Body>> = None;
         loop {
             let ended = match self.send(None).await {
@@ -299,8 +419,9 @@
             Next::End(fallback) => Some(fallback),
             Next::Retry(fallback) => {
                 let obstacle = self.obstacle_to_retry(ended).or_else(|| {
-                    let taken =
-                        ended == SendEnd::NotSent || self.entry.take_second_send(&self.service);
+                    let taken = ended == SendEnd::NotSent
+                        || self.found_none
+                        || self.entry.take_second_send(&self.service);
                     (!taken).then_some(Obstacle::Budget)
                 })?;
                 info!(self.entry.log, "request is not sent again"; "request" => &self.metadata.id,
@@ -312,7 +433,8 @@
     }
 
     /// Returns what prevents another send after one that ended so, apart from the retry budget. A send
-    /// that reached no endpoint uses up neither attempts nor the budget.
+    /// that reached no endpoint uses up neither attempts nor the budget. A request that was refused an
+    /// admission to an endpoint that warms up ends; a stream that has begun asks again, with pauses.
     fn obstacle_to_retry(&self, ended: SendEnd) -> Option<Obstacle> {
         let obstacle = self.obstacle(self.runs, |_| true);
         let has_cold = || {
@@ -321,7 +443,10 @@
         };
         let excused = match obstacle {
             Some(Obstacle::Attempts) => ended == SendEnd::NotSent,
-            Some(Obstacle::Endpoint) => ended == SendEnd::NotSent || has_cold(),
+            Some(Obstacle::Endpoint) => {
+                let may_ask = !self.found_none || self.first_at.is_some();
+                ended == SendEnd::NotSent || (may_ask && has_cold()) || self.waits_for_memory()
+            }
             _ => false,
         };
         if excused { None } else { obstacle }
@@ -398,7 +523,8 @@
     /// If all are leaving or have asked for pauses, it waits only for a pause that ends in time.
     pub async fn wait_for_endpoint(&mut self) -> Option<Rc<Endpoint>> {
         let entry = Rc::clone(&self.entry);
-        let until = boot_time() + Duration::from_millis(self.left_ms() / 3).min(MAX_STATE_WAIT);
+        let until = boot_time() + endpoint_wait(Duration::from_millis(self.left_ms()));
+        let mut lacked_memory = false;
         loop {
             let state_changed = entry.state_changed.notified();
             if let Some(endpoint) = self.pick() {
@@ -413,30 +539,71 @@
                 cold::Answer::Wait(room_at) => Some(room_at),
                 cold::Answer::None => None,
             };
+            let now = boot_time();
+            if self.lacks_memory() {
+                if !std::mem::replace(&mut lacked_memory, true) {
+                    self.record_memory_wait(now);
+                }
+                let until = self.latest_memory_wait();
+                if now >= until {
+                    return None;
+                }
+                let wake_at = until.min(now + TRIAL_CHECK_INTERVAL);
+                let _ = tokio::time::timeout(wake_at - now, state_changed).await;
+                continue;
+            }
             if self.sends > self.withdrawn {
                 return None;
             }
-            let now = boot_time();
-            let paused = |end: Duration| (self.latest_start(), end.max(now + TRIAL_CHECK_INTERVAL));
-            let (until, wake_at) = match (room_at, self.outlook(now)) {
-                (Some(room_at), _) => paused(room_at),
-                (None, Outlook::Unknown) => (until, until),
-                (None, Outlook::Leaving | Outlook::Excluded) => return None,
-                (None, Outlook::Paused(end)) => paused(end),
-            };
-            if now >= until || wake_at > until {
-                return None;
+            let (outlook, latest_start) = (self.outlook(now), self.latest_start());
+            if room_at.is_none() && matches!(outlook, Outlook::Leaving | Outlook::Excluded) {
+                self.log_exclusion(outlook);
             }
+            let (_, wake_at) = next_look(outlook, room_at, now, until, latest_start)?;
             // The end of the wait is checked above.
             let _ = tokio::time::timeout(wake_at - now, state_changed).await;
         }
     }
 
-    /// Latest time at which the answer of an endpoint whose pause ends is expected in time. Until then
-    /// waiting is faster than a refusal, after which the client may come back through another entry.
+    fn log_exclusion(&self, outlook: Outlook) {
+        let view = self.entry.view.borrow();
+        let workspace = self.workspace.as_deref();
+        info!(self.entry.log, "no endpoint may take the request"; "request" => &self.metadata.id,
+            "outlook" => ?outlook, "route" => &*self.route.name,
+            "route_regions" => self.route.allowed_regions.join(", "),
+            "workspace" => workspace.map(|workspace| &*workspace.name),
+            "workspace_regions" => workspace.map(|workspace| workspace.allowed_regions.join(", ")),
+            "evacuated" => view.evacuated.join(", "), "configuration" => view.number());
+    }
+
     fn latest_start(&self) -> Duration {
-        let target = self.arrived + Duration::from_millis(self.route.target_ms) / 2;
-        target.min(self.deadline.saturating_sub(Duration::from_millis(MIN_SEND_TIME_MS)))
+        latest_start(&self.route, self.arrived, self.deadline)
+    }
+
+    /// Whether the request lacks nothing but room in the KV caches of the endpoints.
+    fn lacks_memory(&self) -> bool {
+        self.with_context(&self.tried, None, pick::lacks_memory)
+    }
+
+    /// Whether the request waits for such room before its next send.
+    fn waits_for_memory(&self) -> bool {
+        boot_time() < self.latest_memory_wait() && self.lacks_memory()
+    }
+
+    /// Time until which the request waits for such room. A stream that has begun can't be refused.
+    fn latest_memory_wait(&self) -> Duration {
+        match self.first_at {
+            Some(_) => self.deadline.saturating_sub(Duration::from_millis(MIN_SEND_TIME_MS)),
+            None => self.latest_start(),
+        }
+    }
+
+    fn record_memory_wait(&self, now: Duration) {
+        self.entry.metrics.memory_waits.inc();
+        info!(self.entry.log, "request waits for room in the KV caches";
+            "request" => &self.metadata.id, "prompt_tokens" => self.metadata.prompt_tokens,
+            "memory_tokens" => self.entry.memory_tokens(&self.service),
+            "until_ms" => self.latest_memory_wait().saturating_sub(now).as_millis() as u64);
     }
 
     fn outlook(&self, now: Duration) -> Outlook {
@@ -466,8 +633,11 @@
             return Ok((self.admit_cold_or_refuse(overload).await?, None));
         }
         let permit = self.acquire_prefill_permit().await;
-        let Some(endpoint) = self.wait_for_endpoint().await else { return Err(SendEnd::NotRun) };
-        if endpoint.is_cold(boot_time()) && self.is_admitted_by(&endpoint) {
+        let found = self.wait_for_endpoint().await;
+        self.found_none = found.is_none();
+        let Some(endpoint) = found else { return Err(SendEnd::NotRun) };
+        let is_cold = endpoint.needs_admission(self.entry.cold_limit(&self.service), boot_time());
+        if is_cold && self.is_admitted_by(&endpoint) {
             return Ok((endpoint, permit));
         }
         // The load may have changed while the request waited.
@@ -602,25 +772,14 @@
     /// Whether an endpoint may get the request although it warms up.
     pub fn is_admitted_by(&self, endpoint: &Endpoint) -> bool {
         let now = boot_time();
-        !self.entry.limits_cold(&self.service)
-            || !endpoint.is_cold(now)
+        !endpoint.needs_admission(self.entry.cold_limit(&self.service), now)
             || self.admission.as_ref().is_some_and(|admission| admission.covers(endpoint, now))
     }
 
-    /// Whether the request may be served in the availability zone of an endpoint, both by the
-    /// configuration under which it was accepted and by the one in force.
+    /// Whether the request may be served in the availability zone of an endpoint.
     pub fn may_be_served_by(&self, endpoint: &Endpoint) -> bool {
         let view = self.entry.view.borrow();
-        let permits = |route: &Route, workspace: Option<&Workspace>| {
-            let zones = Zones::new(&self.entry.settings, route, workspace, &view.evacuated);
-            zones.exclusion_of(endpoint).is_none()
-        };
-        let Some(index) = &view.index else { return false };
-        let key = self.metadata.key.as_deref();
-        let current = index.route(&self.metadata.host, self.head.uri.path());
-        let workspace = self.workspace.is_some().then(|| index.workspace(key?)).flatten();
-        permits(&self.route, self.workspace.as_deref())
-            && current.is_none_or(|route| permits(route, workspace.map(|workspace| &**workspace)))
+        self.routed().zones(&self.entry.settings, &view).exclusion_of(endpoint).is_none()
     }
 
     fn pick(&self) -> Option<Rc<Endpoint>> {
@@ -638,35 +797,31 @@
         token_ms: Option<f64>,
         function: impl Fn(&PickContext<'_>, &[Rc<Endpoint>]) -> T,
     ) -> T {
-        let view = self.entry.view.borrow();
-        let directory = self.entry.directory.borrow();
-        let is_in_region = |zone: &str| self.entry.is_in_region(zone);
-        let context = PickContext {
+        with_context(&self.entry, &self.routed(), tried, token_ms, function)
+    }
+
+    fn routed(&self) -> Routed<'_> {
+        Routed {
             route: &self.route,
             metadata: &self.metadata,
             service: &self.service,
-            roll_outs: &view.roll_outs,
-            tried,
-            entries: self.entry.entries.get(),
-            token_ms,
-            is_in_region: &is_in_region,
-            zones: Zones::new(
-                &self.entry.settings,
-                &self.route,
-                self.workspace.as_deref(),
-                &view.evacuated,
-            ),
-            limits_cold: self.entry.limits_cold(&self.service),
-        };
-        function(&context, directory.for_service(&self.service))
+            workspace: self.workspace.as_deref(),
+            path: self.head.uri.path(),
+            model: self.model.as_deref(),
+        }
+    }
+
+    /// Records the use of the shared beginning of the prompt by a send.
+    pub fn record_use(&self) {
+        let Some(key) = self.routed().prefix_key() else { return };
+        let mut kept = self.entry.kept.borrow_mut();
+        let uses = kept.entry(self.service.clone()).or_default();
+        uses.record(key, self.metadata.prompt_tokens, boot_time());
     }
 
     /// Returns the model of the next send, or `None` if the client chose it.
     pub fn choose_model(&self) -> Option<Name> {
-        if !self.metadata.any_model {
-            return None;
-        }
-        self.route.models.get(self.model_index).cloned()
+        choose_model(&self.metadata, &self.route, self.model_index)
     }
 
     /// Expected prefill time of the prompt without cached tokens.
@@ -687,15 +842,7 @@
 
     /// Prefill time per prompt token of the latest send's model; `None` if the entry chose no model.
     fn token_ms(&self) -> Option<f64> {
-        let cascades = self.entry.cascades.borrow();
-        let cascade = cascades.get(&self.service);
-        let model = self.model.as_ref()?;
-        Some(
-            cascade.map_or_else(
-                || Cascade::default().token_ms(model),
-                |cascade| cascade.token_ms(model),
-            ),
-        )
+        Some(self.entry.token_ms(&self.service, self.model.as_ref()?))
     }
 
     /// Decides whether the answer is dropped and the request sent to a larger model.
--- a/crates/fleet-entry/src/lib.rs
+++ b/crates/fleet-entry/src/lib.rs
@@ -3,15 +3,20 @@
 //! [`server`] accepts connections. [`forward`] drives a request through its steps: [`prepare`]
 //! reads its metadata with the [`dialect`] and finds its route and workspace in the [`view`],
 //! [`credentials`] keeps API keys from the endpoints,
-//! [`cascade`] chooses the model, [`prefill`] limits concurrent long prompts, [`pick`] chooses the
-//! endpoint among those that [`placement`] permits, [`admission`] refuses what none of them can answer in
-//! time, [`cold`] asks for an admission to one that warms up, [`send`] sends the request over an [`exchange`], [`outcome`] decides what follows from
+//! [`cascade`] chooses the model, [`kept`] tells where the beginning of a prompt may still be in memory,
+//! [`prefill`] limits concurrent long prompts, [`pick`] chooses the endpoint among those that
+//! [`placement`] permits by their loads and [`pace`], [`admission`] refuses what none of them can answer
+//! in time, [`cold`] asks for an admission to one that warms up, [`send`] sends the request over an
+//! [`exchange`], [`outcome`] decides what follows from
 //! the way in which a send ended, and [`relay`] forwards a stream event by event. [`quarantine`] finds
 //! the [`prompt`]s that crash endpoints; what endpoints say of themselves is kept in [`availability`].
-//! What an endpoint may send is bounded by [`head_limit`], [`memory`] and [`progress`].
+//! What an endpoint may send is bounded by [`head_limit`], [`memory`] and [`progress`], and what waits
+//! for a client by [`client_memory`] and
+//! [`client_stream`].
 //! [`control_poll`] keeps the view and the [`directory`] of [`endpoint`]s current over links to the
 //! control replicas, of which [`source`] chooses one to send configurations, and [`load_report`]
-//! exchanges the load of the endpoints, and their crashes, with the other entries.
+//! exchanges the load of the endpoints, and their crashes, with the other entries. [`explain`] tells
+//! operators where a request would go.
 
 pub mod admission;
 pub mod answer;
@@ -19,6 +24,8 @@
 pub mod body;
 pub mod budget;
 pub mod cascade;
+pub mod client_memory;
+pub mod client_stream;
 pub mod cold;
 pub mod control_poll;
 pub mod credentials;
@@ -27,9 +34,11 @@
 pub mod endpoint;
 pub mod entry;
 pub mod exchange;
+pub mod explain;
 pub mod forward;
 pub mod head_limit;
 pub mod in_flight;
+pub mod kept;
 pub mod load_report;
 pub mod memory;
 pub mod metrics;
--- a/crates/fleet-entry/src/metrics.rs
+++ b/crates/fleet-entry/src/metrics.rs
@@ -44,10 +44,21 @@
     pub cold_refusals: Counter,
     /// Requests refused because no endpoint was expected to answer them in time.
     pub admission_refusals: Counter,
+    /// Choices that were explained to operators.
+    pub explanations: Counter,
     /// Endpoints that say that they are leaving.
     pub leaving: Gauge,
     /// Pauses in force that endpoints asked for.
     pub asked_pauses: Gauge,
+    /// Times that a stream waited until its client left room.
+    pub client_waits: Counter,
+    /// Requests that waited for room in the KV caches of the endpoints.
+    pub memory_waits: Counter,
+    /// Bytes held for the bodies of requests, for answers without events, and for the clients of
+    /// streams.
+    pub body_bytes: Gauge,
+    pub answer_bytes: Gauge,
+    pub client_bytes: Gauge,
     /// Outstanding requests.
     pub open: Gauge,
     /// Number of the configuration in force.
@@ -81,7 +92,7 @@
             counter("blocked", "Requests refused because a part of their prompt crashes endpoints");
         let withdrawn = counter(
             "withdrawn_sends",
-            "Sends withdrawn before they were written as the endpoint left or paused",
+            "Sends withdrawn before they were written as the endpoint or its zone became unavailable",
         );
         let cold_admissions =
             counter("cold_admissions", "Requests admitted to endpoints that warm up");
@@ -91,12 +102,22 @@
             "admission_refusals",
             "Requests refused as no endpoint was expected to answer in time",
         );
+        let explanations = counter("explanations", "Choices explained to operators");
+        let client_waits =
+            counter("client_waits", "Times that a stream waited until its client left room");
+        let memory_waits = counter(
+            "memory_waits",
+            "Requests that waited until their prompt had room in the KV cache of an endpoint",
+        );
         let mut gauge = |name: &str, help: &str| {
             let gauge = Gauge::default();
             registry.register(name, help, gauge.clone());
             gauge
         };
         let open = gauge("open", "Requests under way");
+        let body_bytes = gauge("body_bytes", "Bytes held for the bodies of requests");
+        let answer_bytes = gauge("answer_bytes", "Bytes held for answers without events");
+        let client_bytes = gauge("client_bytes", "Bytes of streams that wait for their clients");
         let blocked_parts = gauge("blocked_parts", "Prompt parts that are blocked");
         let leaving = gauge("leaving_endpoints", "Endpoints that say that they are leaving");
         let asked_pauses = gauge("asked_pauses", "Pauses in force that endpoints asked for");
@@ -126,8 +147,14 @@
             cold_admissions,
             cold_refusals,
             admission_refusals,
+            explanations,
             leaving,
             asked_pauses,
+            client_waits,
+            memory_waits,
+            body_bytes,
+            answer_bytes,
+            client_bytes,
             open,
             configuration,
             first_part,
--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -3,17 +3,20 @@
 //! The service follows from the weights of the route, the version from the roll-outs, and
 //! [`crate::placement`] limits the availability zones. The endpoints of these have estimated costs in milliseconds: the expected delay, with penalties for failures,
 //! other regions and warm-up. All entries know the same loads, up to 300 ms late, so [`spread`]
-//! chooses by the level to which the unseen load fills the endpoints. The preferred endpoints of the
-//! prompt are taken instead if the prefill that their cached parts save is worth the difference.
+//! chooses by the level to which the unseen load fills the endpoints. The endpoints that should keep
+//! the beginning of the prompt are taken instead if the prefill that this saves is worth the
+//! difference ([`crate::kept`]).
 //!
 //! This answers a burst of long prompts at hundreds of entries, each with a few requests a second.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hickoryreel_base::time::boot_time;
 use hickoryreel_fleet::Name;
 use hickoryreel_fleet::configuration::Route;
+use hickoryreel_fleet::explanation::Reason;
 use hickoryreel_fleet::roll_out::Phase;
 use hickoryreel_fleet::roll_out::RollOuts;
 use rand::RngExt;
@@ -23,10 +26,13 @@
 use crate::admission::Offer;
 use crate::availability::Outlook;
 use crate::dialect::RequestMetadata;
+use crate::endpoint::ColdLimit;
 use crate::endpoint::Endpoint;
+use crate::kept;
 use crate::placement::Permitted;
 use crate::placement::Zones;
 use crate::spread;
+use crate::spread::Spread;
 
 /// Denominator of the share of requests that go to a new version.
 const SHARE_SCALE: u64 = 1_000;
@@ -39,13 +45,9 @@
 
 const WARM_UP_COST_MS: f64 = 300.0;
 
-/// Expected fraction of the shared prompt tokens in the KV caches of the preferred endpoints, best
-/// first. The second one gets the requests for which the first has no room.
-const CACHED_FRACTIONS: [f64; 2] = [0.85, 0.4];
-
-/// Factor on the prefill time that cached tokens save: a repeated prefill also delays the requests
+/// Factor on the prefill time that kept tokens save: a repeated prefill also delays the requests
 /// behind it, and both the prefill and the use of the model are billed.
-const RECOMPUTE_WEIGHT: f64 = 3.0;
+const KEPT_WEIGHT: f64 = 3.0;
 
 /// Delay at an endpoint with a full batch; it grows with the fraction of its slots in use.
 const BATCH_DELAY_MS: f64 = 250.0;
@@ -81,8 +83,21 @@
     pub is_in_region: &'a dyn Fn(&str) -> bool,
     /// Where the request may be served.
     pub zones: Zones<'a>,
-    /// Whether an endpoint that warms up gets requests only with an admission.
-    pub limits_cold: bool,
+    /// Which endpoints get requests only with an admission.
+    pub cold_limit: ColdLimit,
+    /// What is known of the shared beginning of the prompt.
+    pub kept: kept::Outlook,
+    /// Tokens that the KV cache of an endpoint holds; `None` if there is no limit.
+    pub memory_tokens: Option<u64>,
+}
+
+impl PickContext<'_> {
+    /// Whether the KV cache of an endpoint holds the prompt beside those that all entries have there.
+    fn has_memory(&self, endpoint: &Endpoint) -> bool {
+        self.memory_tokens.is_none_or(|capacity| {
+            endpoint.prompt_tokens().saturating_add(self.metadata.prompt_tokens) <= capacity
+        })
+    }
 }
 
 /// Chooses the service of a request by weight, with a hash of the request id.
@@ -152,7 +167,7 @@
 }
 
 /// Whether a request, or its session, falls into the share of the new version.
-fn in_trial(context: &PickContext<'_>, share: u32) -> bool {
+pub fn in_trial(context: &PickContext<'_>, share: u32) -> bool {
     let key = context.metadata.session.as_deref().unwrap_or(&context.metadata.id);
     xxh3_64(key.as_bytes()) / 7 % SHARE_SCALE < u64::from(share)
 }
@@ -164,17 +179,8 @@
     pub wait_ms: f64,
     /// Expected prefill time of the request; 0 for plain services.
     pub prefill_ms: f64,
-}
-
-/// Returns the endpoints that may get the request without an admission.
-fn candidates(context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]) -> Permitted {
-    let mut candidates = allowed_endpoints(context, endpoints);
-    let now = boot_time();
-    candidates.retain(|endpoint| {
-        let needs_admission = context.limits_cold && endpoint.is_cold(now);
-        !needs_admission && !context.tried.contains(&endpoint.id())
-    });
-    candidates
+    /// Expected factor on the usual time of the work, included in both times.
+    pub pace: f64,
 }
 
 /// Returns what the endpoints that may get the request offer to one of `rank`. An idle endpoint is
@@ -184,12 +190,15 @@
     endpoints: &[Rc<Endpoint>],
     rank: u8,
 ) -> SmallVec<[Offer; 16]> {
-    let candidates = candidates(context, endpoints);
-    let shared = preferred(context.metadata, &candidates);
+    let now = boot_time();
+    let mut candidates = allowed_endpoints(context, endpoints);
+    candidates.retain(|endpoint| can_be_tried(context, endpoint, now));
+    let holders = holders(context, &candidates);
     let mut offers = SmallVec::new();
-    for endpoint in candidates.iter() {
-        let cached = shared.as_ref().map_or(0.0, |shared| shared.cached_tokens(&endpoint.id()));
-        let uncached = (context.metadata.prompt_tokens as f64 - cached).max(0.0);
+    for (index, endpoint) in candidates.iter().enumerate() {
+        let kept = holders.iter().find(|holder| holder.index == index);
+        let kept = kept.map_or(0.0, |holder| holder.tokens);
+        let uncached = (context.metadata.prompt_tokens as f64 - kept).max(0.0);
         let prefill_ms = uncached * context.token_ms.unwrap_or(0.0);
         let wait_ms = endpoint.rank_wait_ms(rank);
         let pace = endpoint.pace(wait_ms.unwrap_or(0.0) + prefill_ms);
@@ -210,35 +219,151 @@
 
 /// Chooses an endpoint. Returns `None` if no endpoint can take the request.
 pub fn choose(context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]) -> Option<Choice> {
-    let mut candidates = candidates(context, endpoints);
-    if candidates.iter().any(|endpoint| endpoint.is_usable()) {
-        candidates.retain(|endpoint| endpoint.is_usable());
-    } else {
-        candidates.retain(|endpoint| endpoint.is_last_resort());
+    let candidates = Candidates::new(context, endpoints, boot_time())?;
+    let drawn = candidates.spread.draw(rand::rng().random());
+    Some(candidates.choice(candidates.prefer(drawn)))
+}
+
+/// Endpoints that can take a request, and what the choice among them depends on.
+pub struct Candidates<'a> {
+    context: &'a PickContext<'a>,
+    pub endpoints: Permitted,
+    /// Endpoints that should keep the shared beginning of the prompt.
+    holders: SmallVec<[Holder; 2]>,
+    loads: SmallVec<[spread::Load; 64]>,
+    spread: Spread,
+    /// Index of the best of the endpoints that should keep the beginning of the prompt.
+    preferred: Option<usize>,
+}
+
+impl<'a> Candidates<'a> {
+    /// Selects the endpoints that can take a request at time `now`; `None` if there are none.
+    pub fn new(
+        context: &'a PickContext<'a>,
+        endpoints: &[Rc<Endpoint>],
+        now: Duration,
+    ) -> Option<Self> {
+        let mut endpoints = allowed_endpoints(context, endpoints);
+        endpoints.retain(|endpoint| can_be_tried(context, endpoint, now));
+        if endpoints.iter().any(|endpoint| endpoint.reason(now).is_none()) {
+            endpoints.retain(|endpoint| endpoint.reason(now).is_none());
+        } else {
+            endpoints.retain(|endpoint| endpoint.is_last_resort());
+        }
+        endpoints.retain(|endpoint| context.has_memory(endpoint));
+        let holders = holders(context, &endpoints);
+        let loads = loads(context, &endpoints);
+        let volume_ms = unseen_ms(context) * near_count(context, &endpoints) as f64;
+        let spread = Spread::new(&loads, volume_ms)?;
+        let mut candidates = Self { context, endpoints, holders, loads, spread, preferred: None };
+        let holders = candidates.holders.iter().map(|holder| holder.index);
+        let preferred = holders.filter(|index| candidates.saved_ms(*index) > 0.0);
+        let expected = |index: &usize| candidates.expected_ms(*index);
+        candidates.preferred =
+            preferred.min_by(|left, right| expected(left).total_cmp(&expected(right)));
+        Some(candidates)
     }
-    let shared = preferred(context.metadata, &candidates);
-    let cached_tokens = |endpoint: &Endpoint| {
-        shared.as_ref().map_or(0.0, |shared| shared.cached_tokens(&endpoint.id()))
-    };
-    let token_ms = context.token_ms.unwrap_or(0.0);
-    let loads = loads(context, &candidates);
-    let volume_ms = unseen_ms(context) * near_count(context, &candidates) as f64;
-    let spread = spread::choose(&loads, volume_ms, rand::rng().random())?;
-    // An endpoint below the level is expected to be filled up to it before this request arrives.
-    let saved = |index: usize| {
-        RECOMPUTE_WEIGHT * token_ms * cached_tokens(&candidates[index]) / loads[index].capacity
+
+    fn token_ms(&self) -> f64 {
+        self.context.token_ms.unwrap_or(0.0)
+    }
+
+    /// Prompt tokens that the endpoint at `index` is expected to keep.
+    pub fn kept_tokens(&self, index: usize) -> f64 {
+        let holder = self.holders.iter().find(|holder| holder.index == index);
+        holder.map_or(0.0, |holder| holder.tokens)
+    }
+
+    /// Estimated cost of the endpoint at `index`, without the prefill that kept parts save.
+    pub fn cost_ms(&self, index: usize) -> f64 {
+        self.loads[index].time
+    }
+
+    /// Cost up to which the endpoints are expected to be filled.
+    pub fn level_ms(&self) -> f64 {
+        self.spread.level
+    }
+
+    /// Worth of the prefill that kept parts save.
+    pub fn saved_ms(&self, index: usize) -> f64 {
+        KEPT_WEIGHT * self.token_ms() * self.kept_tokens(index) / self.loads[index].capacity
+    }
+
+    /// An endpoint below the level is expected to be filled up to it before this request arrives.
+    fn expected_ms(&self, index: usize) -> f64 {
+        self.loads[index].time.max(self.spread.level) - self.saved_ms(index)
+    }
+
+    /// Returns the index of the endpoint that is chosen if the spread draws the one at `drawn`: a
+    /// preferred endpoint may be worth more.
+    fn prefer(&self, drawn: usize) -> usize {
+        let better = |preferred: &usize| {
+            let drawn_ms = self.expected_ms(drawn);
+            self.expected_ms(*preferred).total_cmp(&drawn_ms).is_le()
+        };
+        self.preferred.filter(better).unwrap_or(drawn)
+    }
+
+    /// Probability with which each endpoint is chosen.
+    pub fn shares(&self) -> SmallVec<[f64; 64]> {
+        let mut shares = SmallVec::from_elem(0.0, self.endpoints.len());
+        for (drawn, share) in self.spread.shares().into_iter().enumerate() {
+            if share > 0.0 {
+                shares[self.prefer(drawn)] += share;
+            }
+        }
+        shares
+    }
+
+    /// Expected times at the endpoint at `index`.
+    pub fn choice(&self, index: usize) -> Choice {
+        let (context, token_ms) = (self.context, self.token_ms());
+        let endpoint = Rc::clone(&self.endpoints[index]);
+        let uncached = context.metadata.prompt_tokens as f64 - self.kept_tokens(index);
+        let prefill_ms = uncached.max(0.0) * token_ms;
+        let waiting_ms = WAITING_PROMPT_TOKENS * token_ms;
+        let wait_ms = endpoint.prefill_wait_ms(context.route.rank, waiting_ms);
+        let pace = endpoint.pace(wait_ms + prefill_ms);
+        Choice { endpoint, wait_ms: pace * wait_ms, prefill_ms: pace * prefill_ms, pace }
+    }
+}
+
+/// Whether an endpoint warms up at time `now` and gets requests only with an admission.
+fn needs_admission(context: &PickContext<'_>, endpoint: &Endpoint, now: Duration) -> bool {
+    endpoint.needs_admission(context.cold_limit, now)
+}
+
+/// Whether an endpoint can get the request at time `now` without an admission.
+fn can_be_tried(context: &PickContext<'_>, endpoint: &Endpoint, now: Duration) -> bool {
+    !needs_admission(context, endpoint, now) && !context.tried.contains(&endpoint.id())
+}
+
+/// Returns what speaks at time `now` against each of the endpoints of the service, apart from earlier
+/// sends of the request, in their order. An endpoint with a reason may still be a last resort.
+pub fn reasons(
+    context: &PickContext<'_>,
+    endpoints: &[Rc<Endpoint>],
+    now: Duration,
+) -> SmallVec<[Option<Reason>; 16]> {
+    let allowed = allowed_endpoints(context, endpoints);
+    let allowed: HashSet<*const Endpoint> = allowed.iter().map(Rc::as_ptr).collect();
+    let reason = |endpoint: &Rc<Endpoint>| {
+        if let Some(exclusion) = context.zones.exclusion_of(endpoint) {
+            return Some(exclusion.into());
+        }
+        if !allowed.contains(&Rc::as_ptr(endpoint)) {
+            let withdrawn = context.roll_outs.is_withdrawn(context.service, &endpoint.version());
+            return Some(if withdrawn { Reason::Withdrawn } else { Reason::OtherVersion });
+        }
+        endpoint.reason(now).or_else(|| {
+            let left = endpoint.cold_until().saturating_sub(now);
+            let left_ms = left.as_millis() as u64;
+            needs_admission(context, endpoint, now)
+                .then_some(Reason::WarmingUp { left_ms })
+                .or_else(|| (!context.has_memory(endpoint)).then_some(Reason::NoMemory))
+        })
     };
-    let expected = |index: usize| loads[index].time.max(spread.level) - saved(index);
-    let preferred = (0..candidates.len()).filter(|index| saved(*index) > 0.0);
-    let index = preferred
-        .chain([spread.index])
-        .min_by(|left, right| expected(*left).total_cmp(&expected(*right)))?;
-    let endpoint = Rc::clone(&candidates[index]);
-    let uncached = context.metadata.prompt_tokens as f64 - cached_tokens(&endpoint);
-    let prefill_ms = uncached.max(0.0) * token_ms;
-    let wait_ms = endpoint.prefill_wait_ms(context.route.rank, WAITING_PROMPT_TOKENS * token_ms);
-    let pace = endpoint.pace(wait_ms + prefill_ms);
-    Some(Choice { endpoint, wait_ms: pace * wait_ms, prefill_ms: pace * prefill_ms })
+    endpoints.iter().map(reason).collect()
 }
 
 /// Returns the endpoints that warm up and could get the request with an admission, the best first.
@@ -246,19 +371,32 @@
     context: &PickContext<'_>,
     endpoints: &[Rc<Endpoint>],
 ) -> SmallVec<[Rc<Endpoint>; MAX_COLD_CANDIDATES]> {
-    if !context.limits_cold {
+    if context.cold_limit == ColdLimit::None {
         return SmallVec::new();
     }
     let (mut candidates, now) = (allowed_endpoints(context, endpoints), boot_time());
     candidates.retain(|endpoint| {
-        endpoint.is_cold(now) && endpoint.is_usable() && !context.tried.contains(&endpoint.id())
+        endpoint.needs_admission(context.cold_limit, now)
+            && endpoint.is_usable()
+            && !context.tried.contains(&endpoint.id())
     });
+    candidates.retain(|endpoint| context.has_memory(endpoint));
     let loads = loads(context, &candidates);
     let mut order: SmallVec<[usize; 16]> = (0..candidates.len()).collect();
     order.sort_by(|left, right| loads[*left].time.total_cmp(&loads[*right].time));
     order.into_iter().take(MAX_COLD_CANDIDATES).map(|index| Rc::clone(&candidates[index])).collect()
 }
 
+/// Whether endpoints could get the request, but the prompts of others fill their KV caches.
+pub fn lacks_memory(context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]) -> bool {
+    if context.memory_tokens.is_none() {
+        return false;
+    }
+    let mut candidates = allowed_endpoints(context, endpoints);
+    candidates.retain(|endpoint| endpoint.is_usable() && !context.tried.contains(&endpoint.id()));
+    !candidates.is_empty() && !candidates.iter().any(|endpoint| context.has_memory(endpoint))
+}
+
 /// Returns when the endpoints that may get the request take one again, if none of them does at time
 /// `now`.
 pub fn outlook(context: &PickContext<'_>, endpoints: &[Rc<Endpoint>], now: Duration) -> Outlook {
@@ -324,36 +462,34 @@
     spread::Load { time: cost + time, capacity: 1.0 / pace }
 }
 
-/// Part of a prompt that other requests share, and the endpoints that should have it cached.
-struct SharedPrefix {
-    tokens: u64,
-    preferred: SmallVec<[Name; CACHED_FRACTIONS.len()]>,
-}
-
-impl SharedPrefix {
-    /// Expected number of shared tokens in the KV cache of an endpoint.
-    fn cached_tokens(&self, id: &Name) -> f64 {
-        let rank = self.preferred.iter().position(|preferred| preferred == id);
-        rank.map_or(0.0, |rank| CACHED_FRACTIONS[rank] * self.tokens as f64)
-    }
+/// An endpoint that should keep the shared beginning of the prompt.
+struct Holder {
+    /// Index of the endpoint.
+    index: usize,
+    /// Expected number of tokens that it keeps.
+    tokens: f64,
 }
 
-/// Finds the preferred endpoints for the shared prefix of the prompt by rendezvous hashing, which
-/// gives the same endpoints at every entry.
-fn preferred(metadata: &RequestMetadata, endpoints: &[Rc<Endpoint>]) -> Option<SharedPrefix> {
-    let (_, shared) = metadata.parts.split_last()?;
-    let last = shared.last()?;
+/// Finds the endpoints that should keep the shared beginning of the prompt by rendezvous hashing, which
+/// gives the same ones at every entry: one of the region and one of all regions.
+fn holders(context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]) -> SmallVec<[Holder; 2]> {
+    let shared = context.metadata.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    let Some(last) = shared.last() else { return SmallVec::new() };
     let tokens = shared.iter().fold(0, |sum: u64, part| sum.saturating_add(part.tokens));
-    let mut ranked: SmallVec<[(u64, Name); 16]> = endpoints
-        .iter()
-        .map(|endpoint| {
-            let id = endpoint.id();
-            let mut bytes: SmallVec<[u8; 64]> = SmallVec::from_slice(id.as_bytes());
-            bytes.extend_from_slice(&last.id.to_le_bytes());
-            (xxh3_64(&bytes), id)
-        })
-        .collect();
-    ranked.sort_unstable_by_key(|(rank, _)| std::cmp::Reverse(*rank));
-    let preferred = ranked.into_iter().take(CACHED_FRACTIONS.len()).map(|(_, id)| id).collect();
-    Some(SharedPrefix { tokens, preferred })
+    let hash = |endpoint: &Endpoint| {
+        let mut bytes: SmallVec<[u8; 64]> = SmallVec::from_slice(endpoint.id().as_bytes());
+        bytes.extend_from_slice(&last.id.to_le_bytes());
+        xxh3_64(&bytes)
+    };
+    let best = |indices: &mut dyn Iterator<Item = usize>| {
+        indices.max_by_key(|index| hash(&endpoints[*index]))
+    };
+    let is_near = |index: &usize| is_near(context, &endpoints[*index]);
+    let near = best(&mut (0..endpoints.len()).filter(is_near));
+    let overall = best(&mut (0..endpoints.len()));
+    // Each gets the uses of its own region.
+    let share = near_count(context, endpoints) as f64 / endpoints.len().max(1) as f64;
+    let tokens = context.kept.probability(share) * tokens as f64;
+    let others = overall.filter(|overall| Some(*overall) != near);
+    near.into_iter().chain(others).map(|index| Holder { index, tokens }).collect()
 }
--- a/crates/fleet-entry/src/prepare.rs
+++ b/crates/fleet-entry/src/prepare.rs
@@ -37,6 +37,8 @@
     pub head: Parts,
     pub metadata: RequestMetadata,
     pub body: Bytes,
+    /// Memory that the body takes.
+    pub body_memory: Option<memory::Reservation>,
     pub route: Arc<Route>,
     pub service: Name,
     /// `None` if the route needs no key.
@@ -62,12 +64,18 @@
     let (index, route, workspace) =
         wait_and_admit(entry, &head, &metadata, arrived).await.map_err(refused)?;
     let limits = &index.configuration.limits;
-    let time_ms = metadata.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS).min(route.timeout_ms);
-    let deadline = arrived + Duration::from_millis(time_ms);
+    let deadline = arrived + time_limit(&metadata, &route);
     let service = pick::service(&route, &metadata).cloned().ok_or(Refusal::NoEndpoint);
     let service = service.map_err(refused)?;
-    let body = read_body(entry, body, limits.body_bytes, deadline).await.map_err(refused)?;
-    Ok((Prepared { head, metadata, body, route, service, workspace }, deadline))
+    let read = read_body(entry, body, limits.body_bytes, deadline).await.map_err(refused)?;
+    let (body, body_memory) = read;
+    Ok((Prepared { head, metadata, body, body_memory, route, service, workspace }, deadline))
+}
+
+/// Time for which a request waits for agreed state at most.
+pub fn state_wait(metadata: &RequestMetadata) -> Duration {
+    let max_wait = Duration::from_millis(metadata.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS)) / 3;
+    max_wait.min(MAX_STATE_WAIT)
 }
 
 /// Admits a request. Without current agreed state it waits for it, because the state arrives soon
@@ -78,8 +86,7 @@
     metadata: &RequestMetadata,
     arrived: Duration,
 ) -> Result<Admitted, Refusal> {
-    let max_wait = Duration::from_millis(metadata.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS)) / 3;
-    let until = arrived + max_wait.min(MAX_STATE_WAIT);
+    let until = arrived + state_wait(metadata);
     loop {
         let state_changed = entry.state_changed.notified();
         match admit(entry, head, metadata, arrived) {
@@ -94,6 +101,12 @@
     }
 }
 
+/// Time from the arrival of a request to its deadline.
+pub fn time_limit(metadata: &RequestMetadata, route: &Route) -> Duration {
+    let wait_ms = metadata.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+    Duration::from_millis(wait_ms.min(route.timeout_ms))
+}
+
 type Admitted = (Arc<Index>, Arc<Route>, Option<Arc<Workspace>>);
 
 fn admit(
@@ -102,20 +115,29 @@
     metadata: &RequestMetadata,
     arrived: Duration,
 ) -> Result<Admitted, Refusal> {
+    let admitted = find(entry, metadata, head.uri.path())?;
+    let (index, _, workspace) = &admitted;
+    let view = entry.view.borrow();
+    // The configuration that makes a credential a key may be on its way.
+    let is_doubtful = workspace.is_none()
+        && index.needs_keys()
+        && credentials::has_unknown_key(&head.headers, |word| view.is_key(word));
+    if is_doubtful && !view.is_confirmed_since(arrived) {
+        entry.request_confirmation(arrived);
+        return Err(Refusal::NoLease);
+    }
+    Ok(admitted)
+}
+
+/// Finds the route of a request, and its workspace if the route needs a key.
+pub fn find(entry: &Entry, metadata: &RequestMetadata, path: &str) -> Result<Admitted, Refusal> {
     let view = entry.view.borrow();
     let index = view.index.as_ref().ok_or(Refusal::NoConfiguration)?;
     let unless_stale = |refusal| if view.is_fresh() { refusal } else { Refusal::NoLease };
-    let route = index.route(&metadata.host, head.uri.path());
+    let route = index.route(&metadata.host, path);
     let route = route.ok_or_else(|| unless_stale(Refusal::UnknownRoute))?;
     let needs_key = index.needs_keys() && !route.public;
     if !needs_key {
-        // The configuration that makes a credential a key may be on its way.
-        let is_doubtful = index.needs_keys()
-            && credentials::has_unknown_key(&head.headers, |word| view.is_key(word));
-        if is_doubtful && !view.is_confirmed_since(arrived) {
-            entry.request_confirmation(arrived);
-            return Err(Refusal::NoLease);
-        }
         return Ok((Arc::clone(index), Arc::clone(route), None));
     }
     if !view.has_lease(entry.settings.lease) {
@@ -131,18 +153,18 @@
     mut body: Incoming,
     limit: usize,
     deadline: Duration,
-) -> Result<Bytes, Refusal> {
+) -> Result<(Bytes, Option<memory::Reservation>), Refusal> {
     let expected = body.size_hint().lower() as usize;
     if expected > limit {
         return Err(Refusal::BodyTooLarge);
     }
     if body.is_end_stream() {
-        return Ok(Bytes::new());
+        return Ok((Bytes::new(), None));
     }
     // A body of unknown length reserves memory as it is read; reserving the limit would refuse too
     // many requests.
     let mut memory = entry.body_memory.reserve(expected).ok_or(Refusal::NoMemory)?;
-    let read = async {
+    let read = async move {
         let mut parts = memory::Parts::default();
         let mut bytes = 0;
         while let Some(frame) = body.frame().await {
@@ -154,9 +176,9 @@
             if !memory.grow(bytes.saturating_sub(memory.bytes())) {
                 return Err(Refusal::NoMemory);
             }
-            parts.push(data);
+            parts.push(&data);
         }
-        Ok(parts.whole())
+        Ok((parts.whole(), Some(memory)))
     };
     let left = deadline.saturating_sub(boot_time());
     tokio::time::timeout(left, read).await.unwrap_or(Err(Refusal::BodyLate))
--- a/crates/fleet-entry/src/send.rs
+++ b/crates/fleet-entry/src/send.rs
@@ -29,6 +29,7 @@
 use crate::forward::rank;
 use crate::in_flight::InFlight;
 use crate::memory::Parts;
+use crate::memory::Reservation;
 use crate::outcome::SendEnd;
 use crate::progress::Progress;
 use crate::tally::Verdict;
@@ -110,6 +111,7 @@
         if !self.has_lease() {
             return Err(SendEnd::NotRun);
         }
+        self.record_use();
         let left = self.left_ms();
         let id = endpoint.id();
         self.endpoint = Some((id.clone(), endpoint.version()));
@@ -130,7 +132,7 @@
             Rc::clone(&self.entry),
             Rc::clone(&endpoint),
             (self.service.clone(), self.route.name.clone()),
-            (self.route.rank, self.prefill_ms()),
+            (self.route.rank, self.prefill_ms(), self.metadata.prompt_tokens),
             permit,
         );
         let build = || self.permitted_request(&in_flight, after_event);
@@ -353,7 +355,9 @@
             Err(Failure::Withdrawn) if self.left_ms() > MIN_SEND_TIME_MS && self.has_lease() => {
                 self.entry.metrics.withdrawn.inc();
                 info!(self.entry.log, "request is sent elsewhere"; "endpoint" => &*endpoint.id(),
-                    "request" => &self.metadata.id, "availability" => ?endpoint.availability());
+                    "request" => &self.metadata.id, "availability" => ?endpoint.availability(),
+                    "zone_permitted" => self.may_be_served_by(endpoint),
+                    "admitted" => self.is_admitted_by(endpoint));
                 Err(SendEnd::NotSent)
             }
             Err(Failure::Withdrawn) => {
@@ -413,7 +417,7 @@
     pub async fn read_whole(&mut self, sent: Sent) -> Result<Response<Body>, SendEnd> {
         let Sent { exchange: Exchange { mut connection, response }, reply, in_flight } = sent;
         let (head, body) = response.into_parts();
-        let read = match self.read_body(body).await {
+        let (read, memory) = match self.read_body(body).await {
             Ok(read) => read,
             Err(BodyFailure::DeadlineExceeded) => return Err(SendEnd::DeadlineExceeded),
             Err(BodyFailure::NoMemory) => {
@@ -445,7 +449,7 @@
             self.entry.quarantine.borrow_mut().record_answer(&parts, boot_time());
             in_flight.endpoint.record_success();
         }
-        let mut response = Response::new(Body::whole(read));
+        let mut response = Response::new(Body::answer(read, memory));
         *response.status_mut() = head.status;
         *response.headers_mut() = self.entry.dialect.response_headers(&head.headers);
         Ok(response)
@@ -453,13 +457,13 @@
 
     /// Reads the body of an answer until its end. The deadline always ends the wait; a stalled body
     /// is given up sooner only if the request can be sent to another endpoint.
-    async fn read_body(&self, mut body: Incoming) -> Result<Bytes, BodyFailure> {
+    async fn read_body(&self, mut body: Incoming) -> Result<(Bytes, Reservation), BodyFailure> {
         let max_bytes = self.entry.settings.max_answer_bytes;
         let too_large = || BodyFailure::Broken(format!("the answer is over {max_bytes} bytes"));
         if body.size_hint().lower() > max_bytes as u64 {
             return Err(too_large());
         }
-        let mut memory = self.entry.answer_memory.reserve(0).ok_or(BodyFailure::NoMemory)?;
+        let mut memory = self.entry.answer_memory.begin();
         let mut progress = Progress::new(boot_time());
         let mut parts = Parts::default();
         loop {
@@ -488,8 +492,8 @@
             if progress.receive(data.len()) >= MIN_BODY_PROGRESS {
                 progress.advance(boot_time());
             }
-            parts.push(data);
+            parts.push(&data);
         }
-        Ok(parts.whole())
+        Ok((parts.whole(), memory))
     }
 }
--- a/crates/fleet-entry/tests/admission.rs
+++ b/crates/fleet-entry/tests/admission.rs
@@ -26,6 +26,8 @@
 use hickoryreel_fleet_entry::admission::Returns;
 use hickoryreel_fleet_entry::dialect::RequestMetadata;
 use hickoryreel_fleet_entry::directory::Directory;
+use hickoryreel_fleet_entry::endpoint::ColdLimit;
+use hickoryreel_fleet_entry::kept::Outlook;
 use hickoryreel_fleet_entry::pick;
 use hickoryreel_fleet_entry::pick::PickContext;
 use hickoryreel_fleet_entry::placement::Zones;
@@ -490,6 +492,7 @@
             failed: 0,
             pace: 0,
             latest_pace: 0,
+            prompt_tokens: 0,
         }));
     }
     let (settings, roll_outs) = (Settings::default(), RollOuts::default());
@@ -505,7 +508,9 @@
         token_ms: Some(0.1),
         is_in_region: &|_| true,
         zones: Zones::new(&settings, &route, None, &[]),
-        limits_cold: false,
+        cold_limit: ColdLimit::None,
+        kept: Outlook { uses_per_s: 0.0, retention_s: 0.0 },
+        memory_tokens: None,
     };
     pick::offers(&context, directory.for_service("service"), 1).into_vec()
 }
--- a/crates/fleet-entry/tests/common/harness.rs
+++ b/crates/fleet-entry/tests/common/harness.rs
@@ -3,6 +3,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -66,7 +67,7 @@
             deadline_ms: number(&head.headers, "deadline"),
             parts: parts(&head.headers),
             any_model: head.headers.contains_key("any-model"),
-            prompt_tokens: number(&head.headers, "tokens").unwrap_or(0),
+            prompt_tokens: number(&head.headers, "prompt").unwrap_or(0),
             key: head.headers.get("key").map(|key| key.to_str().unwrap_or_default().to_owned()),
             ..RequestMetadata::default()
         })
@@ -139,7 +140,12 @@
 
 impl Endpoint {
     pub(crate) async fn start(scripts: Vec<Vec<Action>>) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback works");
+        Self::start_at(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0), scripts).await
+    }
+
+    /// Starts an endpoint at an address, for example that of one that has crashed.
+    pub(crate) async fn start_at(address: SocketAddrV4, scripts: Vec<Vec<Action>>) -> Self {
+        let listener = TcpListener::bind(address).await.expect("loopback works");
         let SocketAddr::V4(address) = listener.local_addr().expect("loopback works") else {
             unreachable!()
         };
@@ -272,7 +278,15 @@
 
 /// Starts an entry with endpoints but without a configuration.
 pub(crate) async fn serve_without_configuration(endpoints: &[&Endpoint]) -> (TestEntry, Rc<Entry>) {
-    let entry = new_entry(endpoints, Settings::default().grace);
+    serve_with_settings(endpoints, settings()).await
+}
+
+/// Like [`serve_without_configuration`], with settings.
+pub(crate) async fn serve_with_settings(
+    endpoints: &[&Endpoint],
+    settings: Settings,
+) -> (TestEntry, Rc<Entry>) {
+    let entry = entry_with_settings(endpoints, settings);
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback works");
     let address = listener.local_addr().expect("loopback works");
     let serving = server::serve(Rc::clone(&entry), listener, std::future::pending());
@@ -280,17 +294,24 @@
     (TestEntry { address }, entry)
 }
 
-/// Creates an entry with endpoints and a time between SIGTERM and SIGKILL.
-pub(crate) fn new_entry(endpoints: &[&Endpoint], grace: Duration) -> Rc<Entry> {
-    let settings = Settings {
-        grace,
+/// Settings of an entry in the region of the first endpoint.
+pub(crate) fn settings() -> Settings {
+    Settings {
         zone: "a".to_owned(),
         regions: vec![("a".to_owned(), "near".to_owned()), ("b".to_owned(), "far".to_owned())],
         retry_ratio: 1.0,
         retry_slack: 100.0,
         max_answer_bytes: 1 << 20,
         ..Settings::default()
-    };
+    }
+}
+
+/// Creates an entry with endpoints and a time between SIGTERM and SIGKILL.
+pub(crate) fn new_entry(endpoints: &[&Endpoint], grace: Duration) -> Rc<Entry> {
+    entry_with_settings(endpoints, Settings { grace, ..settings() })
+}
+
+fn entry_with_settings(endpoints: &[&Endpoint], settings: Settings) -> Rc<Entry> {
     let entry = Entry::new(settings, Box::new(TestDialect), logging::discard());
     for (number, endpoint) in endpoints.iter().enumerate() {
         let mut announcement = announcement(number, endpoint.address);
--- a/crates/fleet-entry/tests/extremes.rs
+++ b/crates/fleet-entry/tests/extremes.rs
@@ -31,6 +31,8 @@
 use hickoryreel_fleet_entry::dialect::PromptPart;
 use hickoryreel_fleet_entry::dialect::RequestMetadata;
 use hickoryreel_fleet_entry::endpoint;
+use hickoryreel_fleet_entry::endpoint::ColdLimit;
+use hickoryreel_fleet_entry::kept::Outlook;
 use hickoryreel_fleet_entry::pick;
 use hickoryreel_fleet_entry::pick::PickContext;
 use hickoryreel_fleet_entry::placement::Zones;
@@ -145,6 +147,8 @@
         .await;
 }
 
+const KEPT: Outlook = Outlook { uses_per_s: f64::INFINITY, retention_s: f64::INFINITY };
+
 /// Guards against the tokens of a client's prompt whose sum overflows.
 #[test]
 fn extreme_prompt_is_placed() {
@@ -168,7 +172,9 @@
         token_ms: Some(0.01),
         is_in_region: &|_| true,
         zones: Zones::new(&settings, &route, None, &[]),
-        limits_cold: false,
+        cold_limit: ColdLimit::None,
+        kept: KEPT,
+        memory_tokens: None,
     };
 
     assert!(pick::choose(&context, &[endpoint]).is_some());
--- a/crates/fleet-entry/tests/overload.rs
+++ b/crates/fleet-entry/tests/overload.rs
@@ -56,6 +56,7 @@
         failed: 0,
         pace: 0,
         latest_pace: 0,
+        prompt_tokens: 0,
     }));
 }
 
@@ -63,7 +64,7 @@
 async fn ask(served: &TestEntry, id: &str, model: &str) -> String {
     let request = format!(
         "POST {SAFE}x HTTP/1.1\r\nhost: host\r\nid: {id}\r\ndeadline: 19000\r\n{model}\
-         tokens: 100\r\nparts: 5\r\nconnection: close\r\ncontent-length: 4\r\n\r\nbody"
+         prompt: 100\r\nparts: 5\r\nconnection: close\r\ncontent-length: 4\r\n\r\nbody"
     );
     read_all(send(served, &request).await).await
 }
