--- a/crates/fleet-entry/src/lib.rs
+++ b/crates/fleet-entry/src/lib.rs
@@ -3,8 +3,11 @@
 //! [`server`] accepts connections. [`forward`] drives a request through its steps: [`prepare`]
 //! reads its metadata with the [`dialect`] and finds its route and workspace in the [`view`],
 //! [`credentials`] keeps API keys from the endpoints,
-//! [`cascade`] chooses the model, [`kept`] tells where the beginning of a prompt may still be in memory, [`prefill`] limits concurrent long prompts, [`pick`] chooses the
-//! endpoint among those that [`placement`] permits, [`cold`] asks for an admission to one that warms up, [`send`] sends the request over an [`exchange`], [`outcome`] decides what follows from
+//! [`cascade`] chooses the model, [`kept`] tells where the beginning of a prompt may still be in memory,
+//! [`prefill`] limits concurrent long prompts, [`pick`] chooses the endpoint among those that
+//! [`placement`] permits by their loads and [`pace`], [`admission`] refuses what none of them can answer
+//! in time, [`cold`] asks for an admission to one that warms up, [`send`] sends the request over an
+//! [`exchange`], [`outcome`] decides what follows from
 //! the way in which a send ended, and [`relay`] forwards a stream event by event. [`quarantine`] finds
 //! the [`prompt`]s that crash endpoints; what endpoints say of themselves is kept in [`availability`].
 //! What an endpoint may send is bounded by [`head_limit`], [`memory`] and [`progress`], and what waits
@@ -15,6 +18,7 @@
 //! exchanges the load of the endpoints, and their crashes, with the other entries. [`explain`] tells
 //! operators where a request would go.
 
+pub mod admission;
 pub mod answer;
 pub mod availability;
 pub mod body;
--- a/crates/fleet-entry/src/metrics.rs
+++ b/crates/fleet-entry/src/metrics.rs
@@ -42,6 +42,8 @@
     pub cold_admissions: Counter,
     /// Requests for which such endpoints had no room.
     pub cold_refusals: Counter,
+    /// Requests refused because no endpoint was expected to answer them in time.
+    pub admission_refusals: Counter,
     /// Choices that were explained to operators.
     pub explanations: Counter,
     /// Endpoints that say that they are leaving.
@@ -96,6 +98,10 @@
             counter("cold_admissions", "Requests admitted to endpoints that warm up");
         let cold_refusals =
             counter("cold_refusals", "Requests that endpoints that warm up had no room for");
+        let admission_refusals = counter(
+            "admission_refusals",
+            "Requests refused as no endpoint was expected to answer in time",
+        );
         let explanations = counter("explanations", "Choices explained to operators");
         let client_waits =
             counter("client_waits", "Times that a stream waited until its client left room");
@@ -140,6 +146,7 @@
             withdrawn,
             cold_admissions,
             cold_refusals,
+            admission_refusals,
             explanations,
             leaving,
             asked_pauses,
--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -23,6 +23,7 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::admission::Offer;
 use crate::availability::Outlook;
 use crate::dialect::RequestMetadata;
 use crate::endpoint::ColdLimit;
@@ -182,6 +183,40 @@
     pub pace: f64,
 }
 
+/// Returns what the endpoints that may get the request offer to one of `rank`. An idle endpoint is
+/// returned alone, because no other matters then.
+pub fn offers(
+    context: &PickContext<'_>,
+    endpoints: &[Rc<Endpoint>],
+    rank: u8,
+) -> SmallVec<[Offer; 16]> {
+    let now = boot_time();
+    let mut candidates = allowed_endpoints(context, endpoints);
+    candidates.retain(|endpoint| can_be_tried(context, endpoint, now));
+    let holders = holders(context, &candidates);
+    let mut offers = SmallVec::new();
+    for (index, endpoint) in candidates.iter().enumerate() {
+        let kept = holders.iter().find(|holder| holder.index == index);
+        let kept = kept.map_or(0.0, |holder| holder.tokens);
+        let uncached = (context.metadata.prompt_tokens as f64 - kept).max(0.0);
+        let prefill_ms = uncached * context.token_ms.unwrap_or(0.0);
+        let wait_ms = endpoint.rank_wait_ms(rank);
+        let pace = endpoint.pace(wait_ms.unwrap_or(0.0) + prefill_ms);
+        let offer = Offer {
+            is_usable: endpoint.is_usable(),
+            free_slots: f64::from(endpoint.slots()) - endpoint.estimated_load(context.entries),
+            waiting: endpoint.waiting(),
+            wait_ms: wait_ms.map(|wait_ms| pace * wait_ms),
+            prefill_ms: pace * prefill_ms,
+        };
+        if offer.is_idle() {
+            return SmallVec::from_iter([offer]);
+        }
+        offers.push(offer);
+    }
+    offers
+}
+
 /// Chooses an endpoint. Returns `None` if no endpoint can take the request.
 pub fn choose(context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]) -> Option<Choice> {
     let candidates = Candidates::new(context, endpoints, boot_time())?;
@@ -209,9 +244,7 @@
         now: Duration,
     ) -> Option<Self> {
         let mut endpoints = allowed_endpoints(context, endpoints);
-        endpoints.retain(|endpoint| {
-            !needs_admission(context, endpoint, now) && !context.tried.contains(&endpoint.id())
-        });
+        endpoints.retain(|endpoint| can_be_tried(context, endpoint, now));
         if endpoints.iter().any(|endpoint| endpoint.reason(now).is_none()) {
             endpoints.retain(|endpoint| endpoint.reason(now).is_none());
         } else {
@@ -300,6 +333,11 @@
     endpoint.needs_admission(context.cold_limit, now)
 }
 
+/// Whether an endpoint can get the request at time `now` without an admission.
+fn can_be_tried(context: &PickContext<'_>, endpoint: &Endpoint, now: Duration) -> bool {
+    !needs_admission(context, endpoint, now) && !context.tried.contains(&endpoint.id())
+}
+
 /// Returns what speaks at time `now` against each of the endpoints of the service, apart from earlier
 /// sends of the request, in their order. An endpoint with a reason may still be a last resort.
 pub fn reasons(
--- a/crates/fleet-entry/src/send.rs
+++ b/crates/fleet-entry/src/send.rs
@@ -106,10 +106,7 @@
         if after_event.is_none() || self.model.is_none() {
             self.model = self.choose_model();
         }
-        let permit = self.acquire_prefill_permit().await;
-        let found = self.wait_for_endpoint().await;
-        self.found_none = found.is_none();
-        let Some(endpoint) = found else { return Err(SendEnd::NotRun) };
+        let (endpoint, permit) = self.admitted_endpoint().await?;
         // The lease may have expired while the request waited.
         if !self.has_lease() {
             return Err(SendEnd::NotRun);
@@ -129,6 +126,7 @@
             "left_ms" => left);
         self.sends += 1;
         self.tried.push(id.clone());
+        let expected_wait_ms = self.expected_wait_ms(&endpoint);
         let unloaded = endpoint.is_prefill_done() && endpoint.waiting() == 0.0;
         let mut in_flight = InFlight::new(
             Rc::clone(&self.entry),
@@ -141,6 +139,10 @@
         let exchange = match self.exchange(&endpoint, build, in_flight.began).await {
             Ok(exchange) => exchange,
             Err(ended) => {
+                if ended == SendEnd::DeadlineExceeded {
+                    let took = boot_time().saturating_sub(in_flight.began);
+                    self.record_wait(expected_wait_ms, took, &endpoint, false);
+                }
                 if ended == SendEnd::NotSent {
                     self.withdrawn += 1;
                     self.tried.pop();
@@ -203,6 +205,8 @@
             return Err(SendEnd::Unknown);
         }
         endpoint.record_activity();
+        let took = boot_time().saturating_sub(in_flight.began);
+        self.record_wait(expected_wait_ms, took, &endpoint, true);
         self.confidence = reply.confidence;
         if unloaded && let Some(model) = &self.model {
             let time = boot_time().saturating_sub(in_flight.began);
