Explain refusals of overloaded services with the decision that refuses them

Cause: the explanation named an endpoint for requests that admission refuses. Change: it asks the same decision with the same offers.

--- a/crates/fleet-entry/src/explain.rs
+++ b/crates/fleet-entry/src/explain.rs
@@ -25,10 +25,14 @@
 use hickoryreel_fleet::link::Answer;
 use hickoryreel_fleet::link::Handler;
 use hickoryreel_fleet::link::Request;
+use hickoryreel_fleet::load::RANKS;
 use slog::error;
 use slog::info;
 use tokio::net::TcpListener;
 
+use crate::admission;
+use crate::admission::Decision;
+use crate::admission::Demand;
 use crate::answer::Refusal;
 use crate::availability::Outlook;
 use crate::dialect::PromptPart;
@@ -268,6 +272,11 @@
     if let Some(left) = prompt::block_left(entry, routed.metadata) {
         return Verdict::Refuse(refusal(Refusal::Blocked(left), Cause::Blocked));
     }
+    if let Some(token_ms) = token_ms
+        && let Some(refusal) = overload(entry, routed, token_ms, now)
+    {
+        return Verdict::Refuse(refusal);
+    }
     let share = |endpoint: &ExplainedEndpoint| Some(endpoint.standing.estimate()?.share);
     let candidates = endpoints.iter().filter_map(|endpoint| Some((share(endpoint)?, endpoint)));
     if let Some((_, endpoint)) = candidates.max_by(|left, right| left.0.total_cmp(&right.0)) {
@@ -302,3 +311,36 @@
         None => Verdict::Refuse(refusal),
     }
 }
+
+/// Returns the refusal of a request that no endpoint is expected to answer in time. Requests that test
+/// the estimate, and the delays of clients that were refused before, are left out.
+fn overload(
+    entry: &Entry,
+    routed: &Routed<'_>,
+    token_ms: f64,
+    now: Duration,
+) -> Option<ExplainedRefusal> {
+    let rank = routed.admission_rank();
+    let offers = forward::with_context(entry, routed, &[], Some(token_ms), |context, endpoints| {
+        pick::offers(context, endpoints, rank)
+    });
+    let calibrations = entry.calibrations.borrow();
+    let ranks = calibrations.get(routed.service);
+    let calibration = ranks.map(|ranks| ranks[usize::from(rank).min(RANKS - 1)]);
+    let demand = Demand {
+        rank,
+        target_left_ms: routed.route.target_ms as f64,
+        left_ms: prepare::time_limit(routed.metadata, routed.route).as_secs_f64() * 1_000.0,
+        probe_point: 1.0,
+        left_of_delay: Duration::ZERO,
+        factor: calibration.unwrap_or_default().factor(now),
+        point: 0.0,
+    };
+    let retry_after_ms = |point| match admission::decide(&Demand { point, ..demand }, &offers) {
+        Decision::Refuse(overload) => Some(millis(overload.retry_after)),
+        Decision::Send(_) => None,
+    };
+    let delays = retry_after_ms(0.0).zip(retry_after_ms(1.0))?;
+    let refusal = refusal(Refusal::Overloaded, Cause::Overload);
+    Some(ExplainedRefusal { retry_after_ms: Some(delays), ..refusal })
+}
--- a/crates/fleet-entry/src/forward.rs
+++ b/crates/fleet-entry/src/forward.rs
@@ -199,6 +199,17 @@
         zones.restricted_by(route, workspace.map(|workspace| &**workspace))
     }
 
+    /// Rank by which the work ahead of the request is counted. The totals do not tell workspaces
+    /// apart; a request of a workspace above the default rank goes before most of its route's rank.
+    pub fn admission_rank(&self) -> u8 {
+        let workspace = self.workspace.and_then(|workspace| workspace.rank);
+        if workspace.is_some_and(|rank| rank < DEFAULT_WORKSPACE_RANK) {
+            0
+        } else {
+            self.route.rank
+        }
+    }
+
     /// Identifies the shared beginning of the prompt and the model that reads it.
     fn prefix_key(&self) -> Option<u64> {
         let (_, shared) = self.metadata.parts.split_last()?;
@@ -701,15 +712,8 @@
         }
     }
 
-    /// Rank by which the work ahead of the request is counted. The totals do not tell workspaces
-    /// apart; a request of a workspace above the default rank goes before most of its route's rank.
     fn admission_rank(&self) -> u8 {
-        let workspace = self.workspace.as_ref().and_then(|workspace| workspace.rank);
-        if workspace.is_some_and(|rank| rank < DEFAULT_WORKSPACE_RANK) {
-            0
-        } else {
-            self.route.rank
-        }
+        self.routed().admission_rank()
     }
 
     /// Calls a function with the calibration of the waits of this rank at the service.
--- a/crates/fleet-entry/tests/explain.rs
+++ b/crates/fleet-entry/tests/explain.rs
@@ -35,6 +35,9 @@
 use hickoryreel_fleet::roll_out::Phase;
 use hickoryreel_fleet::roll_out::RollOut;
 use hickoryreel_fleet::roll_out::RollOuts;
+use hickoryreel_fleet_entry::admission;
+use hickoryreel_fleet_entry::admission::Decision;
+use hickoryreel_fleet_entry::admission::Demand;
 use hickoryreel_fleet_entry::availability::Outlook;
 use hickoryreel_fleet_entry::dialect::Dialect;
 use hickoryreel_fleet_entry::dialect::Malformed;
@@ -274,6 +277,28 @@
     forward::with_context(entry, &routed, tried, token_ms, function)
 }
 
+/// Whether admission refuses a question as a request that has just arrived, without calibration.
+fn is_refused(entry: &Entry, question: &Question) -> bool {
+    let index = entry.view.borrow().index.clone().expect("there is a configuration");
+    let route = index.route(&question.host, &question.path).expect("there is a route");
+    if route.models.is_empty() || question.model.is_some() {
+        return false;
+    }
+    let offers = with_context(entry, question, &[], |context, endpoints| {
+        pick::offers(context, endpoints, route.rank)
+    });
+    let demand = Demand {
+        rank: route.rank,
+        target_left_ms: route.target_ms as f64,
+        left_ms: route.timeout_ms as f64,
+        probe_point: 1.0,
+        left_of_delay: Duration::ZERO,
+        factor: 1.0,
+        point: 0.0,
+    };
+    matches!(admission::decide(&demand, &offers), Decision::Refuse(_))
+}
+
 /// Endpoints that can get the request, with what is expected of them.
 fn candidates(explanation: &Explanation) -> Vec<(Name, Estimate)> {
     let routing = explanation.routing.as_ref().expect("there is a route");
@@ -455,8 +480,14 @@
         let outlook = with_context(&entry, &question, &[], |context, endpoints| {
             pick::outlook(context, endpoints, boot_time())
         });
+        let is_refused = is_refused(&entry, &question);
         match &explanation.verdict {
-            Verdict::Send(id) => prop_assert!(candidates.iter().any(|(other, _)| other == id)),
+            Verdict::Refuse(refusal) if refusal.cause == Cause::Overload => {
+                prop_assert!(is_refused && refusal.status == 503);
+            }
+            Verdict::Send(id) => {
+                prop_assert!(!is_refused && candidates.iter().any(|(other, _)| other == id));
+            }
             Verdict::AskForAdmission(ids) => {
                 let expected: Vec<Name> = cold.iter().map(|endpoint| endpoint.id()).collect();
                 prop_assert!(candidates.is_empty() && *ids == expected);
--- a/crates/fleet/src/explanation.rs
+++ b/crates/fleet/src/explanation.rs
@@ -250,6 +250,8 @@
 /// Why the request is not sent now.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Cause {
+    #[display("no endpoint is expected to answer in time")]
+    Overload,
     #[display("the entry has no configuration yet")]
     NoConfiguration,
     #[display("no quorum has confirmed the configuration for too long")]
