--- a/crates/fleet-entry/src/endpoint.rs
+++ b/crates/fleet-entry/src/endpoint.rs
@@ -375,6 +375,11 @@
         }
     }
 
+    /// Usual pace of the endpoint, the same at all entries.
+    pub fn usual_pace(&self) -> f64 {
+        self.pace.get().usual()
+    }
+
     /// Expected factor on the usual time of work that begins now and usually takes `length_ms`.
     pub fn pace(&self, length_ms: f64) -> f64 {
         let length = Duration::try_from_secs_f64(length_ms / 1_000.0).unwrap_or(Duration::MAX);
--- a/crates/fleet-entry/src/pace.rs
+++ b/crates/fleet-entry/src/pace.rs
@@ -21,6 +21,9 @@
 /// Weight of a new figure in the average of one entry, which sees an endpoint every few seconds.
 const SMOOTHING: f64 = 0.2;
 
+/// Resolution of the usual pace: hardware differs by more, and the averages of entries by less.
+const STEP: f64 = 0.25;
+
 /// Largest and smallest pace that is believed, in percent.
 const PERCENT: std::ops::RangeInclusive<u16> = 10..=2_000;
 
@@ -76,6 +79,11 @@
         self.latest.map(|(_, at)| now.saturating_sub(at))
     }
 
+    /// Average in steps of [`STEP`], so that entries that know slightly different averages agree.
+    pub fn usual(&self) -> f64 {
+        (self.average.unwrap_or(USUAL) / STEP).round().max(1.0) * STEP
+    }
+
     /// Average and latest figure in percent, for a report; 0 if unknown.
     pub fn percent(&self) -> (u16, u16) {
         let percent = |figure: f64| (100.0 * figure).round() as u16;
--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -64,6 +64,9 @@
 /// The same for a plain endpoint, of whose slots several work at once.
 const PLAIN_UNSEEN_MS: f64 = 80.0;
 
+/// Bits of a hash that a floating-point number can't hold.
+const HASH_SHIFT: u32 = 11;
+
 /// Maximum number of endpoints that warm up for which an admission is requested at once.
 const MAX_COLD_CANDIDATES: usize = 6;
 
@@ -476,13 +479,16 @@
     let shared = context.metadata.parts.split_last().map_or(&[][..], |(_, shared)| shared);
     let Some(last) = shared.last() else { return SmallVec::new() };
     let tokens = shared.iter().fold(0, |sum: u64, part| sum.saturating_add(part.tokens));
-    let hash = |endpoint: &Endpoint| {
+    let score = |index: &usize| {
+        let endpoint = &endpoints[*index];
         let mut bytes: SmallVec<[u8; 64]> = SmallVec::from_slice(endpoint.id().as_bytes());
         bytes.extend_from_slice(&last.id.to_le_bytes());
-        xxh3_64(&bytes)
+        let point = (xxh3_64(&bytes) >> HASH_SHIFT) as f64 / (1_u64 << (64 - HASH_SHIFT)) as f64;
+        // Each endpoint is the best with a probability in proportion to its speed.
+        point.ln() * endpoint.usual_pace()
     };
     let best = |indices: &mut dyn Iterator<Item = usize>| {
-        indices.max_by_key(|index| hash(&endpoints[*index]))
+        indices.max_by(|left, right| score(left).total_cmp(&score(right)))
     };
     let is_near = |index: &usize| is_near(context, &endpoints[*index]);
     let near = best(&mut (0..endpoints.len()).filter(is_near));
--- a/crates/fleet-entry/tests/pick.rs
+++ b/crates/fleet-entry/tests/pick.rs
@@ -178,6 +178,37 @@
     }
 }
 
+/// Guards against shared parts that are kept at slow endpoints as often as at fast ones.
+#[test]
+fn fast_endpoints_keep_more_parts() {
+    let directory = directory(40);
+    for endpoint in directory.all() {
+        let number: u32 = endpoint.id()[1..].parse().expect("a number");
+        // Every other endpoint of the region is slow.
+        let pace = if number.is_multiple_of(4) { 200 } else { 50 };
+        endpoint.apply_totals(Some(&EndpointLoad {
+            endpoint: endpoint.key(),
+            outstanding: 1,
+            prefill_ms: [0; 3],
+            succeeded: 0,
+            failed: 0,
+            pace,
+            latest_pace: 0,
+            prompt_tokens: 0,
+        }));
+    }
+
+    let slow = (0..200).filter(|id| {
+        let prompt =
+            [PromptPart { id: *id, tokens: 9_000 }, PromptPart { id: u64::MAX, tokens: 100 }];
+        let chosen = choice(&directory, &prompt, 0.08);
+        chosen[1..].parse::<u32>().expect("a number").is_multiple_of(4)
+    });
+
+    let slow = slow.count();
+    assert!(slow < 70, "{slow} of 200");
+}
+
 /// Guards against one neighbour that gets all sessions and prompts of an endpoint that leaves.
 #[test]
 fn prompts_of_a_leaving_endpoint_move_to_many_others() {
