--- a/crates/fleet-entry/src/explain.rs
+++ b/crates/fleet-entry/src/explain.rs
@@ -272,6 +272,10 @@
     if let Some(left) = prompt::block_left(entry, routed.metadata) {
         return Verdict::Refuse(refusal(Refusal::Blocked(left), Cause::Blocked));
     }
+    let memory_tokens = entry.memory_tokens(routed.service);
+    if memory_tokens.is_some_and(|tokens| routed.metadata.prompt_tokens > tokens) {
+        return Verdict::Refuse(refusal(Refusal::PromptTooLarge, Cause::PromptTooLarge));
+    }
     if let Some(token_ms) = token_ms
         && let Some(refusal) = overload(entry, routed, token_ms, now)
     {
--- a/crates/fleet/src/explanation.rs
+++ b/crates/fleet/src/explanation.rs
@@ -250,6 +250,8 @@
 /// Why the request is not sent now.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Cause {
+    #[display("the prompt is larger than the KV cache of an endpoint")]
+    PromptTooLarge,
     #[display("no endpoint is expected to answer in time")]
     Overload,
     #[display("the entry has no configuration yet")]
