--- a/crates/fleet-entry/src/answer.rs
+++ b/crates/fleet-entry/src/answer.rs
@@ -55,7 +55,7 @@
             Self::UnknownRoute => (StatusCode::NOT_FOUND, None),
             Self::UnknownKey => (StatusCode::UNAUTHORIZED, None),
             Self::BodyTooLarge => (StatusCode::PAYLOAD_TOO_LARGE, None),
-            // Endpoints refuse such a prompt as if they were full, and there is no time to come back.
+            // Endpoints refuse such a prompt as if they were full. No later attempt can succeed.
             Self::PromptTooLarge => (StatusCode::SERVICE_UNAVAILABLE, None),
             Self::BodyLate => (StatusCode::REQUEST_TIMEOUT, None),
             // A new process gets the configuration, and a lease is renewed, within a second.
--- a/crates/fleet-entry/src/client_memory.rs
+++ b/crates/fleet-entry/src/client_memory.rs
@@ -28,7 +28,7 @@
 /// does not cause a chunk for a few bytes each. About the size of a packet.
 const MIN_PIECE: usize = 1 << 10;
 
-/// Interval in ms at which a stream checks whether other clients have left room. Its own client wakes
+/// Interval at which a stream checks whether other clients have left room. Its own client wakes
 /// it at once, so the interval only matters while the memory of the process is short.
 const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
--- a/crates/fleet-entry/src/cold.rs
+++ b/crates/fleet-entry/src/cold.rs
@@ -19,6 +19,7 @@
 use hickoryreel_fleet::link::ColdRequest;
 use hickoryreel_fleet::link::Request;
 use hickoryreel_fleet::load::ADMISSION_VALIDITY;
+use hickoryreel_fleet::load::EndpointKey;
 use slog::info;
 
 use crate::endpoint::Endpoint;
@@ -55,8 +56,27 @@
     links: RefCell<HashMap<SocketAddr, link::Client>>,
     /// Replicas in the order in which they are asked.
     replicas: RefCell<Vec<SocketAddr>>,
-    /// Time before which an endpoint of a service has no room.
-    room_at: RefCell<HashMap<Name, Duration>>,
+    rooms: RefCell<Rooms>,
+}
+
+/// Times before which endpoints have no room. They are kept by endpoint, because requests that may go to
+/// different ones ask for different admissions.
+#[derive(Debug, Default)]
+pub struct Rooms(HashMap<EndpointKey, Duration>);
+
+impl Rooms {
+    /// Records at time `now` that none of some endpoints has room before `room_at`.
+    pub fn record(&mut self, endpoints: &[EndpointKey], room_at: Duration, now: Duration) {
+        self.0.retain(|_, at| now < *at);
+        self.0.extend(endpoints.iter().map(|endpoint| (*endpoint, room_at)));
+    }
+
+    /// Returns the earliest time at which one of some endpoints may have room; not later than `now` if
+    /// that is not known.
+    pub fn earliest(&self, endpoints: &[EndpointKey], now: Duration) -> Duration {
+        let times = endpoints.iter().map(|endpoint| self.0.get(endpoint).copied().unwrap_or(now));
+        times.min().unwrap_or(now)
+    }
 }
 
 impl Client {
@@ -90,20 +110,22 @@
 pub async fn admit(entry: &Entry, service: &Name, candidates: &[Rc<Endpoint>]) -> Answer {
     let client = &entry.cold;
     let asked_at = boot_time();
-    let room_at = client.room_at.borrow().get(service).copied();
-    if let Some(room_at) = room_at.filter(|room_at| asked_at < *room_at) {
+    let endpoints: Vec<EndpointKey> = candidates.iter().map(|endpoint| endpoint.key()).collect();
+    let room_at = client.rooms.borrow().earliest(&endpoints, asked_at);
+    if asked_at < room_at {
         return Answer::Wait(room_at);
     }
     let Some(link) = client.link(entry) else { return Answer::None };
-    let endpoints = candidates.iter().map(|endpoint| endpoint.key()).collect();
-    let request = Request::AdmitCold(ColdRequest { service: service.clone(), endpoints });
+    let question = ColdRequest { service: service.clone(), endpoints: endpoints.clone() };
+    let request = Request::AdmitCold(question);
     let decision = match link.call(request, ADMISSION_VALIDITY).await {
         Some(link::Answer::Cold(decision)) => decision,
         other => {
             info!(entry.log, "no admission to an endpoint that warms up"; "service" => &**service,
                 "answered" => other.is_some());
             client.skip();
-            client.room_at.borrow_mut().insert(service.clone(), asked_at + RETRY_DELAY);
+            let room_at = asked_at + RETRY_DELAY;
+            client.rooms.borrow_mut().record(&endpoints, room_at, boot_time());
             return Answer::None;
         }
     };
@@ -119,9 +141,9 @@
         }
         ColdDecision::Wait(wait) => {
             entry.metrics.cold_refusals.inc();
-            let room_at = boot_time() + wait;
-            client.room_at.borrow_mut().insert(service.clone(), room_at);
-            Answer::Wait(room_at)
+            let now = boot_time();
+            client.rooms.borrow_mut().record(&endpoints, now + wait, now);
+            Answer::Wait(now + wait)
         }
     }
 }
--- a/crates/fleet-entry/src/explain.rs
+++ b/crates/fleet-entry/src/explain.rs
@@ -39,13 +39,13 @@
 use crate::dialect::RequestMetadata;
 use crate::endpoint::Endpoint;
 use crate::entry::Entry;
-use crate::forward;
-use crate::forward::Routed;
 use crate::pick;
 use crate::pick::Candidates;
 use crate::pick::PickContext;
 use crate::prepare;
 use crate::prompt;
+use crate::routed;
+use crate::routed::Routed;
 
 /// Maximum size of a question in bytes: over ten times a request head of the default limit, 16 KiB, of
 /// which it has the texts and the parts of the prompt. An entry may have 120 MB of memory.
@@ -155,7 +155,7 @@
     let service = pick::service(&route, metadata);
     let no_service = || Verdict::Refuse(refusal(Refusal::NoEndpoint, Cause::NoService));
     let service = service.ok_or_else(no_service)?;
-    let model = forward::choose_model(metadata, &route, 0);
+    let model = routed::choose_model(metadata, &route, 0);
     let token_ms = model.as_ref().map(|model| entry.token_ms(service, model));
     let routed = Routed {
         route: &route,
@@ -169,7 +169,7 @@
     let explain = |context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]| {
         explain_endpoints(context, endpoints, now)
     };
-    let (level_ms, endpoints) = forward::with_context(entry, &routed, &[], token_ms, explain);
+    let (level_ms, endpoints) = routed::with_context(entry, &routed, &[], token_ms, explain);
     let is_in_trial = |context: &PickContext<'_>, _: &[Rc<Endpoint>]| {
         let roll_out = context.roll_outs.for_service(service);
         roll_out.map(|roll_out| RollOut {
@@ -179,7 +179,7 @@
             is_in_trial: pick::in_trial(context, roll_out.share),
         })
     };
-    let roll_out = forward::with_context(entry, &routed, &[], token_ms, is_in_trial);
+    let roll_out = routed::with_context(entry, &routed, &[], token_ms, is_in_trial);
     let verdict = verdict(entry, &routed, token_ms, &endpoints, now);
     let withdrawn = entry.view.borrow().roll_outs.withdrawn.clone();
     let withdrawn = withdrawn.into_iter().filter(|(owner, _)| owner == service);
@@ -261,7 +261,7 @@
 }
 
 /// Tells what happens to a request whose endpoints are explained, as in
-/// [`forward::ActiveRequest::wait_for_endpoint`].
+/// [`crate::forward::ActiveRequest::wait_for_endpoint`].
 fn verdict(
     entry: &Entry,
     routed: &Routed<'_>,
@@ -286,7 +286,7 @@
     if let Some((_, endpoint)) = candidates.max_by(|left, right| left.0.total_cmp(&right.0)) {
         return Verdict::Send(endpoint.id.clone());
     }
-    let cold = forward::with_context(entry, routed, &[], token_ms, pick::cold_candidates);
+    let cold = routed::with_context(entry, routed, &[], token_ms, pick::cold_candidates);
     if !cold.is_empty() {
         let ids: Vec<Name> = cold.iter().map(|endpoint| endpoint.id()).collect();
         return Verdict::AskForAdmission(ids);
@@ -294,7 +294,7 @@
     let outlook = |context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]| {
         pick::outlook(context, endpoints, now)
     };
-    let outlook = forward::with_context(entry, routed, &[], None, outlook);
+    let outlook = routed::with_context(entry, routed, &[], None, outlook);
     let cause = match outlook {
         Outlook::Unknown => Cause::NoEndpoint,
         Outlook::Leaving => Cause::Leaving,
@@ -306,9 +306,9 @@
     let retry_after_ms = retry_after(0.0).zip(retry_after(1.0)).or(refusal.retry_after_ms);
     let refusal = ExplainedRefusal { retry_after_ms, ..refusal };
     let left = prepare::time_limit(routed.metadata, routed.route);
-    let latest_start = forward::latest_start(routed.route, now, now + left);
-    let until = now + forward::endpoint_wait(left);
-    match forward::next_look(outlook, None, now, until, latest_start) {
+    let latest_start = routed::latest_start(routed.route, now, now + left);
+    let until = now + routed::endpoint_wait(left);
+    match routed::next_look(outlook, None, now, until, latest_start) {
         Some((until, _)) => {
             Verdict::Wait { up_to_ms: millis(until.saturating_sub(now)), otherwise: refusal }
         }
@@ -325,7 +325,7 @@
     now: Duration,
 ) -> Option<ExplainedRefusal> {
     let rank = routed.admission_rank();
-    let offers = forward::with_context(entry, routed, &[], Some(token_ms), |context, endpoints| {
+    let offers = routed::with_context(entry, routed, &[], Some(token_ms), |context, endpoints| {
         pick::offers(context, endpoints, rank)
     });
     let calibrations = entry.calibrations.borrow();
--- a/crates/fleet-entry/src/lib.rs
+++ b/crates/fleet-entry/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod prompt;
 pub mod quarantine;
 pub mod relay;
+pub mod routed;
 pub mod send;
 pub mod server;
 pub mod settings;
--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -1,8 +1,8 @@
 //! Choice of the service, the version and the endpoint of a request.
 //!
 //! The service follows from the weights of the route, the version from the roll-outs, and
-//! [`crate::placement`] limits the availability zones. The endpoints of these have estimated costs in milliseconds: the expected delay, with penalties for failures,
-//! other regions and warm-up. All entries know the same loads, up to 300 ms late, so [`spread`]
+//! [`crate::placement`] limits the availability zones. The endpoints of these have estimated costs in
+//! milliseconds: the expected delay, with penalties for failures, other regions and warm-up. All entries know the same loads, up to 300 ms late, so [`spread`]
 //! chooses by the level to which the unseen load fills the endpoints. The endpoints that should keep
 //! the beginning of the prompt are taken instead if the prefill that this saves is worth the
 //! difference ([`crate::kept`]).
@@ -432,7 +432,7 @@
     }
 }
 
-/// Estimated costs of sending the request to each endpoint as times, without the prefill that cached
+/// Estimated costs of sending the request to each endpoint as times, without the prefill that kept
 /// parts of the prompt save.
 fn loads(context: &PickContext<'_>, endpoints: &[Rc<Endpoint>]) -> SmallVec<[spread::Load; 64]> {
     // The entries of other regions fill their endpoints meanwhile.
--- a/crates/fleet-entry/src/relay.rs
+++ b/crates/fleet-entry/src/relay.rs
@@ -74,15 +74,15 @@
 /// Maximum of the delay.
 const MAX_REFUSED_RESUME_DELAY: Duration = Duration::from_millis(1_600);
 
-/// Time in ms for which a client left no room, after which a lost connection is not held against the
+/// Time for which a client left no room, after which a lost connection is not held against the
 /// endpoint. Endpoints abort an answer that is not read for some seconds.
 const MAX_UNREAD_TIME: Duration = Duration::from_millis(1_000);
 
-/// Time in ms without data after which all that the endpoint sent has arrived: two round trips between
+/// Time without data after which all that the endpoint sent has arrived: two round trips between
 /// regions.
 const MIN_IDLE_TIME: Duration = Duration::from_millis(50);
 
-/// Time in ms from which a wait for a client is logged and counted. Shorter ones are also caused by the
+/// Time from which a wait for a client is logged and counted. Shorter ones are also caused by the
 /// order in which tasks run.
 const MIN_CLIENT_WAIT: Duration = Duration::from_millis(100);
 
--- a/crates/fleet-entry/src/spread.rs
+++ b/crates/fleet-entry/src/spread.rs
@@ -16,15 +16,6 @@
     pub capacity: f64,
 }
 
-/// A chosen endpoint.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Choice {
-    /// Index of the endpoint.
-    pub index: usize,
-    /// Load up to which the endpoints are expected to be filled.
-    pub level: f64,
-}
-
 /// Distribution of the choice among endpoints.
 #[derive(Clone, Debug)]
 pub struct Spread {
@@ -74,12 +65,6 @@
     }
 }
 
-/// Chooses one of some endpoints, see [`Spread`].
-pub fn choose(endpoints: &[Load], volume: f64, point: f64) -> Option<Choice> {
-    let spread = Spread::new(endpoints, volume)?;
-    Some(Choice { index: spread.draw(point), level: spread.level })
-}
-
 /// Level up to which `volume` fills the endpoints.
 fn level(endpoints: &[Load], volume: f64) -> Option<f64> {
     let mut sorted: SmallVec<[Load; 64]> = SmallVec::from_slice(endpoints);
--- a/crates/fleet-entry/tests/admission.rs
+++ b/crates/fleet-entry/tests/admission.rs
@@ -33,6 +33,7 @@
 use hickoryreel_fleet_entry::placement::Zones;
 use hickoryreel_fleet_entry::settings::Settings;
 use hickoryreel_fleet_entry::spread;
+use hickoryreel_fleet_entry::spread::Spread;
 use proptest::prelude::*;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -269,8 +270,8 @@
                 .map(|endpoint| spread::Load { time: endpoint.known_wait(rank), capacity: 1.0 })
                 .collect();
             let volume = 200.0 * ENDPOINTS as f64;
-            let choice = spread::choose(&loads, volume, random.random());
-            let chosen = choice.expect("there are endpoints").index;
+            let spread = Spread::new(&loads, volume);
+            let chosen = spread.expect("there are endpoints").draw(random.random());
             let expected_ms = setup.estimate * endpoints[chosen].known_wait(rank);
             endpoints[chosen].queue.push(Queued {
                 client: index,
--- a/crates/fleet-entry/tests/cold.rs
+++ b/crates/fleet-entry/tests/cold.rs
@@ -27,6 +27,8 @@
 use hickoryreel_fleet::endpoint::Announcement;
 use hickoryreel_fleet::endpoint::EndpointUpdate;
 use hickoryreel_fleet::endpoint::Status;
+use hickoryreel_fleet::load::EndpointKey;
+use hickoryreel_fleet_entry::cold::Rooms;
 use hickoryreel_fleet_entry::endpoint;
 use hickoryreel_fleet_entry::endpoint::ColdLimit;
 use hickoryreel_fleet_entry::entry::Entry;
@@ -164,3 +166,19 @@
         })
         .await;
 }
+
+/// Guards against a request that waits for an endpoint although it was another one that had no room: it
+/// may go to other regions than the request that learned of it.
+#[test]
+fn room_is_known_by_endpoint() {
+    let [first, second, third] = ["e1", "e2", "e3"].map(EndpointKey::of);
+    let (now, later) = (Duration::from_secs(5), Duration::from_secs(6));
+    let mut rooms = Rooms::default();
+
+    rooms.record(&[first, second], later, now);
+
+    assert_eq!(rooms.earliest(&[first, second], now), later);
+    assert_eq!(rooms.earliest(&[second, third], now), now);
+    assert_eq!(rooms.earliest(&[third], now), now);
+    assert!(rooms.earliest(&[first], later) <= later);
+}
--- a/crates/fleet-entry/tests/explain.rs
+++ b/crates/fleet-entry/tests/explain.rs
@@ -49,10 +49,10 @@
 use hickoryreel_fleet_entry::entry::Entry;
 use hickoryreel_fleet_entry::explain;
 use hickoryreel_fleet_entry::explain::explain;
-use hickoryreel_fleet_entry::forward;
-use hickoryreel_fleet_entry::forward::Routed;
 use hickoryreel_fleet_entry::pick;
 use hickoryreel_fleet_entry::pick::PickContext;
+use hickoryreel_fleet_entry::routed;
+use hickoryreel_fleet_entry::routed::Routed;
 use hickoryreel_fleet_entry::settings::Settings;
 use http::HeaderMap;
 use http::StatusCode;
@@ -274,7 +274,7 @@
         path: &question.path,
         model: model.map(|model| &**model),
     };
-    forward::with_context(entry, &routed, tried, token_ms, function)
+    routed::with_context(entry, &routed, tried, token_ms, function)
 }
 
 /// Whether admission refuses a question as a request that has just arrived, without calibration.
--- a/crates/fleet-entry/tests/spread.rs
+++ b/crates/fleet-entry/tests/spread.rs
@@ -1,7 +1,7 @@
 //! Spreading of requests over endpoints whose known loads are out of date, in virtual time.
 
-use hickoryreel_fleet_entry::spread;
 use hickoryreel_fleet_entry::spread::Load;
+use hickoryreel_fleet_entry::spread::Spread;
 use proptest::prelude::*;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -43,6 +43,12 @@
     waits
 }
 
+/// Index of the endpoint that a point selects, and the level up to which endpoints are filled.
+fn choose(endpoints: &[Load], volume: f64, point: f64) -> Option<(usize, f64)> {
+    let spread = Spread::new(endpoints, volume)?;
+    Some((spread.draw(point), spread.level))
+}
+
 /// Endpoints of equal capacity with these loads.
 fn equal(loads: &[f64]) -> Vec<Load> {
     loads.iter().map(|time| Load { time: *time, capacity: 1.0 }).collect()
@@ -63,7 +69,7 @@
 fn requests_wait_less_than_at_the_least_loaded_endpoint(endpoints: usize, utilization: f64) {
     let volume = utilization * f64::from(UPDATE_MS) * endpoints as f64;
     let by_level = waits(endpoints, utilization, |known, random| {
-        spread::choose(&equal(known), volume, random.random()).expect("there are endpoints").index
+        choose(&equal(known), volume, random.random()).expect("there are endpoints").0
     });
     let least_of_a_quarter = waits(endpoints, utilization, |known, random| {
         let sampled = (0..endpoints).filter(|_| random.random::<f64>() < 0.25);
@@ -85,10 +91,8 @@
     let loads = [0.0, 50.0, 300.0];
 
     // The level is 125: 125 below it at the first endpoint and 75 at the second.
-    let chosen = [0.0, 0.62, 0.63, 0.99, 1.0].map(|point| {
-        let choice = spread::choose(&equal(&loads), 200.0, point).expect("there are endpoints");
-        (choice.index, choice.level)
-    });
+    let chosen = [0.0, 0.62, 0.63, 0.99, 1.0]
+        .map(|point| choose(&equal(&loads), 200.0, point).expect("there are endpoints"));
 
     assert_eq!(chosen, [0, 0, 1, 1, 0].map(|index| (index, 125.0)));
 }
@@ -102,9 +106,9 @@
     // The level is 40: 80 of the volume fit below it at the first endpoint.
     let counts = (0..130).fold([0; 3], |mut counts, point| {
         let point = f64::from(point) / 130.0;
-        let choice = spread::choose(&endpoints, 130.0, point).expect("there are endpoints");
-        assert_eq!(choice.level, 40.0);
-        counts[choice.index] += 1;
+        let (index, level) = choose(&endpoints, 130.0, point).expect("there are endpoints");
+        assert_eq!(level, 40.0);
+        counts[index] += 1;
         counts
     });
 
@@ -121,11 +125,11 @@
         point in 0.0..1.0_f64,
     ) {
         let endpoints = equal(&loads);
-        let chosen = spread::choose(&endpoints, volume, point);
-        let least = spread::choose(&endpoints, 0.0, point).map(|choice| loads[choice.index]);
+        let chosen = choose(&endpoints, volume, point);
+        let least = choose(&endpoints, 0.0, point).map(|(index, _)| loads[index]);
 
         prop_assert_eq!(chosen.is_some(), !loads.is_empty());
-        prop_assert!(chosen.is_none_or(|choice| choice.index < loads.len()));
+        prop_assert!(chosen.is_none_or(|(index, _)| index < loads.len()));
         prop_assert_eq!(least, loads.iter().copied().reduce(f64::min));
     }
 }
