Give evacuation orders one kind of rejection, and compare warm-ups once

Cause: an order returned a result within a result, and a longer warm-up was looked for twice, by the stated time in Announcement::differs and by the time of arrival in the directory. Only the second is right for delayed announcements.

Change: control::Rejection; differs no longer compares longer warm-ups. Assertions are the same, in the new type.

--- a/crates/fleet-control/src/control.rs
+++ b/crates/fleet-control/src/control.rs
@@ -60,9 +60,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Unconfirmed;
 
-/// No such availability zone is known.
+/// Why an order to evacuate an availability zone, or to end that, is not acknowledged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct UnknownZone;
+pub enum Rejection {
+    /// No such availability zone is known.
+    UnknownZone,
+    /// See [`Unconfirmed`].
+    Unconfirmed,
+}
 
 /// An announcement has the id of an endpoint, but another service, which no configuration has named.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -210,11 +215,7 @@
 
     /// Starts or ends the evacuation of an availability zone. Nothing more is sent to its endpoints
     /// until the evacuation ends.
-    pub async fn set_evacuation(
-        &self,
-        zone: &str,
-        evacuated: bool,
-    ) -> Result<Result<(), Unconfirmed>, UnknownZone> {
+    pub async fn set_evacuation(&self, zone: &str, evacuated: bool) -> Result<(), Rejection> {
         let started = boot_time();
         // An order must not count fewer orders before it than were acknowledged: it would then be
         // taken for a late copy of one of them.
@@ -224,15 +225,17 @@
         let is_evacuated = state.machine.evacuated.iter().any(|known| &**known == zone);
         if !self.settings.zones.iter().any(|known| known == zone) && !is_evacuated {
             info!(self.log, "order for an unknown availability zone"; "zone" => zone);
-            return Err(UnknownZone);
+            return Err(Rejection::UnknownZone);
         }
         let kind = if evacuated { "evacuation" } else { "end of an evacuation" };
         if !is_confirmed {
-            return Ok(Err(self.unconfirmed_read(kind)));
+            self.unconfirmed_read(kind);
+            return Err(Rejection::Unconfirmed);
         }
         let earlier_orders = state.machine.evacuation_orders(zone);
         let command = Command::SetEvacuation { zone: zone.into(), evacuated, earlier_orders };
-        Ok(self.propose_since(started, kind, zone, &command).await)
+        let proposed = self.propose_since(started, kind, zone, &command).await;
+        proposed.map_err(|Unconfirmed| Rejection::Unconfirmed)
     }
 
     /// Decides on a request to an endpoint that warms up, if this replica leads and a quorum confirms
--- a/crates/fleet-control/tests/evacuations.rs
+++ b/crates/fleet-control/tests/evacuations.rs
@@ -35,8 +35,7 @@
 use hickoryreel_fleet_control::cold_admission::Limit;
 use hickoryreel_fleet_control::cold_admission::WINDOW;
 use hickoryreel_fleet_control::control::Control;
-use hickoryreel_fleet_control::control::Unconfirmed;
-use hickoryreel_fleet_control::control::UnknownZone;
+use hickoryreel_fleet_control::control::Rejection;
 use hickoryreel_fleet_control::run;
 use hickoryreel_fleet_control::settings::Settings;
 use tempfile::TempDir;
@@ -111,11 +110,7 @@
         tokio::time::timeout(TEST_TIMEOUT, result).await.expect("it answers").expect("it runs")
     }
 
-    async fn order(
-        &self,
-        zone: &'static str,
-        evacuated: bool,
-    ) -> Result<Result<(), Unconfirmed>, UnknownZone> {
+    async fn order(&self, zone: &'static str, evacuated: bool) -> Result<(), Rejection> {
         self.call(move |control| {
             async move { control.set_evacuation(zone, evacuated).await }.boxed_local()
         })
@@ -241,9 +236,9 @@
             loop {
                 for replica in self.running() {
                     match replica.order(ZONE, evacuated).await {
-                        Ok(Ok(())) => return,
-                        Ok(Err(Unconfirmed)) => tokio::time::sleep(RETRY_DELAY).await,
-                        Err(UnknownZone) => panic!("the zone is known"),
+                        Ok(()) => return,
+                        Err(Rejection::Unconfirmed) => tokio::time::sleep(RETRY_DELAY).await,
+                        Err(Rejection::UnknownZone) => panic!("the zone is known"),
                     }
                 }
             }
@@ -351,7 +346,7 @@
             cluster.kill(leader);
             // The answer of a killed replica is lost.
             let first = tokio::time::timeout(ANSWER_LIMIT, first).await.expect("an answer in time");
-            let is_acknowledged = matches!(first, Ok(Ok(Ok(()))));
+            let is_acknowledged = matches!(first, Ok(Ok(())));
             if !is_acknowledged {
                 cluster.order(true).await;
             }
@@ -381,8 +376,8 @@
             others.iter().for_each(|index| cluster.restart(*index));
             cluster.order(true).await;
 
-            assert_eq!(ordered, Ok(Err(Unconfirmed)));
-            assert_eq!(unknown, Err(UnknownZone));
+            assert_eq!(ordered, Err(Rejection::Unconfirmed));
+            assert_eq!(unknown, Err(Rejection::UnknownZone));
             assert_eq!(cluster.evacuated().await, vec![vec![ZONE]; 3]);
         })
         .await;
@@ -404,10 +399,10 @@
                 let next = cluster.replica((round + 1) % 3).order(ZONE, evacuated).await;
                 let repeated = cluster.replica((round + 2) % 3).order(ZONE, evacuated);
 
-                assert_eq!((ordered, next), (Ok(Ok(())), Ok(Ok(()))), "round {round}");
+                assert_eq!((ordered, next), (Ok(()), Ok(())), "round {round}");
                 let expected: &[&str] = if evacuated { &[ZONE] } else { &[] };
                 assert_eq!(cluster.evacuated().await, vec![expected; 3], "round {round}");
-                assert_eq!(repeated.await, Ok(Ok(())), "round {round}");
+                assert_eq!(repeated.await, Ok(()), "round {round}");
                 assert_eq!(cluster.evacuated().await, vec![expected; 3], "round {round}");
             }
         })
--- a/crates/fleet/src/endpoint.rs
+++ b/crates/fleet/src/endpoint.rs
@@ -53,16 +53,15 @@
     }
 
     /// Whether entries that know `older` need this announcement. The sequence number and the
-    /// passing of the warm-up time alone are no reason to send it; a longer warm-up is.
+    /// passing of the warm-up time alone are no reason to send it. Whether the warm-up ends later than
+    /// stated before depends on the times of arrival, which the directory of a replica knows.
     pub fn differs(&self, older: &Self) -> bool {
         let same = Self {
             sequence: self.sequence,
             warm_up_left_ms: self.warm_up_left_ms,
             ..older.clone()
         };
-        *self != same
-            || (self.warm_up_left_ms == 0) != (older.warm_up_left_ms == 0)
-            || self.warm_up_left_ms > older.warm_up_left_ms
+        *self != same || (self.warm_up_left_ms == 0) != (older.warm_up_left_ms == 0)
     }
 }
 
