--- /dev/null
+++ b/review/lib-2/cases.rs
@@ -0,0 +1,165 @@
+//! The cases. Each returns what broke the rule, or `None` if it held.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::world::SIGCONT;
+use crate::world::SIGSTOP;
+use crate::world::World;
+use crate::world::configuration;
+
+/// Bounds of the settings.
+const CATCH_UP: Duration = Duration::from_secs(4);
+const RECOVER: Duration = Duration::from_secs(12);
+const CONTACT: Duration = Duration::from_secs(4);
+const CONFIG_APPLY: Duration = Duration::from_millis(2_500);
+
+/// Tenants of the first configuration of most cases.
+const TENANTS: &str = r#"[{"name":"north","api-keys":["key-north-1"]},{"name":"south","api-keys":["key-south-1"]}]"#;
+
+type Outcome = Result<Option<String>, String>;
+
+fn sleep(time: Duration) {
+    std::thread::sleep(time);
+}
+
+/// Reads the configuration back once all machines are back and `recover-s` is over, and sends
+/// requests. `version` is the newest acknowledged one.
+fn check_recovered(world: &World, version: u64) -> Outcome {
+    world.log("all machines are back");
+    sleep(CATCH_UP + RECOVER);
+    world.log("catch-up-s and recover-s are over");
+    let read = world.read_for(2 * CONTACT);
+    let entry = world.ip(101);
+    let served = (0..10)
+        .filter(|_| world.request(&entry, "/settle/x", "key-north-1").1 == Some(200))
+        .count();
+    match read {
+        Some(read) if read >= version => Ok(None),
+        read => Ok(Some(format!(
+            "version {version} was acknowledged, the newest version read is {read:?}; {served} of \
+             10 requests are served"
+        ))),
+    }
+}
+
+/// The first configuration is acknowledged, and two machines lose their disks right after it.
+pub fn first_acknowledgement(world: &World, trouble: bool) -> Outcome {
+    world.start_all()?;
+    world.start_engine(1)?;
+    world.put(7, &configuration(7, TENANTS), Duration::from_secs(10))?;
+    if trouble {
+        let lost = [world.ip(2), world.ip(3)];
+        world.kill(&lost.each_ref().map(String::as_str), true);
+        sleep(Duration::from_secs(1));
+        for ip in &lost {
+            world.restart(ip)?;
+        }
+    }
+    check_recovered(world, 7)
+}
+
+/// One machine is down and another one loses its disk and stands still after its return. After both
+/// the second is long back, two others lose their disks while the first is still down.
+pub fn shrunk_cluster(world: &World, trouble: bool) -> Outcome {
+    world.start_all()?;
+    world.start_engine(1)?;
+    world.put(7, &configuration(7, TENANTS), Duration::from_secs(10))?;
+    world.wait_ready()?;
+    sleep(CATCH_UP + Duration::from_secs(1));
+    let [first, second, third, _, down] = world.controls().try_into().map_err(|_| "five")?;
+    if trouble {
+        world.kill(&[&down], false);
+        sleep(Duration::from_millis(2_500));
+        world.kill(&[&first], true);
+        sleep(Duration::from_secs(1));
+        world.restart(&first)?;
+        sleep(Duration::from_millis(300));
+        world.signal(&first, SIGSTOP);
+        sleep(Duration::from_millis(2_500));
+        world.signal(&first, SIGCONT);
+        sleep(CATCH_UP + Duration::from_millis(1_500));
+    }
+    world.put(9, &configuration(9, TENANTS), Duration::from_secs(5))?;
+    if world.request(&world.ip(101), "/settle/x", "key-north-1").1 != Some(200) {
+        return Err("a request before the last loss is not served".to_owned());
+    }
+    if trouble {
+        let lost = [second, third];
+        world.kill(&lost.each_ref().map(String::as_str), true);
+        sleep(Duration::from_secs(1));
+        for ip in lost.iter().chain([&down]) {
+            world.restart(ip)?;
+        }
+    }
+    check_recovered(world, 9)
+}
+
+/// Checks that the engines got a request with the tenant of its key, and without the key.
+fn check_run(world: &World, id: &str, tenant: Option<&str>, key: &str) -> Option<String> {
+    world.runs(id).iter().find_map(|run| {
+        let passed_on = run.headers.get("authorization").filter(|value| value.contains(key));
+        if let Some(value) = passed_on {
+            return Some(format!("{id} ran at {} with Authorization: {value}", run.path));
+        }
+        let sent = run.headers.get("tenant").map(String::as_str);
+        (sent != tenant).then(|| format!("{id} ran with Tenant {sent:?}, not {tenant:?}"))
+    })
+}
+
+/// The first tenants are configured while an entry stands still.
+pub fn first_keys(world: &World, trouble: bool) -> Outcome {
+    world.start_all()?;
+    world.start_engine(1)?;
+    world.start_engine(2)?;
+    world.put(7, &configuration(7, ""), Duration::from_secs(10))?;
+    world.wait_ready()?;
+    sleep(Duration::from_secs(2));
+    let entry = world.ip(101);
+    if trouble {
+        world.signal(&entry, SIGSTOP);
+    }
+    let stopped = Instant::now();
+    world.put(9, &configuration(9, TENANTS), Duration::from_secs(5))?;
+    sleep(CONFIG_APPLY + Duration::from_millis(400));
+    let (caller, target) = (world.clone(), entry.clone());
+    let sending = std::thread::spawn(move || caller.request(&target, "/settle/x", "key-north-1"));
+    sleep(Duration::from_millis(200));
+    let (other, status) = world.request(&world.ip(102), "/settle/x", "key-north-1");
+    if status != Some(200) || check_run(world, &other, Some("north"), "key-north-1").is_some() {
+        return Err("the other entry does not serve the key".to_owned());
+    }
+    if trouble {
+        world.signal(&entry, SIGCONT);
+        world.log(&format!("the entry stood still for {:?}", stopped.elapsed()));
+    }
+    let (id, _) = sending.join().map_err(|_| "the client failed")?;
+    Ok(check_run(world, &id, Some("north"), "key-north-1"))
+}
+
+/// A key is taken away, an entry is killed and starts again, and the client goes on with its key.
+pub fn revoked_key(world: &World, trouble: bool) -> Outcome {
+    world.start_all()?;
+    world.start_engine(1)?;
+    world.start_engine(2)?;
+    world.put(7, &configuration(7, TENANTS), Duration::from_secs(10))?;
+    world.wait_ready()?;
+    sleep(Duration::from_secs(2));
+    let entry = world.ip(101);
+    let (before, _) = world.request(&entry, "/open/x", "key-south-1");
+    if let Some(broken) = check_run(world, &before, None, "key-south-1") {
+        return Ok(Some(broken));
+    }
+    let tenants = TENANTS.replace("[\"key-south-1\"]", "[\"key-south-2\"]");
+    world.put(9, &configuration(9, &tenants), Duration::from_secs(5))?;
+    sleep(CONFIG_APPLY);
+    if trouble {
+        world.kill(&[&entry], false);
+        sleep(Duration::from_millis(500));
+        world.restart(&entry)?;
+    }
+    world.wait_ready_at(&entry)?;
+    sleep(CONTACT + Duration::from_secs(1));
+    let (id, _) = world.request(&entry, "/open/x", "key-south-1");
+    Ok(check_run(world, &id, None, "key-south-1"))
+}
