--- a/review/lib-2/cases.rs
+++ b/review/lib-2/cases.rs
@@ -15,7 +15,8 @@
 const CONFIG_APPLY: Duration = Duration::from_millis(2_500);
 
 /// Tenants of the first configuration of most cases.
-const TENANTS: &str = r#"[{"name":"north","api-keys":["key-north-1"]},{"name":"south","api-keys":["key-south-1"]}]"#;
+const TENANTS: &str =
+    r#"[{"name":"north","api-keys":["key-north-1"]},{"name":"south","api-keys":["key-south-1"]}]"#;
 
 type Outcome = Result<Option<String>, String>;
 
--- a/review/lib-2/world.rs
+++ b/review/lib-2/world.rs
@@ -441,9 +441,8 @@
     }
 
     pub fn wait_ready_at(&self, ip: &str) -> Result<(), String> {
-        let request = format!(
-            "GET /hickoryreel/readyz HTTP/1.1\r\nHost: {ip}\r\nConnection: close\r\n\r\n"
-        );
+        let request =
+            format!("GET /hickoryreel/readyz HTTP/1.1\r\nHost: {ip}\r\nConnection: close\r\n\r\n");
         let began = Instant::now();
         while began.elapsed() < Duration::from_secs(10) {
             let address = format!("{ip}:{READY_PORT}");
