--- a/review/lib-2/cases.rs
+++ b/review/lib-2/cases.rs
@@ -14,9 +14,17 @@
 const CONTACT: Duration = Duration::from_secs(4);
 const CONFIG_APPLY: Duration = Duration::from_millis(2_500);
 
-/// Tenants of the first configuration of most cases.
-const TENANTS: &str =
-    r#"[{"name":"north","api-keys":["key-north-1"]},{"name":"south","api-keys":["key-south-1"]}]"#;
+/// Returns the value of the tenants of a configuration: two with one key each.
+fn tenants(north: &str, south: &str) -> String {
+    let tenant =
+        |name: &str, key: &str| format!("{{\"name\":\"{name}\",\"api-keys\":[\"{key}\"]}}");
+    format!("[{},{}]", tenant("north", north), tenant("south", south))
+}
+
+/// Returns the tenants of the first configuration of most cases.
+fn first_tenants() -> String {
+    tenants("key-north-1", "key-south-1")
+}
 
 type Outcome = Result<Option<String>, String>;
 
@@ -48,7 +56,7 @@
 pub fn first_acknowledgement(world: &World, trouble: bool) -> Outcome {
     world.start_all()?;
     world.start_engine(1)?;
-    world.put(7, &configuration(7, TENANTS), Duration::from_secs(10))?;
+    world.put(7, &configuration(7, &first_tenants()), Duration::from_secs(10))?;
     if trouble {
         let lost = [world.ip(2), world.ip(3)];
         world.kill(&lost.each_ref().map(String::as_str), true);
@@ -65,10 +73,11 @@
 pub fn shrunk_cluster(world: &World, trouble: bool) -> Outcome {
     world.start_all()?;
     world.start_engine(1)?;
-    world.put(7, &configuration(7, TENANTS), Duration::from_secs(10))?;
+    world.put(7, &configuration(7, &first_tenants()), Duration::from_secs(10))?;
     world.wait_ready()?;
     sleep(CATCH_UP + Duration::from_secs(1));
-    let [first, second, third, _, down] = world.controls().try_into().map_err(|_| "five")?;
+    let [first, second, third, _, down] =
+        world.controls().try_into().map_err(|_| "there are not five control replicas")?;
     if trouble {
         world.kill(&[&down], false);
         sleep(Duration::from_millis(2_500));
@@ -81,7 +90,7 @@
         world.signal(&first, SIGCONT);
         sleep(CATCH_UP + Duration::from_millis(1_500));
     }
-    world.put(9, &configuration(9, TENANTS), Duration::from_secs(5))?;
+    world.put(9, &configuration(9, &first_tenants()), Duration::from_secs(5))?;
     if world.request(&world.ip(101), "/settle/x", "key-north-1").1 != Some(200) {
         return Err("a request before the last loss is not served".to_owned());
     }
@@ -96,14 +105,56 @@
     check_recovered(world, 9)
 }
 
+/// One machine is down, and another one is removed for good and replaced by an empty one. After that
+/// one has long caught up, two others lose their disks while the first is still down.
+pub fn displaced_voter(world: &World, trouble: bool) -> Outcome {
+    world.start_all()?;
+    world.start_engine(1)?;
+    world.put(7, &configuration(7, &first_tenants()), Duration::from_secs(10))?;
+    world.wait_ready()?;
+    sleep(CATCH_UP + Duration::from_secs(1));
+    let [removed, second, third, fourth, down] =
+        world.controls().try_into().map_err(|_| "there are not five control replicas")?;
+    if trouble {
+        world.kill(&[&down], false);
+        sleep(Duration::from_millis(2_500));
+        world.kill(&[&removed], false);
+        sleep(Duration::from_secs(1));
+        world.add_control(6, &[second.clone(), third.clone(), fourth])?;
+        sleep(CATCH_UP + Duration::from_millis(1_500));
+    }
+    world.put(9, &configuration(9, &first_tenants()), Duration::from_secs(5))?;
+    if world.request(&world.ip(101), "/settle/x", "key-north-1").1 != Some(200) {
+        return Err("a request before the last loss is not served".to_owned());
+    }
+    if trouble {
+        let lost = [second, third];
+        world.kill(&lost.each_ref().map(String::as_str), true);
+        sleep(Duration::from_secs(1));
+        for ip in lost.iter().chain([&down]) {
+            world.restart(ip)?;
+        }
+    }
+    check_recovered(world, 9)
+}
+
+/// The first configuration has the version 0; without the disruption, 1.
+pub fn version_zero(world: &World, trouble: bool) -> Outcome {
+    world.start_all()?;
+    world.start_engine(1)?;
+    let version = u64::from(!trouble);
+    world.put(version, &configuration(version, &first_tenants()), Duration::from_secs(10))?;
+    check_recovered(world, version)
+}
+
 /// Checks that the engines got a request with the tenant of its key, and without the key.
 fn check_run(world: &World, id: &str, tenant: Option<&str>, key: &str) -> Option<String> {
     world.runs(id).iter().find_map(|run| {
-        let passed_on = run.headers.get("authorization").filter(|value| value.contains(key));
+        let passed_on = run.header("Authorization:").filter(|value| value.contains(key));
         if let Some(value) = passed_on {
             return Some(format!("{id} ran at {} with Authorization: {value}", run.path));
         }
-        let sent = run.headers.get("tenant").map(String::as_str);
+        let sent = run.header("Tenant:");
         (sent != tenant).then(|| format!("{id} ran with Tenant {sent:?}, not {tenant:?}"))
     })
 }
@@ -121,7 +172,7 @@
         world.signal(&entry, SIGSTOP);
     }
     let stopped = Instant::now();
-    world.put(9, &configuration(9, TENANTS), Duration::from_secs(5))?;
+    world.put(9, &configuration(9, &first_tenants()), Duration::from_secs(5))?;
     sleep(CONFIG_APPLY + Duration::from_millis(400));
     let (caller, target) = (world.clone(), entry.clone());
     let sending = std::thread::spawn(move || caller.request(&target, "/settle/x", "key-north-1"));
@@ -143,7 +194,7 @@
     world.start_all()?;
     world.start_engine(1)?;
     world.start_engine(2)?;
-    world.put(7, &configuration(7, TENANTS), Duration::from_secs(10))?;
+    world.put(7, &configuration(7, &first_tenants()), Duration::from_secs(10))?;
     world.wait_ready()?;
     sleep(Duration::from_secs(2));
     let entry = world.ip(101);
@@ -151,8 +202,8 @@
     if let Some(broken) = check_run(world, &before, None, "key-south-1") {
         return Ok(Some(broken));
     }
-    let tenants = TENANTS.replace("[\"key-south-1\"]", "[\"key-south-2\"]");
-    world.put(9, &configuration(9, &tenants), Duration::from_secs(5))?;
+    let changed = tenants("key-north-1", "key-south-2");
+    world.put(9, &configuration(9, &changed), Duration::from_secs(5))?;
     sleep(CONFIG_APPLY);
     if trouble {
         world.kill(&[&entry], false);
--- a/review/lib-2/harness.rs
+++ b/review/lib-2/harness.rs
@@ -41,6 +41,8 @@
         "7" => cases::shrunk_cluster(&world, trouble),
         "8" => cases::first_keys(&world, trouble),
         "9" => cases::revoked_key(&world, trouble),
+        "displaced" => cases::displaced_voter(&world, trouble),
+        "zero" => cases::version_zero(&world, trouble),
         _ => Err(format!("there is no case {case}")),
     });
     world.end();
--- a/review/lib-2/world.rs
+++ b/review/lib-2/world.rs
@@ -29,6 +29,9 @@
 const CONTROL: &str = "target/release/hickoryreel-platform-control";
 const ENTRY: &str = "target/release/hickoryreel-platform-entry";
 
+/// Begin of the paths of all calls to the system's own interfaces.
+const API: &str = "/hickoryreel";
+
 const FRONT_PORT: u16 = 8_227;
 const READY_PORT: u16 = 8_220;
 const CONTROL_PORT: u16 = 8_229;
@@ -40,6 +43,9 @@
 /// Time after which callers of the control API try another machine.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Odd number that spreads small differences over all bits.
+const MIXER: u64 = 0x9e37_79b9_7f4a_7c15;
+
 pub const SIGSTOP: i32 = 19;
 pub const SIGCONT: i32 = 18;
 
@@ -62,6 +68,8 @@
 struct Node {
     role: Role,
     ip: String,
+    /// Addresses of the seeds in its settings.
+    seeds: Vec<String>,
     bootstrap: bool,
     child: Option<Child>,
 }
@@ -70,7 +78,23 @@
 #[derive(Clone, Debug)]
 pub struct Run {
     pub path: String,
-    pub headers: HashMap<String, String>,
+    /// Lines of the head after the first one.
+    head: Vec<String>,
+}
+
+impl Run {
+    /// Returns the value of the header whose name, with its colon, is `name`.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        header(&self.head, name)
+    }
+}
+
+/// Returns the value of the header whose name, with its colon, is `name`.
+fn header<'a>(head: &'a [String], name: &str) -> Option<&'a str> {
+    let line = head
+        .iter()
+        .find(|line| line.get(..name.len()).is_some_and(|start| start.eq_ignore_ascii_case(name)));
+    line.map(|line| line[name.len()..].trim())
 }
 
 /// Status and body of an answer; `None` if there was none.
@@ -106,13 +130,19 @@
         let folder = std::env::temp_dir().join(format!("review-2-{number}-{}", unix_ms()));
         fs::create_dir_all(&folder).map_err(|cause| cause.to_string())?;
         let record = File::create(record).map_err(|cause| cause.to_string())?;
-        let start = u64::from(number) + unix_ms() as u64;
-        let network = (0..200)
-            .map(|step| start.wrapping_add(step * 7_919))
+        // Runs that begin at the same time shall not look at the same addresses first.
+        let start = u64::from(number).wrapping_mul(MIXER) ^ (unix_ms() as u64).wrapping_mul(MIXER);
+        let network = (1..200_u64)
+            .map(|step| start.wrapping_mul(step) >> 40)
             .map(|seed| format!("127.{}.{}", 10 + seed % 200, 1 + (seed / 200) % 250))
             .find(|network| {
                 let ports = [FRONT_PORT, READY_PORT, CONTROL_PORT, ENGINE_PORT, 7_340, 9_464];
-                ports.iter().all(|port| TcpListener::bind(format!("{network}.1:{port}")).is_ok())
+                let hosts = [1, 2, 3, 4, 5, 6, 101, 102, 201, 202];
+                hosts.iter().all(|host| {
+                    ports
+                        .iter()
+                        .all(|port| TcpListener::bind(format!("{network}.{host}:{port}")).is_ok())
+                })
             });
         Ok(Self(Arc::new(State {
             folder,
@@ -139,8 +169,11 @@
         format!("{}.{number}", self.0.network)
     }
 
+    /// Addresses of the machines that have a control replica, in the order of their first start.
     pub fn controls(&self) -> Vec<String> {
-        (1..=5).map(|number| self.ip(number)).collect()
+        let nodes = self.0.nodes.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let controls = nodes.iter().filter(|node| node.role == Role::Control);
+        controls.map(|node| node.ip.clone()).collect()
     }
 
     fn settings_path(&self, ip: &str) -> PathBuf {
@@ -156,9 +189,9 @@
     }
 
     fn settings(&self, node: &Node) -> String {
-        let Node { role, ip, bootstrap, .. } = node;
+        let Node { role, ip, seeds, bootstrap, .. } = node;
         let seeds: Vec<String> =
-            (1..=3).map(|number| format!("\"{}:{CONTROL_PORT}\"", self.ip(number))).collect();
+            seeds.iter().map(|seed| format!("\"{seed}:{CONTROL_PORT}\"")).collect();
         let (class, serves, tolerance, listen, data, cores, memory, disk) = match role {
             Role::Control => (
                 "core",
@@ -283,7 +316,8 @@
         let roles = roles.chain((101..=102).map(|number| (Role::Entry, number)));
         let mut nodes = self.0.nodes.lock().map_err(|_| "poisoned")?;
         for (role, number) in roles {
-            let mut node = Node { role, ip: self.ip(number), bootstrap: true, child: None };
+            let (ip, seeds) = (self.ip(number), (1..=3).map(|seed| self.ip(seed)).collect());
+            let mut node = Node { role, ip, seeds, bootstrap: true, child: None };
             self.launch(&mut node)?;
             nodes.push(node);
         }
@@ -326,6 +360,16 @@
         })
     }
 
+    /// Starts a control replica on a new machine, whose settings name three other ones as seeds.
+    pub fn add_control(&self, number: usize, seeds: &[String]) -> Result<(), String> {
+        let (ip, seeds) = (self.ip(number), seeds.to_vec());
+        self.log(&format!("{ip} is a new machine, bootstrap = false"));
+        let mut node = Node { role: Role::Control, ip, seeds, bootstrap: false, child: None };
+        self.launch(&mut node)?;
+        self.0.nodes.lock().map_err(|_| "poisoned")?.push(node);
+        Ok(())
+    }
+
     /// Sends a signal to a process.
     pub fn signal(&self, ip: &str, signal: i32) {
         let process = self.with_node(ip, |node| node.child.as_ref().map(Child::id));
@@ -386,7 +430,7 @@
         let began = Instant::now();
         while began.elapsed() < timeout {
             for ip in self.controls() {
-                match self.control_call(&ip, "POST", "/hickoryreel/config/put", body) {
+                match self.control_call(&ip, "POST", &format!("{API}/config/put"), body) {
                     Some((200, _)) => {
                         let ms = began.elapsed().as_millis();
                         self.log(&format!("version {version}: {ip} acknowledges it after {ms} ms"));
@@ -405,7 +449,7 @@
 
     /// Reads the configuration at one machine and returns the answer's status and version.
     pub fn read(&self, ip: &str) -> (u16, Option<u64>) {
-        match self.control_call(ip, "GET", "/hickoryreel/config/get", "") {
+        match self.control_call(ip, "GET", &format!("{API}/config/get"), "") {
             Some((status, body)) => {
                 let body = String::from_utf8_lossy(&body).into_owned();
                 let version = body.split("\"version\":").nth(1);
@@ -442,7 +486,7 @@
 
     pub fn wait_ready_at(&self, ip: &str) -> Result<(), String> {
         let request =
-            format!("GET /hickoryreel/readyz HTTP/1.1\r\nHost: {ip}\r\nConnection: close\r\n\r\n");
+            format!("GET {API}/readyz HTTP/1.1\r\nHost: {ip}\r\nConnection: close\r\n\r\n");
         let began = Instant::now();
         while began.elapsed() < Duration::from_secs(10) {
             let address = format!("{ip}:{READY_PORT}");
@@ -502,7 +546,7 @@
                  \"version\":\"v1\",\"slots\":6,\"state\":\"ready\",\"cold-left-ms\":0,\
                  \"seq\":{sequence},\"born\":{born}}}"
             );
-            let path = format!("/hickoryreel/instances/{id}/heartbeat");
+            let path = format!("{API}/instances/{id}/heartbeat");
             let controls = self.controls();
             let first = sequence as usize % controls.len();
             controls[first..].iter().chain(&controls[..first]).any(|control| {
@@ -519,18 +563,20 @@
             let mut line = String::new();
             (reader.read_line(&mut line).ok()? > 0).then_some(())?;
             let path = line.split(' ').nth(1)?.to_owned();
-            let mut headers = HashMap::new();
+            let mut head = Vec::new();
             loop {
                 let mut line = String::new();
                 reader.read_line(&mut line).ok()?;
-                let Some((name, value)) = line.trim_end().split_once(':') else { break };
-                headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+                if line.trim_end().is_empty() {
+                    break;
+                }
+                head.push(line);
             }
-            let length = headers.get("content-length").and_then(|value| value.parse().ok());
+            let length = header(&head, "Content-Length:").and_then(|value| value.parse().ok());
             let mut body = vec![0; length.unwrap_or(0)];
             reader.read_exact(&mut body).ok()?;
-            let id = headers.get("request-id").cloned().unwrap_or_default();
-            if headers.get("target-instance").is_some_and(|target| target != engine) {
+            let id = header(&head, "Request-Id:").unwrap_or_default().to_owned();
+            if header(&head, "Target-Instance:").is_some_and(|target| target != engine) {
                 let answer = format!(
                     "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n\
                      Content-Length: 0\r\n\r\n"
@@ -538,12 +584,12 @@
                 writer.write_all(answer.as_bytes()).ok()?;
                 continue;
             }
-            let shown = ["tenant", "authorization"].map(|name| headers.get(name));
+            let shown = ["Tenant:", "Authorization:"].map(|name| header(&head, name));
             self.log(&format!(
                 "engine {engine} runs {id} {path}; Tenant {:?}, Authorization {:?}",
                 shown[0], shown[1]
             ));
-            let run = Run { path, headers };
+            let run = Run { path, head };
             self.0.runs.lock().ok()?.entry(id.clone()).or_default().push(run);
             let answer = format!(
                 "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: {engine}.{id}\r\n\
