--- a/review/lib-2/cases.rs
+++ b/review/lib-2/cases.rs
@@ -14,6 +14,12 @@
 const CONTACT: Duration = Duration::from_secs(4);
 const CONFIG_APPLY: Duration = Duration::from_millis(2_500);
 
+/// Time for which machines that lose their disks are down.
+const DOWN: Duration = Duration::from_millis(1_500);
+
+/// Number of the configuration that is acknowledged last.
+const NEWEST: u64 = 9;
+
 /// Returns the value of the tenants of a configuration: two with one key each.
 fn tenants(north: &str, south: &str) -> String {
     let tenant =
@@ -52,16 +58,37 @@
     }
 }
 
-/// Two machines are replaced as planned, the new ones first. When the new ones have long caught up, two
-/// machines lose their disks.
-pub fn planned_replacements(world: &World, trouble: bool) -> Outcome {
+/// Starts all processes, with an acknowledged configuration, and waits until no machine counts as new.
+/// Returns the addresses of the control replicas.
+fn start_settled(world: &World) -> Result<[String; 5], String> {
     world.start_all()?;
     world.start_engine(1)?;
     world.put(7, &configuration(7, &first_tenants()), Duration::from_secs(10))?;
     world.wait_ready()?;
     sleep(CATCH_UP + Duration::from_secs(1));
-    let [first, second, third, fourth, fifth] =
-        world.controls().try_into().map_err(|_| "there are not five control replicas")?;
+    let controls = world.controls().try_into();
+    controls.map_err(|_| "there are not five control replicas".to_owned())
+}
+
+/// Has the newest configuration acknowledged, and checks that requests are served.
+fn acknowledge_newest(world: &World) -> Result<(), String> {
+    world.put(NEWEST, &configuration(NEWEST, &first_tenants()), Duration::from_secs(5))?;
+    let (_, status) = world.request(&world.ip(101), "/settle/x", "key-north-1");
+    let served = status == Some(200);
+    served.then_some(()).ok_or("a request before the last loss is not served".to_owned())
+}
+
+/// Two machines lose their power and their disks at the same time, and start again.
+fn lose_disks(world: &World, lost: [&str; 2]) -> Result<(), String> {
+    world.kill(&lost, true);
+    sleep(DOWN);
+    lost.iter().try_for_each(|ip| world.restart(ip))
+}
+
+/// Two machines are replaced as planned, the new ones first. When the new ones have long caught up, two
+/// machines lose their disks.
+pub fn planned_replacements(world: &World, trouble: bool) -> Outcome {
+    let [first, second, third, fourth, fifth] = start_settled(world)?;
     if trouble {
         let seeds = [third.clone(), fourth.clone(), fifth.clone()];
         world.add_control(6, &seeds)?;
@@ -70,19 +97,11 @@
         world.remove(&[&first, &second])?;
         sleep(CATCH_UP + Duration::from_secs(2));
     }
-    world.put(9, &configuration(9, &first_tenants()), Duration::from_secs(5))?;
-    if world.request(&world.ip(101), "/settle/x", "key-north-1").1 != Some(200) {
-        return Err("a request before the last loss is not served".to_owned());
-    }
+    acknowledge_newest(world)?;
     if trouble {
-        let lost = [third, fourth];
-        world.kill(&lost.each_ref().map(String::as_str), true);
-        sleep(Duration::from_millis(1_500));
-        for ip in &lost {
-            world.restart(ip)?;
-        }
+        lose_disks(world, [&third, &fourth])?;
     }
-    check_recovered(world, 9)
+    check_recovered(world, NEWEST)
 }
 
 /// The first configuration is acknowledged, and two machines lose their disks right after it.
@@ -91,12 +110,7 @@
     world.start_engine(1)?;
     world.put(7, &configuration(7, &first_tenants()), Duration::from_secs(10))?;
     if trouble {
-        let lost = [world.ip(2), world.ip(3)];
-        world.kill(&lost.each_ref().map(String::as_str), true);
-        sleep(Duration::from_secs(1));
-        for ip in &lost {
-            world.restart(ip)?;
-        }
+        lose_disks(world, [&world.ip(2), &world.ip(3)])?;
     }
     check_recovered(world, 7)
 }
@@ -104,13 +118,7 @@
 /// One machine is down and another one loses its disk and stands still after its return. After both
 /// the second is long back, two others lose their disks while the first is still down.
 pub fn shrunk_cluster(world: &World, trouble: bool) -> Outcome {
-    world.start_all()?;
-    world.start_engine(1)?;
-    world.put(7, &configuration(7, &first_tenants()), Duration::from_secs(10))?;
-    world.wait_ready()?;
-    sleep(CATCH_UP + Duration::from_secs(1));
-    let [first, second, third, _, down] =
-        world.controls().try_into().map_err(|_| "there are not five control replicas")?;
+    let [first, second, third, _, down] = start_settled(world)?;
     if trouble {
         world.kill(&[&down], false);
         sleep(Duration::from_millis(2_500));
@@ -123,31 +131,18 @@
         world.signal(&first, SIGCONT);
         sleep(CATCH_UP + Duration::from_millis(1_500));
     }
-    world.put(9, &configuration(9, &first_tenants()), Duration::from_secs(5))?;
-    if world.request(&world.ip(101), "/settle/x", "key-north-1").1 != Some(200) {
-        return Err("a request before the last loss is not served".to_owned());
-    }
+    acknowledge_newest(world)?;
     if trouble {
-        let lost = [second, third];
-        world.kill(&lost.each_ref().map(String::as_str), true);
-        sleep(Duration::from_secs(1));
-        for ip in lost.iter().chain([&down]) {
-            world.restart(ip)?;
-        }
+        lose_disks(world, [&second, &third])?;
+        world.restart(&down)?;
     }
-    check_recovered(world, 9)
+    check_recovered(world, NEWEST)
 }
 
 /// One machine is down, and another one is removed for good and replaced by an empty one. After that
 /// one has long caught up, two others lose their disks while the first is still down.
 pub fn displaced_voter(world: &World, trouble: bool) -> Outcome {
-    world.start_all()?;
-    world.start_engine(1)?;
-    world.put(7, &configuration(7, &first_tenants()), Duration::from_secs(10))?;
-    world.wait_ready()?;
-    sleep(CATCH_UP + Duration::from_secs(1));
-    let [removed, second, third, fourth, down] =
-        world.controls().try_into().map_err(|_| "there are not five control replicas")?;
+    let [removed, second, third, fourth, down] = start_settled(world)?;
     if trouble {
         world.kill(&[&down], false);
         sleep(Duration::from_millis(2_500));
@@ -156,19 +151,12 @@
         world.add_control(6, &[second.clone(), third.clone(), fourth])?;
         sleep(CATCH_UP + Duration::from_millis(1_500));
     }
-    world.put(9, &configuration(9, &first_tenants()), Duration::from_secs(5))?;
-    if world.request(&world.ip(101), "/settle/x", "key-north-1").1 != Some(200) {
-        return Err("a request before the last loss is not served".to_owned());
-    }
+    acknowledge_newest(world)?;
     if trouble {
-        let lost = [second, third];
-        world.kill(&lost.each_ref().map(String::as_str), true);
-        sleep(Duration::from_secs(1));
-        for ip in lost.iter().chain([&down]) {
-            world.restart(ip)?;
-        }
+        lose_disks(world, [&second, &third])?;
+        world.restart(&down)?;
     }
-    check_recovered(world, 9)
+    check_recovered(world, NEWEST)
 }
 
 /// Checks that the engines got a request with the tenant of its key, and without the key.
--- a/review/lib-2/world.rs
+++ b/review/lib-2/world.rs
@@ -302,6 +302,8 @@
             })
         };
         let child = command
+            // If the group of the harness is orphaned, the kernel wakes its members that stand still.
+            .process_group(0)
             .env_clear()
             .env("PATH", std::env::var("PATH").unwrap_or_default())
             .env("HICKORYREEL_CONFIG", &settings)
