--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -232,6 +232,7 @@
         self.server = None
         self.beat_task = None
         self.writers = set()
+        self.extra_headers = {}
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.ip, 0)
@@ -282,7 +283,7 @@
 
     async def answer(self, method, path, headers, body, writer):
         request_id = headers.get("request-id", "")
-        base = {"Request-Id": request_id, "Engine-Load": self.load()}
+        base = {"Request-Id": request_id, "Engine-Load": self.load(), **self.extra_headers}
         if headers.get("target-instance", self.id) != self.id:
             return self.respond(writer, 421, {**base, "Not-Executed": "1"}, b"")
         if self.running >= self.slots:
@@ -337,6 +338,8 @@
         self.seed_nodes = [f"{node.ip}:{CONTROL}" for node in self.controls[:3]]
         self.engines = []
         self.outcomes = []
+        # Requests that got a success without the receipt of an engine.
+        self.unsealed = set()
         self.stopped = False
 
     def ip(self, number):
@@ -400,6 +403,9 @@
                 outcome = str(answer.status) + ("" if answer.complete else " incomplete")
             except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError) as cause:
                 outcome = f"no answer ({type(cause).__name__})"
+            if answer is not None and 200 <= answer.status < 300 \
+                    and "response-seal" not in answer.headers:
+                self.unsealed.add(request_id)
             closes = answer is None or not answer.complete or \
                 answer.headers.get("connection", "").lower() == "close"
             if closes and channel is not None:
