--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -438,7 +438,7 @@
             broken = await asyncio.wait_for(body, limit_s)
             world.record.say(f"broken: {broken}" if broken else "the rule held")
             return 1 if broken else 0
-        except (CannotRun, asyncio.TimeoutError, OSError) as cause:
+        except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError, OSError) as cause:
             print(f"cannot run: {type(cause).__name__} {cause}", flush=True)
             return 2
         finally:
@@ -446,8 +446,12 @@
                 await world.close()
     loop = asyncio.new_event_loop()
     code = 2
+    task = loop.create_task(run())
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        # The processes are ended too if the script is.
+        loop.add_signal_handler(number, task.cancel)
     try:
-        code = loop.run_until_complete(run())
+        code = loop.run_until_complete(task)
     finally:
         sys.stdout.flush()
         os._exit(code)
