Count an answer only if it proves that it is this request's

A head without an id was distrusted on used connections only, and nothing looked for the receipt. Refusals had the same gap.

provenance.rs decides once, before any field of a head is believed: the id of the request exactly once on every connection, a receipt exactly once with a 2xx, and no contradictory statement that nothing ran. The dialect returns Unverified, and only verify() gives the Reply that the send goes on with. Anything else ends the send with an unknown outcome and closes the connection. A counter and the cause in the log show it.

The stand-ins of other tests now echo the id and send a receipt with their successes.

--- a/crates/fleet-entry/src/dialect.rs
+++ b/crates/fleet-entry/src/dialect.rs
@@ -10,6 +10,8 @@
 use http::request;
 use smallvec::SmallVec;
 
+use crate::provenance::Unverified;
+
 /// Part of a prompt, which other requests may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
@@ -80,8 +82,6 @@
     pub not_run: bool,
     /// Another endpoint answered at the address.
     pub wrong_endpoint: bool,
-    /// Whether the answer belongs to the request; `None` if the head does not tell.
-    pub matches: Option<bool>,
     /// The body has a content encoding that was not requested.
     pub encoded: bool,
     pub load: Option<Load>,
@@ -103,8 +103,8 @@
     fn parse_request(&self, head: &request::Parts) -> Result<RequestMetadata, Malformed>;
     /// Builds the headers of the request to an endpoint.
     fn request_headers(&self, head: &request::Parts, options: &SendOptions<'_>) -> HeaderMap;
-    /// Parses the head of an endpoint's answer to the request `id`.
-    fn parse_response(&self, status: StatusCode, headers: &HeaderMap, id: &str) -> Reply;
+    /// Parses the head of an answer that arrived where the answer to the request `id` is due.
+    fn parse_response(&self, status: StatusCode, headers: &HeaderMap, id: &str) -> Unverified;
     /// Selects the headers of an endpoint's answer that are forwarded to the client.
     fn response_headers(&self, headers: &HeaderMap) -> HeaderMap;
 }
--- a/crates/fleet-entry/src/exchange.rs
+++ b/crates/fleet-entry/src/exchange.rs
@@ -44,16 +44,6 @@
     task: AbortHandle,
     idle_timeout: Duration,
     head_limit: HeadLimit,
-    /// Whether an answer was received on it before.
-    reused: bool,
-}
-
-impl Connection {
-    /// Whether an answer was received on it before the current exchange. A second copy of that
-    /// answer may still arrive.
-    pub fn is_reused(&self) -> bool {
-        self.reused
-    }
 }
 
 impl Drop for Connection {
@@ -127,7 +117,6 @@
         if let Some(named) = keep_alive {
             connection.idle_timeout = named.saturating_sub(IDLE_MARGIN).min(IDLE_TIMEOUT);
         }
-        connection.reused = true;
         let mut idle = self.idle.borrow_mut();
         if idle.len() < max_idle {
             idle.push(Idle { connection, since: boot_time() });
@@ -157,13 +146,7 @@
             // The error also reaches the sender of the request.
             let _ = driver.await;
         });
-        Ok(Connection {
-            sender,
-            task: task.abort_handle(),
-            idle_timeout: IDLE_TIMEOUT,
-            head_limit,
-            reused: false,
-        })
+        Ok(Connection { sender, task: task.abort_handle(), idle_timeout: IDLE_TIMEOUT, head_limit })
     }
 
     /// Sends a request and waits for the head of its answer. With `fresh`, only a connection that
--- a/crates/fleet-entry/src/lib.rs
+++ b/crates/fleet-entry/src/lib.rs
@@ -7,8 +7,8 @@
 //! [`prefill`] limits concurrent long prompts, [`pick`] chooses the endpoint among those that
 //! [`placement`] permits by their loads and [`pace`], [`admission`] refuses what none of them can answer
 //! in time, [`cold`] asks for an admission to one that warms up, [`send`] sends the request over an
-//! [`exchange`], [`outcome`] decides what follows from
-//! the way in which a send ended, and [`relay`] forwards a stream event by event. [`quarantine`] finds
+//! [`exchange`], [`provenance`] decides whether an answer belongs to it, [`outcome`] decides what follows
+//! from the way in which a send ended, and [`relay`] forwards a stream event by event. [`quarantine`] finds
 //! the [`prompt`]s that crash endpoints; what endpoints say of themselves is kept in [`availability`].
 //! What an endpoint may send is bounded by [`head_limit`], [`memory`] and [`progress`], and what waits
 //! for a client by [`client_memory`] and
@@ -50,6 +50,7 @@
 pub mod prepare;
 pub mod progress;
 pub mod prompt;
+pub mod provenance;
 pub mod quarantine;
 pub mod relay;
 pub mod routed;
--- a/crates/fleet-entry/src/metrics.rs
+++ b/crates/fleet-entry/src/metrics.rs
@@ -30,6 +30,8 @@
     pub waits: Counter,
     /// New connections to endpoints.
     pub connections: Counter,
+    /// Answers that did not prove that they belong to the request that was sent.
+    pub distrusted: Counter,
     /// Ejections of endpoints after failures.
     pub paused: Counter,
     /// Requests that were refused because of a part of their prompt.
@@ -87,6 +89,10 @@
         let broken_off = counter("broken_off", "Streams broken off before their end");
         let waits = counter("waits", "Pauses of streams that no other endpoint could resume");
         let connections = counter("connections", "New connections to endpoints");
+        let distrusted = counter(
+            "distrusted_answers",
+            "Answers that did not prove that they belong to the request that was sent",
+        );
         let paused = counter("paused", "Endpoints that got a pause after failures");
         let blocked =
             counter("blocked", "Requests refused because a part of their prompt crashes endpoints");
@@ -140,6 +146,7 @@
             broken_off,
             waits,
             connections,
+            distrusted,
             paused,
             blocked,
             blocked_parts,
--- a/crates/fleet-entry/src/send.rs
+++ b/crates/fleet-entry/src/send.rs
@@ -153,19 +153,17 @@
         };
         let response = &exchange.response;
         let (status, headers) = (response.status(), response.headers());
-        let reply = self.entry.dialect.parse_response(status, headers, &self.metadata.id);
+        let unverified = self.entry.dialect.parse_response(status, headers, &self.metadata.id);
         in_flight.prefill_done();
-        // A late second answer to the previous request on the connection may come first. It says
-        // nothing about this request, whatever its status.
-        let is_foreign = match reply.matches {
-            Some(matches) => !matches,
-            None => exchange.connection.is_reused(),
+        let reply = match unverified.verify(status) {
+            Ok(reply) => reply,
+            Err(distrust) => {
+                self.runs += 1;
+                self.entry.metrics.distrusted.inc();
+                self.record_endpoint_failure(&endpoint, &distrust.to_string());
+                return Err(SendEnd::Unknown);
+            }
         };
-        if is_foreign {
-            self.runs += 1;
-            self.record_endpoint_failure(&endpoint, "the answer belongs to another request");
-            return Err(SendEnd::Unknown);
-        }
         if let Some(load) = reply.load {
             endpoint.record_load(load);
         }
--- a/crates/fleet-entry/tests/asked_pauses.rs
+++ b/crates/fleet-entry/tests/asked_pauses.rs
@@ -42,7 +42,7 @@
 use tokio::net::TcpStream;
 use tokio::task::LocalSet;
 
-const GOOD: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-length: 4\r\n\r\ngood";
+const GOOD: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ncontent-length: 4\r\n\r\ngood";
 const PAUSED_600: &str =
     "HTTP/1.1 503 Full\r\nid: {id}\r\nnot-run: 1\r\npause: 600\r\ncontent-length: 0\r\n\r\n";
 const PAUSED_200: &str =
@@ -285,8 +285,10 @@
             let id = header(&head, "id").expect("requests have an id");
             let (status, mark) = self.receive(id.split_once('-').expect("it names its entry").0);
             tokio::time::sleep(Duration::from_millis(20)).await;
-            let answer =
-                format!("HTTP/1.1 {status}\r\nid: {id}\r\n{mark}content-length: 0\r\n\r\n");
+            let receipt = if status.starts_with("200") { "seal: s\r\n" } else { "" };
+            let answer = format!(
+                "HTTP/1.1 {status}\r\nid: {id}\r\n{receipt}{mark}content-length: 0\r\n\r\n"
+            );
             if stream.write_all(answer.as_bytes()).await.is_err() {
                 return;
             }
--- a/crates/fleet-entry/tests/cold.rs
+++ b/crates/fleet-entry/tests/cold.rs
@@ -36,9 +36,9 @@
 use yare::parameterized;
 
 const REFUSED: &str = "HTTP/1.1 503 Full\r\nid: {id}\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
-const BEGIN: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-type: text/event-stream\r\n\
+const BEGIN: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ncontent-type: text/event-stream\r\n\
                      transfer-encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n";
-const GOOD: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-length: 4\r\n\r\ngood";
+const GOOD: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ncontent-length: 4\r\n\r\ngood";
 
 /// Time in which an entry reads what an endpoint has written.
 const READ_DELAY: Duration = Duration::from_millis(100);
--- a/crates/fleet-entry/tests/common/harness.rs
+++ b/crates/fleet-entry/tests/common/harness.rs
@@ -20,6 +20,9 @@
 use hickoryreel_fleet_entry::dialect::RequestMetadata;
 use hickoryreel_fleet_entry::dialect::SendOptions;
 use hickoryreel_fleet_entry::entry::Entry;
+use hickoryreel_fleet_entry::provenance::Field;
+use hickoryreel_fleet_entry::provenance::Proof;
+use hickoryreel_fleet_entry::provenance::Unverified;
 use hickoryreel_fleet_entry::server;
 use hickoryreel_fleet_entry::settings::Settings;
 use http::HeaderMap;
@@ -88,17 +91,20 @@
         headers
     }
 
-    fn parse_response(&self, status: StatusCode, headers: &HeaderMap, id: &str) -> Reply {
-        let echoed = headers.get("id").and_then(|value| value.to_str().ok());
-        Reply {
+    fn parse_response(&self, status: StatusCode, headers: &HeaderMap, id: &str) -> Unverified {
+        let reply = Reply {
             not_run: headers.contains_key("not-run"),
             wrong_endpoint: status == StatusCode::MISDIRECTED_REQUEST
                 && headers.contains_key("not-run"),
             leaving: headers.contains_key("leaving"),
             pause: number(headers, "pause").map(Duration::from_millis),
-            matches: echoed.map(|echoed| echoed == id),
             ..Reply::default()
-        }
+        };
+        let proof = Proof {
+            request_id: Field::parse(headers, "id", |value| value == id),
+            receipt: Field::parse(headers, "seal", |value| !value.is_empty()),
+        };
+        Unverified::new(proof, reply)
     }
 
     fn response_headers(&self, headers: &HeaderMap) -> HeaderMap {
--- a/crates/fleet-entry/tests/credentials.rs
+++ b/crates/fleet-entry/tests/credentials.rs
@@ -31,11 +31,10 @@
 use tokio::task::LocalSet;
 use yare::parameterized;
 
-const GOOD: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-length: 4\r\n\r\ngood";
+const GOOD: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ncontent-length: 4\r\n\r\ngood";
 const REFUSED: &str = "HTTP/1.1 503 Full\r\nid: {id}\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
-const CUT_STREAM: &str =
-    "HTTP/1.1 200 OK\r\nid: {id}\r\ntransfer-encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n";
-const STREAM_REST: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ntransfer-encoding: chunked\r\n\r\n\
+const CUT_STREAM: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ntransfer-encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n";
+const STREAM_REST: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ntransfer-encoding: chunked\r\n\r\n\
                            f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
 
 /// Calls with `Authorization` headers.
--- a/crates/fleet-entry/tests/early_answers.rs
+++ b/crates/fleet-entry/tests/early_answers.rs
@@ -39,11 +39,11 @@
 /// More than the socket buffers of both sides hold.
 const UPLOAD_BYTES: usize = 24 << 20;
 
-const GOOD: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-length: 4\r\n\r\ngood";
-const GOOD_STREAM: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ntransfer-encoding: chunked\r\n\r\n\
+const GOOD: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ncontent-length: 4\r\n\r\ngood";
+const GOOD_STREAM: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ntransfer-encoding: chunked\r\n\r\n\
                            f\r\nid: 1\ndata: g\n\n\r\n0\r\n\r\n";
-const UNFRAMED: &str = "HTTP/1.1 200 OK\r\nid: r1\r\n\r\npart";
-const UNFRAMED_STREAM: &str = "HTTP/1.1 200 OK\r\nid: r1\r\n\r\nid: 1\ndata: a\n\n";
+const UNFRAMED: &str = "HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\n\r\npart";
+const UNFRAMED_STREAM: &str = "HTTP/1.1 200 OK\r\nid: r1\r\nseal: s\r\n\r\nid: 1\ndata: a\n\n";
 
 /// How an endpoint ends the connection after its early answer.
 #[derive(Clone, Copy, Debug)]
@@ -222,10 +222,10 @@
 
 /// Guards against bytes of an answer without a body that are taken for the answer to the next request.
 #[parameterized(
-    no_content = { "HTTP/1.1 204 None\r\nid: {id}\r\ncontent-length: 4\r\n\r\nlate", 204 },
+    no_content = { "HTTP/1.1 204 None\r\nid: {id}\r\nseal: s\r\ncontent-length: 4\r\n\r\nlate", 204 },
     not_modified = { "HTTP/1.1 304 Same\r\nid: {id}\r\ncontent-length: 4\r\n\r\nlate", 304 },
     another_answer = {
-        "HTTP/1.1 204 None\r\nid: {id}\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlate", 204
+        "HTTP/1.1 204 None\r\nid: {id}\r\nseal: s\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nlate", 204
     },
 )]
 #[test_macro(tokio::test)]
--- a/crates/fleet-entry/tests/endless.rs
+++ b/crates/fleet-entry/tests/endless.rs
@@ -24,13 +24,16 @@
 const GOOD: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ncontent-length: 4\r\n\r\ngood";
 const GOOD_STREAM: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\n\
      transfer-encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n";
-const CHUNKED: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ntransfer-encoding: chunked\r\n\r\n";
-const UNTIL_CLOSE: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\n\r\n";
-const HUGE: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-length: 99999999999\r\n\r\n";
+const CHUNKED: &str =
+    "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ntransfer-encoding: chunked\r\n\r\n";
+const UNTIL_CLOSE: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\n\r\n";
+const HUGE: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ncontent-length: 99999999999\r\n\r\n";
 const OPEN_CHUNK: &str =
-    "HTTP/1.1 200 OK\r\nid: {id}\r\ntransfer-encoding: chunked\r\n\r\nffffff\r\n";
-const EXTENSION: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ntransfer-encoding: chunked\r\n\r\n1;a=";
-const TRAILER: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ntransfer-encoding: chunked\r\n\r\n0\r\n";
+    "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ntransfer-encoding: chunked\r\n\r\nffffff\r\n";
+const EXTENSION: &str =
+    "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ntransfer-encoding: chunked\r\n\r\n1;a=";
+const TRAILER: &str =
+    "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ntransfer-encoding: chunked\r\n\r\n0\r\n";
 
 /// Bytes that the sockets of both sides may hold in addition to what the entry has read.
 const SOCKET_BYTES: usize = 16 << 20;
--- a/crates/fleet-entry/tests/explain.rs
+++ b/crates/fleet-entry/tests/explain.rs
@@ -42,7 +42,6 @@
 use hickoryreel_fleet_entry::dialect::Dialect;
 use hickoryreel_fleet_entry::dialect::Malformed;
 use hickoryreel_fleet_entry::dialect::PromptPart;
-use hickoryreel_fleet_entry::dialect::Reply;
 use hickoryreel_fleet_entry::dialect::RequestMetadata;
 use hickoryreel_fleet_entry::dialect::SendOptions;
 use hickoryreel_fleet_entry::endpoint::Endpoint;
@@ -51,6 +50,7 @@
 use hickoryreel_fleet_entry::explain::explain;
 use hickoryreel_fleet_entry::pick;
 use hickoryreel_fleet_entry::pick::PickContext;
+use hickoryreel_fleet_entry::provenance::Unverified;
 use hickoryreel_fleet_entry::routed;
 use hickoryreel_fleet_entry::routed::Routed;
 use hickoryreel_fleet_entry::settings::Settings;
@@ -85,7 +85,7 @@
         unreachable!("nothing is sent")
     }
 
-    fn parse_response(&self, _: StatusCode, _: &HeaderMap, _: &str) -> Reply {
+    fn parse_response(&self, _: StatusCode, _: &HeaderMap, _: &str) -> Unverified {
         unreachable!("nothing is sent")
     }
 
--- a/crates/fleet-entry/tests/large_prompts.rs
+++ b/crates/fleet-entry/tests/large_prompts.rs
@@ -33,7 +33,7 @@
 /// Target of the routes.
 const TARGET: Duration = Duration::from_millis(1_000);
 
-const GOOD: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-length: 4\r\n\r\ngood";
+const GOOD: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ncontent-length: 4\r\n\r\ngood";
 
 /// An answer after a time.
 fn slow(time: Duration) -> Vec<Action> {
--- a/crates/fleet-entry/tests/leaving.rs
+++ b/crates/fleet-entry/tests/leaving.rs
@@ -34,8 +34,9 @@
 use tokio::task::LocalSet;
 use yare::parameterized;
 
-const GOOD: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-length: 4\r\n\r\ngood";
-const LEAVING: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nleaving: 1\r\ncontent-length: 4\r\n\r\ngood";
+const GOOD: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ncontent-length: 4\r\n\r\ngood";
+const LEAVING: &str =
+    "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\nleaving: 1\r\ncontent-length: 4\r\n\r\ngood";
 const LEAVING_REFUSED: &str =
     "HTTP/1.1 503 Full\r\nid: {id}\r\nleaving: 1\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
 const LEAVING_FAILED: &str =
@@ -45,7 +46,7 @@
 const LEAVING_OTHER_ENDPOINT: &str =
     "HTTP/1.1 421 Other\r\nid: {id}\r\nleaving: 1\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
 const LEAVING_STREAM: &str =
-    "HTTP/1.1 200 OK\r\nid: {id}\r\nleaving: 1\r\ntransfer-encoding: chunked\r\n\r\n";
+    "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\nleaving: 1\r\ntransfer-encoding: chunked\r\n\r\n";
 const EVENT: &str = "f\r\nid: 1\ndata: a\n\n\r\n";
 
 async fn good() -> Endpoint {
--- a/crates/fleet-entry/tests/overload.rs
+++ b/crates/fleet-entry/tests/overload.rs
@@ -24,7 +24,7 @@
 use tokio::task::LocalSet;
 use yare::parameterized;
 
-const GOOD: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-length: 4\r\n\r\ngood";
+const GOOD: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ncontent-length: 4\r\n\r\ngood";
 
 /// Slots of an endpoint of the fixtures.
 const SLOTS: u32 = 8;
--- a/crates/fleet-entry/tests/regions.rs
+++ b/crates/fleet-entry/tests/regions.rs
@@ -41,15 +41,15 @@
 /// Time that an endpoint takes to fail, so that the rules change before.
 const FAILURE_DELAY: Duration = Duration::from_millis(500);
 
-const GOOD: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-length: 4\r\n\r\ngood";
+const GOOD: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ncontent-length: 4\r\n\r\ngood";
 const FAILED: &str = "HTTP/1.1 500 Failed\r\nid: {id}\r\ncontent-length: 0\r\n\r\n";
 const REFUSED: &str = "HTTP/1.1 503 Full\r\nid: {id}\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n";
 const PAUSED: &str =
     "HTTP/1.1 503 Full\r\nid: {id}\r\nnot-run: 1\r\npause: 400\r\ncontent-length: 0\r\n\r\n";
-const BEGIN: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-type: text/event-stream\r\n\
+const BEGIN: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ncontent-type: text/event-stream\r\n\
                      transfer-encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n";
 const END: &str = "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
-const REST: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-type: text/event-stream\r\n\
+const REST: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ncontent-type: text/event-stream\r\n\
                     transfer-encoding: chunked\r\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
 
 async fn endpoint(script: &[Action]) -> Endpoint {
--- a/crates/fleet-entry/tests/resumption.rs
+++ b/crates/fleet-entry/tests/resumption.rs
@@ -16,34 +16,36 @@
 use tokio::task::LocalSet;
 use yare::parameterized;
 
-const BEGIN: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-type: text/event-stream\r\n\
+const BEGIN: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ncontent-type: text/event-stream\r\n\
                      transfer-encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n";
-const REST: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\n\
+const REST: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\n\
                     content-type: text/event-stream; charset=utf-8\r\n\
                     transfer-encoding: chunked\r\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
-const COMMENT_FIRST: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-type: text/event-stream\r\n\
+const COMMENT_FIRST: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ncontent-type: text/event-stream\r\n\
                              content-length: 24\r\n\r\n: again\n\nid: 2\ndata: b\n\n";
 const FAILED: &str = "HTTP/1.1 500 Failed\r\nid: {id}\r\ncontent-type: text/event-stream\r\n\
                       content-length: 17\r\n\r\ndata: an error\n\n\n";
 const REFUSED: &str = "HTTP/1.1 503 Full\r\nid: {id}\r\nnot-run: 1\r\ncontent-length: 17\r\n\r\n\
                        data: an error\n\n\n";
-const OTHER_TYPE: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-type: text/plain\r\n\
+const OTHER_TYPE: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ncontent-type: text/plain\r\n\
                           content-length: 17\r\n\r\nid: 2\nan error\n\n\n";
 const NO_TYPE: &str =
-    "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-length: 17\r\n\r\nid: 2\nan error\n\n\n";
-const EVENT_WITHOUT_ID: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-type: text/event-stream\r\n\
+    "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ncontent-length: 17\r\n\r\nid: 2\nan error\n\n\n";
+const EVENT_WITHOUT_ID: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ncontent-type: text/event-stream\r\n\
                                 content-length: 17\r\n\r\ndata: an error\n\n\n";
-const REPEATED: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-type: text/event-stream\r\n\
+const REPEATED: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ncontent-type: text/event-stream\r\n\
                         content-length: 30\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n";
-const EMPTY: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-type: text/event-stream\r\n\
+const EMPTY: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ncontent-type: text/event-stream\r\n\
                      content-length: 0\r\n\r\n";
-const NO_CONTENT: &str = "HTTP/1.1 204 None\r\nid: {id}\r\ncontent-type: text/event-stream\r\n\r\n";
-const UNFRAMED: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-type: text/event-stream\r\n\r\n";
-const HEAD_IN_THE_BODY: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\n\
+const NO_CONTENT: &str =
+    "HTTP/1.1 204 None\r\nid: {id}\r\nseal: s\r\ncontent-type: text/event-stream\r\n\r\n";
+const UNFRAMED: &str =
+    "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ncontent-type: text/event-stream\r\n\r\n";
+const HEAD_IN_THE_BODY: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\n\
                                 content-type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n\
                                 HTTP/1.1 500 Failed\r\nid: 2\r\n\r\nan error\n\n";
 
-const LAST_WITHOUT_ID: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\n\
+const LAST_WITHOUT_ID: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\n\
                                content-type: text/event-stream\r\ncontent-length: 24\r\n\r\n\
                                id: 2\ndata: c\n\ndata: b\n\n";
 
@@ -75,7 +77,7 @@
     no_content = { NO_CONTENT },
     unframed = { UNFRAMED },
     nothing = { "" },
-    cut_head = { "HTTP/1.1 200 OK\r\nid: {id}\r\n" },
+    cut_head = { "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\n" },
 )]
 #[test_macro(tokio::test)]
 async fn error_of_the_next_endpoint_is_not_part_of_the_stream(other: &'static str) {
@@ -138,25 +140,26 @@
 #[parameterized(
     status_line = { "HTTP/1.1 200 OK" },
     status_line_end = { "HTTP/1.1 200 OK\r\n" },
-    header = { "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s" },
-    header_end = { "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\n" },
-    length = { "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ncontent-length: 4\r\n" },
-    half_of_the_empty_line = { "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\n\r" },
-    line_feeds = { "HTTP/1.1 200 OK\nid: {id}\nseal: s\n" },
-    after_an_interim_answer = { "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nid: {id}\r\n" },
-    short_body = { "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-length: 4\r\n\r\ngo" },
-    short_chunk = { "HTTP/1.1 200 OK\r\nid: {id}\r\ntransfer-encoding: chunked\r\n\r\n4\r\ngo" },
-    no_last_chunk = { "HTTP/1.1 200 OK\r\nid: {id}\r\ntransfer-encoding: chunked\r\n\r\n2\r\ngo\r\n" },
+    header = { "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: broken" },
+    header_end = { "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: broken\r\n" },
+    length = { "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: broken\r\ncontent-length: 4\r\n" },
+    half_of_the_empty_line = { "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: broken\r\n\r" },
+    line_feeds = { "HTTP/1.1 200 OK\nid: {id}\nseal: broken\n" },
+    after_an_interim_answer = { "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nid: {id}\r\nseal: broken\r\n" },
+    short_body = { "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: broken\r\ncontent-length: 4\r\n\r\ngo" },
+    short_chunk = { "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: broken\r\ntransfer-encoding: chunked\r\n\r\n4\r\ngo" },
+    no_last_chunk = { "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: broken\r\ntransfer-encoding: chunked\r\n\r\n2\r\ngo\r\n" },
 )]
 #[test_macro(tokio::test)]
 async fn answer_that_breaks_off_is_not_whole(bytes: &'static str) {
+    let has_body = bytes.contains("go");
     LocalSet::new()
         .run_until(async {
             for (prefix, expected) in [(ONCE, 502), (SAFE, 200), (STREAM, 200)] {
                 let good = if prefix == STREAM {
                     REST
                 } else {
-                    "HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-length: 4\r\n\r\ngood"
+                    "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ncontent-length: 4\r\n\r\ngood"
                 };
                 let (first, second) = (endpoint(bytes).await, endpoint(good).await);
                 let served = serve(&[&first, &second]).await;
@@ -164,7 +167,9 @@
                 let answer = call(&served, prefix, "r1").await;
 
                 assert_eq!(status(&answer), expected, "{prefix} {answer}");
-                assert!(!answer.contains("seal"), "{prefix} {answer}");
+                // A stream keeps the receipt of the endpoint that began it.
+                let keeps_receipt = prefix == STREAM && has_body;
+                assert_eq!(answer.contains("seal: broken"), keeps_receipt, "{prefix} {answer}");
                 let whole = expected == 502
                     || answer.ends_with("good")
                     || answer.ends_with("data: b\n\n\r\n0\r\n\r\n");
--- a/crates/fleet-entry/tests/slow_readers.rs
+++ b/crates/fleet-entry/tests/slow_readers.rs
@@ -34,7 +34,8 @@
 use tokio::task::JoinHandle;
 use tokio::task::LocalSet;
 
-const CHUNKED: &str = "HTTP/1.1 200 OK\r\nid: {id}\r\ntransfer-encoding: chunked\r\n\r\n";
+const CHUNKED: &str =
+    "HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\ntransfer-encoding: chunked\r\n\r\n";
 const END: &str = "0\r\n\r\n";
 
 /// Size of the client's receive buffer, so that little data is on its way.
@@ -233,7 +234,9 @@
     const SIZE: usize = 900_000;
     LocalSet::new()
         .run_until(async {
-            let head = format!("HTTP/1.1 200 OK\r\nid: {{id}}\r\ncontent-length: {SIZE}\r\n\r\n");
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nid: {{id}}\r\nseal: s\r\ncontent-length: {SIZE}\r\n\r\n"
+            );
             let answer = Box::leak((head + &"x".repeat(SIZE)).into_boxed_str());
             let endpoint = Endpoint::start(vec![vec![Action::Write(answer)]]).await;
             let (served, entry) = serve_with_state(&[&endpoint]).await;
--- a/crates/fleet-entry/tests/unframed.rs
+++ b/crates/fleet-entry/tests/unframed.rs
@@ -76,7 +76,8 @@
     LocalSet::new()
         .run_until(async {
             let first = unframed(&[WHOLE], Action::Reset).await;
-            let second = unframed(&["HTTP/1.1 200 OK\r\nid: {id}\r\n\r\nother"], Action::Close);
+            let second =
+                unframed(&["HTTP/1.1 200 OK\r\nid: {id}\r\nseal: s\r\n\r\nother"], Action::Close);
             let second = second.await;
             let served = entry(&first, &second).await;
 
