Remove a lost voter at once beside its successor and hold acknowledgements until then

A core VM that is killed after its successor became a voter kept its vote for 8 s.

While more replicas vote than are held, or the promotion of a learner is due, the leader acknowledges a command only if the voters heard since the proposal are a quorum and as many more as disks may be lost.

--- a/crates/fleet-control/src/consensus_client.rs
+++ b/crates/fleet-control/src/consensus_client.rs
@@ -1,15 +1,20 @@
 //! Proposals and linearizable reads from any replica, through the leader.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hickoryreel_base::time::boot_time;
+use hickoryreel_consensus::ReplicaId;
+use hickoryreel_consensus::core::Refusal;
+use hickoryreel_consensus::core::Role;
 use hickoryreel_fleet::link::Answer;
 use hickoryreel_fleet::link::Request;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::members;
 use crate::peers::Peers;
 use crate::replicated_log::LogHandle;
 use crate::replicated_log::ReplicaState;
@@ -30,6 +35,9 @@
 /// up; those that are silent are removed sooner.
 const FIRST_JOIN_TIME: Duration = Duration::from_secs(60);
 
+/// Interval between the checks of a command that is committed but not acknowledged yet.
+const ACKNOWLEDGE_PERIOD: Duration = Duration::from_millis(10);
+
 /// Maximum number of reads that wait for a confirmation. Reads beyond it are refused.
 const MAX_PENDING_READS: usize = 4_096;
 
@@ -41,6 +49,8 @@
     /// Number of voters that the fault tolerance needs.
     held_voters: usize,
     started_at: Duration,
+    /// Whether the promotion of a learner is due, and the term in which this was observed.
+    promotion_due: Rc<Cell<(u64, bool)>>,
     reads: mpsc::Sender<oneshot::Sender<()>>,
 }
 
@@ -49,7 +59,8 @@
     pub fn start(log_handle: LogHandle, peers: Rc<Peers>, held_voters: usize) -> Self {
         let (reads, read_queue) = mpsc::channel(MAX_PENDING_READS);
         let started_at = boot_time();
-        let client = Self { log_handle, peers, held_voters, started_at, reads };
+        let promotion_due = Rc::default();
+        let client = Self { log_handle, peers, held_voters, started_at, promotion_due, reads };
         tokio::task::spawn_local(confirm_reads(client.clone(), read_queue));
         client
     }
@@ -93,11 +104,64 @@
             && boot_time() < self.started_at + limit
     }
 
+    /// Records in `term`, as the leader, whether the promotion of a learner is due.
+    pub fn record_promotion_due(&self, term: u64, is_due: bool) {
+        self.promotion_due.set((term, is_due));
+    }
+
+    /// Whether this replica, as the leader, may acknowledge a command, going by the voters that were
+    /// heard since the time `since`. It may not during a change of the voters that leaves too few of
+    /// them after a loss.
+    fn may_acknowledge(&self, state: &ReplicaState, since: Duration) -> bool {
+        let is_heard = |id: &ReplicaId| {
+            *id == state.id || self.peers.last_heard(*id).is_some_and(|heard| heard >= since)
+        };
+        let voters = state.members.voters().count();
+        let has_learners = voters < state.members.len();
+        let (observed_in, is_due) = self.promotion_due.get();
+        let is_changing =
+            voters > self.held_voters || (has_learners && (is_due || observed_in != state.term));
+        let heard_voters = state.members.voters().filter(is_heard).count();
+        !is_changing || members::is_fault_tolerant(&state.members, self.held_voters, heard_voters)
+    }
+
+    /// Waits until this replica may acknowledge a command that was proposed at the time `proposed_at`.
+    /// Returns `false` if it is no longer the leader or if the caller has given up.
+    async fn await_fault_tolerance(&self, proposed_at: Duration) -> bool {
+        while boot_time() < proposed_at + CALL_TIMEOUT {
+            let state = self.state();
+            if state.role != Role::Leader {
+                return false;
+            }
+            if self.may_acknowledge(&state, proposed_at) {
+                return true;
+            }
+            tokio::time::sleep(ACKNOWLEDGE_PERIOD).await;
+        }
+        false
+    }
+
+    /// Proposes a command if this replica is the leader.
+    async fn propose_as_leader(&self, command: Vec<u8>) -> Reply {
+        let proposed_at = boot_time();
+        let state = self.state();
+        let alive_since = proposed_at.saturating_sub(members::MAX_ALIVE_SILENCE);
+        // Keeps copies of a command that could not be acknowledged yet out of the log.
+        if state.role == Role::Leader && !self.may_acknowledge(&state, alive_since) {
+            return Reply::Refused(Refusal::ChangePending);
+        }
+        let reply = self.log_handle.propose(command).await;
+        if matches!(reply, Reply::At(_)) && !self.await_fault_tolerance(proposed_at).await {
+            return Reply::Unknown;
+        }
+        reply
+    }
+
     async fn propose_once(&self, command: &[u8]) -> bool {
         if self.awaits_voters() {
             return false;
         }
-        match self.log_handle.propose(command.to_vec()).await {
+        match self.propose_as_leader(command.to_vec()).await {
             Reply::At(_) => true,
             Reply::NotLeader => {
                 let request = Request::Propose(command.to_vec());
@@ -112,7 +176,7 @@
         if self.awaits_voters() {
             return Answer::Refused;
         }
-        match self.log_handle.propose(command).await {
+        match self.propose_as_leader(command).await {
             Reply::At(_) => Answer::Done,
             Reply::NotLeader | Reply::Refused(_) => Answer::Refused,
             Reply::Unknown => Answer::Unknown,
--- a/crates/fleet-control/src/members.rs
+++ b/crates/fleet-control/src/members.rs
@@ -15,8 +15,12 @@
 //! - From this number on, a newcomer takes the place of a voter that is gone: the newcomer is
 //!   promoted, then the voter is removed. The promotion waits until it is known which voters were
 //!   silent when the newcomer arrived, so that the removal follows immediately.
-//! - Above this number, it removes voters that are gone. See [`departed_voter`].
+//! - Above this number, it removes voters that are silent: those that are left bear the losses, and one
+//!   that was only down joins again. See [`departed_voter`].
 //! - It removes a learner that has been silent for a long time.
+//!
+//! While such a change is under way, the quorum may be larger than the voters that a loss leaves.
+//! Acknowledgements wait for it. See [`is_fault_tolerant`].
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -61,7 +65,7 @@
 const JOIN_REQUEST_MAX_AGE: Duration = Duration::from_millis(1_500);
 
 /// Maximum silence of a replica that counts as alive: several heartbeats.
-const MAX_ALIVE_SILENCE: Duration = Duration::from_millis(900);
+pub const MAX_ALIVE_SILENCE: Duration = Duration::from_millis(900);
 
 /// Time in which a new leader hears all replicas that are alive: several heartbeats.
 const LEADER_SETTLE_TIME: Duration = Duration::from_millis(600);
@@ -72,10 +76,6 @@
 /// Timeout of a message that shows that a replica is alive.
 const PRESENCE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
-/// Silence after which a voter is removed that fell silent after the newest member had arrived. It
-/// has no successor yet, so it is more likely to be down than to be gone.
-const REMOVE_SUCCESSORLESS_AFTER: Duration = Duration::from_secs(8);
-
 /// Time after a refused promotion in which other learners are preferred.
 const LAGGING_TIME: Duration = Duration::from_millis(600);
 
@@ -235,6 +235,7 @@
                 lagging: lagging_since.get(&id).is_some_and(|since| now < *since + LAGGING_TIME),
             }
         };
+        control.consensus.record_promotion_due(state.term, is_promotion_due(&state, observe));
         let next = next_change(&state, held_voters, &join_requests.recent(), observe);
         let Some(change) = next else { continue };
         let silent = silent_members(&state, observe);
@@ -275,6 +276,22 @@
     }
 }
 
+/// Whether the `heard_voters` are a quorum after the loss of as many disks as are tolerated.
+pub fn is_fault_tolerant(members: &Members, held_voters: usize, heard_voters: usize) -> bool {
+    let tolerated = held_voters.saturating_sub(1) / 2;
+    heard_voters >= members.quorum() + tolerated
+}
+
+/// Whether a learner may be promoted as soon as it is known which voters are silent. The one that it
+/// replaces may be gone already.
+pub fn is_promotion_due(state: &ReplicaState, observe: impl Fn(ReplicaId) -> Observation) -> bool {
+    let mut learners = state.members.iter().filter(|member| !member.voter);
+    learners.any(|learner| {
+        let learner = observe(learner.id);
+        learner.is_ready() && !learner.lagging && learner.member_for >= SETTLE_TIME
+    })
+}
+
 /// Returns the next change of the member set, by the rules of the module.
 pub fn next_change(
     state: &ReplicaState,
@@ -369,7 +386,7 @@
 /// - A voter that has announced its stop.
 /// - A voter that had fallen silent before that newest voter arrived; the latest one, because a
 ///   successor follows its predecessor soon.
-/// - A voter that fell silent later, after a long time.
+/// - The voter that has been silent for the longest time.
 fn departed_voter(
     voters: &[(ReplicaId, Observation)],
     newest_for: Option<Duration>,
@@ -379,10 +396,8 @@
         .iter()
         .filter(|(_, voter)| newest_for.is_some_and(|newest| voter.was_silent_at_arrival(newest)))
         .min_by_key(|(_, voter)| voter.silence);
-    let lost = voters
-        .iter()
-        .filter(|(_, voter)| voter.silence >= REMOVE_SUCCESSORLESS_AFTER)
-        .max_by_key(|(_, voter)| voter.silence);
+    let lost =
+        voters.iter().filter(|(_, voter)| voter.is_lost()).max_by_key(|(_, voter)| voter.silence);
     leaving.or(replaced).or(lost).map(|(id, _)| *id)
 }
 
--- a/crates/fleet-control/tests/cluster.rs
+++ b/crates/fleet-control/tests/cluster.rs
@@ -20,6 +20,7 @@
 use hickoryreel_fleet::link::Request;
 use hickoryreel_fleet_control::control::Control;
 use hickoryreel_fleet_control::long_poll;
+use hickoryreel_fleet_control::members::MAX_ALIVE_SILENCE;
 use hickoryreel_fleet_control::run;
 use hickoryreel_fleet_control::settings::Settings;
 use tempfile::TempDir;
@@ -236,6 +237,35 @@
         .await;
 }
 
+/// Guards against a configuration that is acknowledged while a voter that is gone for good still counts
+/// for the quorum beside its successor: the tolerated loss of a disk would then take it back.
+#[tokio::test]
+async fn acknowledgement_waits_until_a_lost_voter_is_removed_beside_its_successor() {
+    LocalSet::new()
+        .run_until(async {
+            let data_dirs: Vec<TempDir> = (0..4).map(|_| TempDir::new().unwrap()).collect();
+            let seeds = [free_address().await, free_address().await, free_address().await];
+            let mut replicas = Vec::new();
+            for (seed, data_dir) in seeds.iter().zip(&data_dirs) {
+                replicas.push(start(*seed, &seeds, data_dir.path(), true).await);
+            }
+            put_configuration(&replicas[0], 1).await;
+            let successor = start(free_address().await, &seeds, data_dirs[3].path(), false).await;
+            wait_until("the successor votes", || voters(&successor) == 4).await;
+            let is_leader = |control: &Rc<Control>| control.consensus.state().role == Role::Leader;
+            let follower = replicas.iter().position(|replica| !is_leader(replica)).unwrap();
+            let lost = replicas.remove(follower);
+
+            lost.log_handle.stop();
+            tokio::time::sleep(MAX_ALIVE_SILENCE).await;
+            put_configuration(&successor, 2).await;
+
+            assert_eq!(voters(&successor), 3);
+            assert_eq!(newest_configuration(&replicas[0]).await, "2");
+        })
+        .await;
+}
+
 /// Guards against a replica that is never admitted again after it was removed during an outage: the
 /// leader doesn't know it, and the replicas that know it keep its request for themselves.
 #[tokio::test]
