Keep departures apart from endpoints and send them to every entry

Departures are kept by id and incarnation, with or without an announcement, passed on between replicas and sent to entries with the answers of polls. Announcements of an incarnation that has departed are void at replicas and entries. The latest 4,096 are kept.

--- a/crates/fleet-control/src/control.rs
+++ b/crates/fleet-control/src/control.rs
@@ -9,11 +9,14 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use hickoryreel_base::time::boot_time;
+use hickoryreel_base::time::unix_millis;
 use hickoryreel_consensus::core::Role;
 use hickoryreel_fleet::Name;
 use hickoryreel_fleet::configuration::Configuration;
 use hickoryreel_fleet::crash;
 use hickoryreel_fleet::crash::Judge;
+use hickoryreel_fleet::departure;
+use hickoryreel_fleet::departure::Departure;
 use hickoryreel_fleet::endpoint::Announcement;
 use hickoryreel_fleet::link::Answer;
 use hickoryreel_fleet::link::ColdDecision;
@@ -151,16 +154,24 @@
         Ok(())
     }
 
-    /// Deregisters an endpoint and forwards that to the other replicas. A later incarnation than the
-    /// stated one stays. Waits until another replica confirms it or a timeout expires.
+    /// Deregisters an endpoint, known or not, and forwards that to the other replicas. A later
+    /// incarnation than the stated one stays. Waits until another replica confirms it or a timeout
+    /// expires.
     pub async fn deregister(&self, id: &str, stated: Option<u64>) {
-        let max_incarnation = stated.unwrap_or(u64::MAX);
-        let known = self.directory.borrow_mut().deregister(id, max_incarnation);
+        let known = self.directory.borrow().incarnation(id);
+        // Without any statement, it is one that has started before now.
+        let incarnation = stated.or(known).unwrap_or_else(unix_millis);
+        let departure = Departure { id: id.into(), incarnation, kind: departure::Kind::Gone };
+        self.depart(&departure);
         info!(self.log, "endpoint deregistered"; "endpoint" => id, "incarnation" => known,
             "stated_incarnation" => stated);
-        self.directory_changed.notify_waiters();
-        let incarnation = stated.or(known).unwrap_or(u64::MAX);
-        self.forward(Request::Deregistered(id.into(), incarnation), true).await;
+        self.forward(Request::Departed(departure), true).await;
+    }
+
+    fn depart(&self, departure: &Departure) {
+        if self.directory.borrow_mut().depart(departure) {
+            self.directory_changed.notify_waiters();
+        }
     }
 
     async fn forward(&self, update: Request, wait: bool) {
@@ -384,9 +395,8 @@
                 }
                 Answer::Done
             }
-            Request::Deregistered(id, incarnation) => {
-                self.directory.borrow_mut().deregister(&id, incarnation);
-                self.directory_changed.notify_waiters();
+            Request::Departed(departure) => {
+                self.depart(&departure);
                 Answer::Done
             }
             Request::Propose(command) => self.consensus.propose_locally(command).await,
--- a/crates/fleet-control/src/directory.rs
+++ b/crates/fleet-control/src/directory.rs
@@ -10,6 +10,9 @@
 
 use hickoryreel_base::time::boot_time;
 use hickoryreel_fleet::Name;
+use hickoryreel_fleet::departure;
+use hickoryreel_fleet::departure::Departure;
+use hickoryreel_fleet::departure::Departures;
 use hickoryreel_fleet::endpoint::Announcement;
 use hickoryreel_fleet::endpoint::EndpointUpdate;
 use hickoryreel_fleet::endpoint::Status;
@@ -74,14 +77,22 @@
     /// Services of all configurations that the replica has had.
     services: HashSet<Name>,
     endpoints: HashMap<Name, KnownEndpoint>,
+    /// Also of endpoints that the replica has had no announcement of, for example since its restart.
+    departures: Departures,
 }
 
 impl Directory {
     /// Creates an empty directory of endpoints that announce themselves every `interval`.
     pub fn new(interval: Duration) -> Self {
         let silent_after = interval * MAX_MISSED_ANNOUNCEMENTS;
-        let (services, endpoints) = (HashSet::new(), HashMap::new());
-        Self { epoch: rand::random(), change: 0, silent_after, services, endpoints }
+        Self {
+            epoch: rand::random(),
+            change: 0,
+            silent_after,
+            services: HashSet::new(),
+            endpoints: HashMap::new(),
+            departures: Departures::default(),
+        }
     }
 
     /// Adds the services of a configuration. Endpoints that announced one of them before are used
@@ -122,11 +133,12 @@
 
     /// Records an announcement. Returns whether entries need it, or `None` if it is stale or
     /// foreign.
-    pub fn announce(&mut self, announcement: Announcement) -> Option<bool> {
+    pub fn announce(&mut self, mut announcement: Announcement) -> Option<bool> {
         let now = boot_time();
-        if self.is_foreign(&announcement) {
+        if self.is_foreign(&announcement) || self.departures.is_gone(&announcement) {
             return None;
         }
+        announcement.draining |= self.departures.is_draining(&announcement);
         let is_configured = self.is_configured(&announcement);
         if is_configured {
             // One of another program with the id of this endpoint.
@@ -208,27 +220,40 @@
         }
     }
 
-    /// Marks an endpoint as gone, unless its incarnation is later than `max_incarnation`. Returns
-    /// the incarnation, or `None` if the endpoint is unknown or stays.
-    pub fn deregister(&mut self, id: &str, max_incarnation: u64) -> Option<u64> {
-        let known = self.endpoints.get_mut(id)?;
-        let incarnation = known.update.announcement.incarnation;
-        if incarnation > max_incarnation {
-            return None;
+    /// Returns the incarnation of an endpoint, if it is known.
+    pub fn incarnation(&self, id: &str) -> Option<u64> {
+        self.endpoints.get(id).map(|known| known.update.announcement.incarnation)
+    }
+
+    /// Records that an endpoint drains or has deregistered, whether it is known or not. A later
+    /// incarnation than the one that departed stays. Returns whether this is new.
+    pub fn depart(&mut self, departure: &Departure) -> bool {
+        let number = self.change + 1;
+        if !self.departures.record(departure, number) {
+            return false;
         }
-        if known.update.status != Status::Gone {
-            if known.change > 0 {
-                self.change += 1;
-                known.change = self.change;
-            }
-            known.update.status = Status::Gone;
-            known.last_heard = boot_time();
+        self.change = number;
+        let known = self.endpoints.get_mut(&departure.id).filter(|known| {
+            let incarnation = known.update.announcement.incarnation;
+            known.update.status != Status::Gone && incarnation <= departure.incarnation
+        });
+        let Some(known) = known else { return true };
+        if known.change > 0 {
+            self.change += 1;
+            known.change = self.change;
         }
-        // An announcement of the incarnation that deregistered may still arrive.
-        if max_incarnation != u64::MAX {
-            known.update.announcement.incarnation = max_incarnation;
+        let announcement = &mut known.update.announcement;
+        match departure.kind {
+            departure::Kind::Gone => {
+                known.update.status = Status::Gone;
+                known.last_heard = boot_time();
+                announcement.incarnation = departure.incarnation;
+            }
+            departure::Kind::Draining(_) => {
+                announcement.draining |= self.departures.is_draining(announcement);
+            }
         }
-        Some(incarnation)
+        true
     }
 
     /// Marks endpoints that missed announcements as silent and drops those not heard for a long
@@ -268,6 +293,12 @@
         changed.map(|known| known.update.clone()).collect()
     }
 
+    /// Returns the departures after `cursor`, or all if it belongs to another process.
+    pub fn departures_since(&self, cursor: Cursor) -> Vec<Departure> {
+        let from = if cursor.epoch == self.epoch { cursor.change } else { 0 };
+        self.departures.since(from).collect()
+    }
+
     /// Returns the number of endpoints that are present.
     pub fn present_count(&self) -> usize {
         let known = self.endpoints.values().filter(|known| known.change > 0);
--- a/crates/fleet-control/src/long_poll.rs
+++ b/crates/fleet-control/src/long_poll.rs
@@ -57,6 +57,7 @@
         confirmed: state.map(|state| confirmed(&state, &poll)),
         cursor: directory.cursor(),
         endpoint_updates: directory.updates_since(poll.cursor),
+        departures: directory.departures_since(poll.cursor),
         zone: (directory.cursor().epoch != poll.cursor.epoch)
             .then(|| control.settings.zone.as_str().into()),
         replicas: latest_state.members.iter().map(|member| member.address.clone()).collect(),
--- a/crates/fleet-control/tests/directory.rs
+++ b/crates/fleet-control/tests/directory.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use hickoryreel_fleet::departure;
+use hickoryreel_fleet::departure::Departure;
 use hickoryreel_fleet::endpoint::Announcement;
 use hickoryreel_fleet::endpoint::EndpointUpdate;
 use hickoryreel_fleet::endpoint::Status;
@@ -26,6 +28,14 @@
     }
 }
 
+fn gone(incarnation: u64) -> Departure {
+    Departure { id: "e1".into(), incarnation, kind: departure::Kind::Gone }
+}
+
+fn draining(incarnation: u64, since: u64) -> Departure {
+    Departure { id: "e1".into(), incarnation, kind: departure::Kind::Draining(since) }
+}
+
 fn directory() -> Directory {
     directory_with_interval(Duration::from_millis(1_200))
 }
@@ -57,7 +67,7 @@
 fn deregistered_endpoint_stays_gone_until_its_next_incarnation() {
     let mut directory = directory();
     directory.announce(announcement(10, 5, true));
-    assert_eq!(directory.deregister("e1", u64::MAX), Some(10));
+    assert!(directory.depart(&gone(10)));
 
     assert_eq!(directory.announce(announcement(10, 6, true)), None);
     assert_eq!(status(&directory), Some(Status::Gone));
@@ -71,7 +81,7 @@
     let mut directory = directory();
     directory.announce(announcement(11, 1, false));
 
-    assert_eq!(directory.deregister("e1", 10), None);
+    directory.depart(&gone(10));
     assert_eq!(status(&directory), Some(Status::Present));
 }
 
@@ -81,13 +91,64 @@
 fn incarnation_that_has_deregistered_does_not_come_back() {
     let mut directory = directory();
     directory.announce(announcement(10, 5, false));
-    assert_eq!(directory.deregister("e1", 11), Some(10));
+    assert!(directory.depart(&gone(11)));
 
     assert_eq!(directory.announce(announcement(11, 1, false)), None);
     assert_eq!(status(&directory), Some(Status::Gone));
     assert_eq!(directory.announce(announcement(12, 1, false)), Some(true));
 }
 
+/// Guards against replicas that have restarted and acknowledge the deregistration of an endpoint that
+/// they don't know, but tell no entry of it.
+#[test]
+fn departure_of_an_unknown_endpoint_reaches_the_entries() {
+    let mut directory = directory();
+    let before = directory.cursor();
+
+    assert!(directory.depart(&gone(10)));
+
+    assert!(directory.has_changed_since(before));
+    assert_eq!(directory.departures_since(before), [gone(10)]);
+    assert_eq!(directory.departures_since(Cursor::default()), [gone(10)]);
+    assert_eq!(directory.departures_since(directory.cursor()), []);
+    assert!(!directory.depart(&gone(10)), "a resent one is nothing new");
+    assert_eq!(directory.announce(announcement(10, 6, false)), None);
+    assert_eq!(directory.announce(announcement(9, 80, false)), None);
+    assert_eq!(directory.announce(announcement(11, 1, false)), Some(true));
+}
+
+/// Guards against a delayed announcement from before an endpoint began to drain that makes it usable
+/// again at a replica that has restarted in between.
+#[test]
+fn endpoint_that_drains_stays_draining_for_late_announcements() {
+    let is_draining = |directory: &Directory| {
+        directory.updates_since(Cursor::default()).pop().map(|update| update.announcement.draining)
+    };
+    let mut directory = directory();
+    assert!(directory.depart(&draining(10, 5)));
+
+    directory.announce(announcement(10, 4, false));
+    assert_eq!(is_draining(&directory), Some(true));
+    directory.announce(announcement(10, 6, false));
+    assert_eq!(is_draining(&directory), Some(false), "it took that back");
+    directory.announce(announcement(11, 1, false));
+    assert_eq!(is_draining(&directory), Some(false), "it has restarted");
+}
+
+/// Guards against ids made up by a caller that take memory without bound.
+#[test]
+fn departures_of_made_up_endpoints_are_bounded() {
+    let mut directory = directory();
+
+    for number in 0..10_000 {
+        directory.depart(&Departure { id: format!("e{number}").into(), ..gone(10) });
+    }
+
+    let kept = directory.departures_since(Cursor::default());
+    assert_eq!(kept.len(), 4_096);
+    assert_eq!(&*kept[4_095].id, "e9999");
+}
+
 /// Guards against a crashed endpoint that stays in use although a new one has its address, and
 /// against a delayed announcement that brings it back.
 #[test]
--- a/crates/fleet-entry/src/control_poll.rs
+++ b/crates/fleet-entry/src/control_poll.rs
@@ -147,6 +147,13 @@
 ) {
     entry.entries.set(answer.entries.max(1));
     polled.sources.borrow_mut().record_answer(from, answer.zone);
+    for departure in &answer.departures {
+        let change = entry.directory.borrow_mut().depart(departure);
+        if change != Change::None {
+            info!(entry.log, "endpoint departed"; "endpoint" => &*departure.id,
+                "change" => ?change, "incarnation" => departure.incarnation, "replica" => %from);
+        }
+    }
     for update in answer.endpoint_updates {
         let (id, order) = (update.announcement.id.clone(), update.announcement.order());
         let address = update.announcement.address;
--- a/crates/fleet-entry/src/directory.rs
+++ b/crates/fleet-entry/src/directory.rs
@@ -7,6 +7,9 @@
 use std::rc::Rc;
 
 use hickoryreel_fleet::Name;
+use hickoryreel_fleet::departure;
+use hickoryreel_fleet::departure::Departure;
+use hickoryreel_fleet::departure::Departures;
 use hickoryreel_fleet::endpoint::Announcement;
 use hickoryreel_fleet::endpoint::EndpointUpdate;
 use hickoryreel_fleet::endpoint::Status;
@@ -18,8 +21,8 @@
 pub struct Directory {
     endpoints: HashMap<Name, Rc<Endpoint>>,
     services: HashMap<Name, Vec<Rc<Endpoint>>>,
-    /// Newest incarnation that deregistered, by id.
-    departed: HashMap<Name, u64>,
+    /// Endpoints that drain or have deregistered, whether they are known or not.
+    departures: Departures,
     /// See [`Endpoint::version_since`], by service and version. Restarts of all endpoints of a version
     /// don't make it a newer one.
     version_starts: HashMap<Name, BTreeMap<Name, (u64, usize)>>,
@@ -48,10 +51,10 @@
     /// Applies an update from one replica.
     pub fn apply(&mut self, update: EndpointUpdate, replica: SocketAddr) -> Change {
         let EndpointUpdate { mut announcement, status } = update;
-        let departed = self.departed.get(&announcement.id).copied();
-        if departed.is_some_and(|incarnation| announcement.incarnation <= incarnation) {
+        if self.departures.is_gone(&announcement) {
             return Change::None;
         }
+        announcement.draining |= self.departures.is_draining(&announcement);
         if let Some(known) = self.endpoints.get(&announcement.id)
             && known.announcement.borrow().incarnation > announcement.incarnation
         {
@@ -66,9 +69,8 @@
             self.remove(&announcement.id);
         }
         if status == Status::Gone {
-            self.departed.insert(announcement.id.clone(), announcement.incarnation);
-            self.remove(&announcement.id);
-            return Change::Gone;
+            let Announcement { id, incarnation, .. } = announcement;
+            return self.depart(&Departure { id, incarnation, kind: departure::Kind::Gone });
         }
         let hears = status == Status::Present;
         let Some(known) = self.endpoints.get(&announcement.id) else {
@@ -108,6 +110,29 @@
         }
     }
 
+    /// Applies the departure of an endpoint, which a replica may know though it does not know the
+    /// endpoint.
+    pub fn depart(&mut self, departure: &Departure) -> Change {
+        let number = self.departures.last_number() + 1;
+        if !self.departures.record(departure, number) {
+            return Change::None;
+        }
+        let Some(known) = self.endpoints.get(&departure.id) else { return Change::None };
+        if known.announcement.borrow().incarnation > departure.incarnation {
+            return Change::None;
+        }
+        if departure.kind == departure::Kind::Gone {
+            self.remove(&departure.id);
+            return Change::Gone;
+        }
+        let mut announcement = known.announcement.borrow_mut();
+        if announcement.draining || !self.departures.is_draining(&announcement) {
+            return Change::None;
+        }
+        announcement.draining = true;
+        Change::Draining
+    }
+
     fn add(&mut self, endpoint: Endpoint) -> Rc<Endpoint> {
         let announcement = endpoint.announcement.borrow().clone();
         let (id, service) = (announcement.id.clone(), announcement.service.clone());
--- a/crates/fleet-entry/tests/state.rs
+++ b/crates/fleet-entry/tests/state.rs
@@ -11,6 +11,8 @@
 use common::configuration;
 use common::confirmed;
 use hickoryreel_base::time::boot_time;
+use hickoryreel_fleet::departure;
+use hickoryreel_fleet::departure::Departure;
 use hickoryreel_fleet::endpoint::EndpointUpdate;
 use hickoryreel_fleet::endpoint::Status;
 use hickoryreel_fleet_entry::budget::Limits;
@@ -78,6 +80,66 @@
     assert_eq!(apply(3, 1, false, Status::Present), Change::New);
 }
 
+fn departure(incarnation: u64, kind: departure::Kind) -> Departure {
+    Departure { id: update(1, 1, false, Status::Present).announcement.id, incarnation, kind }
+}
+
+/// Guards against requests to an endpoint that deregistered at replicas that had restarted and didn't
+/// know it, and against a late announcement that brings it back to an entry that did not know it.
+#[parameterized(
+    known = { true },
+    unknown = { false },
+)]
+fn departure_reported_without_an_announcement_is_applied(is_known: bool) {
+    let mut directory = Directory::default();
+    if is_known {
+        directory.apply(update(2, 5, false, Status::Present), replica(1));
+    }
+
+    let change = directory.depart(&departure(2, departure::Kind::Gone));
+
+    assert_eq!(change, if is_known { Change::Gone } else { Change::None });
+    assert_eq!(directory.all().count(), 0);
+    let late = directory.apply(update(2, 6, false, Status::Present), replica(2));
+    assert_eq!((late, directory.all().count()), (Change::None, 0));
+    let restarted = directory.apply(update(3, 1, false, Status::Present), replica(2));
+    assert_eq!((restarted, directory.all().count()), (Change::New, 1));
+}
+
+/// Guards against a departure that takes a later incarnation out of use.
+#[test]
+fn departure_of_an_earlier_incarnation_leaves_the_present_one() {
+    let mut directory = Directory::default();
+    directory.apply(update(3, 1, false, Status::Present), replica(1));
+
+    let changes = [departure::Kind::Draining(9), departure::Kind::Gone]
+        .map(|kind| directory.depart(&departure(2, kind)));
+
+    assert_eq!(changes, [Change::None, Change::None]);
+    assert!(directory.all().all(|endpoint| endpoint.is_present()));
+}
+
+/// Guards against requests to an endpoint that began to drain, from an entry that learns this from the
+/// departure only, or that hears a late announcement first.
+#[parameterized(
+    known = { true },
+    unknown = { false },
+)]
+fn endpoint_that_drains_gets_no_requests(is_known: bool) {
+    let mut directory = Directory::default();
+    if is_known {
+        directory.apply(update(2, 4, false, Status::Present), replica(1));
+    }
+
+    let change = directory.depart(&departure(2, departure::Kind::Draining(5)));
+    directory.apply(update(2, 5, false, Status::Present), replica(2));
+
+    assert_eq!(change, if is_known { Change::Draining } else { Change::None });
+    assert!(directory.all().all(|endpoint| !endpoint.is_present()));
+    directory.apply(update(2, 6, false, Status::Present), replica(2));
+    assert!(directory.all().all(|endpoint| endpoint.is_present()), "it took that back");
+}
+
 /// Guards against an odd order that shuts out the further updates of a sound endpoint although no
 /// replica hears the odd one any more.
 #[parameterized(
--- a/crates/fleet/src/link/message.rs
+++ b/crates/fleet/src/link/message.rs
@@ -9,6 +9,7 @@
 
 use crate::Name;
 use crate::configuration::Configuration;
+use crate::departure::Departure;
 use crate::endpoint::Announcement;
 use crate::endpoint::EndpointUpdate;
 use crate::explanation::Explanation;
@@ -28,8 +29,8 @@
     Join(Identity),
     /// Announcements that another replica received from endpoints.
     Announced(Vec<Announcement>),
-    /// Id and incarnation of an endpoint that deregistered at another replica.
-    Deregistered(Name, u64),
+    /// An endpoint departed, as it told another replica.
+    Departed(Departure),
     /// A command for the log, forwarded to the leader by another replica.
     Propose(Vec<u8>),
     /// Asks for the log index that a linearizable read must wait for.
@@ -135,6 +136,9 @@
     pub cursor: Cursor,
     /// Updates of the directory since the position of the poll.
     pub endpoint_updates: Vec<EndpointUpdate>,
+    /// Departures of endpoints since the position of the poll, also of those that the replica has had
+    /// no announcement of.
+    pub departures: Vec<Departure>,
     /// Availability zone of the replica, unless the entry's position belongs to its process.
     pub zone: Option<Name>,
     /// Link addresses of all replicas.
