Record departures of endpoints in the replicated log before they are acknowledged

After a restart of all processes, a late announcement brought back an endpoint that had deregistered or drained, though that had been acknowledged: it was kept in memory only.

Departures are commands of the replicated log, several in one if they come together. The acknowledgement follows the commit; without a quorum the endpoint gets 503. Replicas bring the recorded departures into their directory before they answer polls or take announcements.

departure_outlives_the_processes (2 cases) and departure_is_not_acknowledged_without_a_quorum fail without the record.

--- a/crates/fleet-control/src/control.rs
+++ b/crates/fleet-control/src/control.rs
@@ -6,8 +6,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::StreamExt;
-use futures_util::stream::FuturesUnordered;
 use hickoryreel_base::time::boot_time;
 use hickoryreel_base::time::unix_millis;
 use hickoryreel_consensus::core::Role;
@@ -32,6 +30,7 @@
 
 use crate::cold_admission::ColdAdmission;
 use crate::consensus_client::ConsensusClient;
+use crate::departure_recorder::DepartureRecorder;
 use crate::directory::Directory;
 use crate::load_totals::LoadTotals;
 use crate::long_poll;
@@ -46,10 +45,6 @@
 use crate::send_totals::SendTotals;
 use crate::settings::Settings;
 
-/// Time to wait for another replica to confirm that an endpoint drains or has deregistered. The
-/// endpoint is acknowledged after it in any case. Three round trips between regions.
-const FORWARD_ACK_TIMEOUT: Duration = Duration::from_millis(80);
-
 /// Timeout of a request that passes an update on to another replica.
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -64,19 +59,19 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Unconfirmed;
 
-/// Why an order to evacuate an availability zone, or to end that, is not acknowledged.
+/// Why an order to evacuate an availability zone or to end that, or an announcement, is not
+/// acknowledged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Rejection {
     /// No such availability zone is known.
     UnknownZone,
+    /// An announcement has the id of an endpoint, but another service, which no configuration has
+    /// named.
+    Foreign,
     /// See [`Unconfirmed`].
     Unconfirmed,
 }
 
-/// An announcement has the id of an endpoint, but another service, which no configuration has named.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Foreign;
-
 /// A control replica.
 pub struct Control {
     pub settings: Settings,
@@ -89,6 +84,7 @@
     pub join_requests: JoinRequests,
     pub leave_notices: LeaveNotices,
     pub directory: RefCell<Directory>,
+    pub departure_recorder: DepartureRecorder,
     /// Wakes long polls after a change of the directory.
     pub directory_changed: Notify,
     pub polling_entries: RefCell<PollingEntries>,
@@ -112,29 +108,32 @@
         *self.seeds.borrow_mut() = seeds;
     }
 
-    /// Lets the directory use the endpoints of the services that the configuration names.
-    pub fn update_services(&self) {
+    /// Lets the directory use the endpoints of the services that the configuration names, and ignore
+    /// those that have departed.
+    pub fn update_directory(&self) {
         let state = self.consensus.state();
         let services = state.machine.configuration.services.iter().map(|service| &service.name);
-        if self.directory.borrow_mut().add_services(services) {
+        let mut directory = self.directory.borrow_mut();
+        let has_services = directory.add_services(services);
+        if directory.add_departures(&state.machine.departures) || has_services {
             self.directory_changed.notify_waiters();
         }
     }
 
-    /// Records the announcement of an endpoint and forwards it to the other replicas. If something
-    /// has changed and the endpoint drains, waits until another replica confirms the announcement
-    /// or a timeout expires.
-    pub async fn announce(&self, announcement: Announcement) -> Result<(), Foreign> {
+    /// Records the announcement of an endpoint and forwards it to the other replicas. If the endpoint
+    /// drains, waits until the replicated log says so.
+    pub async fn announce(&self, announcement: Announcement) -> Result<(), Rejection> {
         self.metrics.announcements.inc();
-        self.update_services();
+        self.update_directory();
         let (draining, order) = (announcement.draining, announcement.order());
         let id = announcement.id.clone();
         if self.directory.borrow().is_foreign(&announcement) {
             info!(self.log, "announcement of another service under the id of an endpoint";
                 "endpoint" => &*id, "service" => &*announcement.service,
                 "address" => %announcement.address);
-            return Err(Foreign);
+            return Err(Rejection::Foreign);
         }
+        let is_configured = self.directory.borrow().is_configured(&announcement);
         let outcome = self.directory.borrow_mut().announce(announcement.clone());
         let Some(changed) = outcome else {
             self.metrics.stale_announcements.inc();
@@ -149,15 +148,18 @@
                 "incarnation" => order.0, "sequence" => order.1);
             self.directory_changed.notify_waiters();
         }
-        let update = Request::Announced(vec![announcement]);
-        self.forward(update, changed && draining).await;
-        Ok(())
+        self.forward(&Request::Announced(vec![announcement]));
+        if !draining || !is_configured {
+            return Ok(());
+        }
+        let kind = departure::Kind::Draining(order.1);
+        let departure = Departure { id, incarnation: order.0, kind };
+        self.record_departure(departure).await.map_err(|Unconfirmed| Rejection::Unconfirmed)
     }
 
     /// Deregisters an endpoint, known or not, and forwards that to the other replicas. A later
-    /// incarnation than the stated one stays. Waits until another replica confirms it or a timeout
-    /// expires.
-    pub async fn deregister(&self, id: &str, stated: Option<u64>) {
+    /// incarnation than the stated one stays. Waits until the replicated log says so.
+    pub async fn deregister(&self, id: &str, stated: Option<u64>) -> Result<(), Unconfirmed> {
         let known = self.directory.borrow().incarnation(id);
         // Without any statement, it is one that has started before now.
         let incarnation = stated.or(known).unwrap_or_else(unix_millis);
@@ -165,7 +167,8 @@
         self.depart(&departure);
         info!(self.log, "endpoint deregistered"; "endpoint" => id, "incarnation" => known,
             "stated_incarnation" => stated);
-        self.forward(Request::Departed(departure), true).await;
+        self.forward(&Request::Departed(departure.clone()));
+        self.record_departure(departure).await
     }
 
     fn depart(&self, departure: &Departure) {
@@ -174,27 +177,24 @@
         }
     }
 
-    async fn forward(&self, update: Request, wait: bool) {
-        let other_members = self.peers.other_members(&self.consensus.state());
-        if !wait {
-            other_members.iter().for_each(|client| client.notify(update.clone(), FORWARD_TIMEOUT));
-            return;
+    /// Records a departure in the replicated log, unless it is there.
+    async fn record_departure(&self, departure: Departure) -> Result<(), Unconfirmed> {
+        if self.consensus.state().machine.departures.includes(&departure) {
+            return Ok(());
+        }
+        let id = departure.id.clone();
+        if !self.departure_recorder.record(departure).await {
+            self.metrics.unconfirmed.inc();
+            info!(self.log, "departure is not recorded"; "endpoint" => &*id);
+            return Err(Unconfirmed);
+        }
+        Ok(())
+    }
+
+    fn forward(&self, update: &Request) {
+        for client in self.peers.other_members(&self.consensus.state()) {
+            client.notify(update.clone(), FORWARD_TIMEOUT);
         }
-        let calls: FuturesUnordered<_> = other_members
-            .into_iter()
-            .map(|client| {
-                let update = update.clone();
-                // A separate task, so that the call continues after the wait has timed out.
-                tokio::task::spawn_local(async move { client.call(update, FORWARD_TIMEOUT).await })
-            })
-            .collect();
-        let confirmed = calls.filter(|answer| {
-            let confirmed = matches!(answer, Ok(Some(_)));
-            async move { confirmed }
-        });
-        let mut confirmed = std::pin::pin!(confirmed);
-        // If no other replica is reachable, this one acknowledges the endpoint alone.
-        let _ = tokio::time::timeout(FORWARD_ACK_TIMEOUT, confirmed.next()).await;
     }
 
     /// Puts a validated configuration in force, unless one with the same or a higher number is.
@@ -384,7 +384,7 @@
                 Answer::Done
             }
             Request::Announced(announcements) => {
-                self.update_services();
+                self.update_directory();
                 let mut directory = self.directory.borrow_mut();
                 let outcomes: Vec<_> = announcements
                     .into_iter()
--- a/crates/fleet-control/src/directory.rs
+++ b/crates/fleet-control/src/directory.rs
@@ -79,6 +79,8 @@
     endpoints: HashMap<Name, KnownEndpoint>,
     /// Also of endpoints that the replica has had no announcement of, for example since its restart.
     departures: Departures,
+    /// Number of the latest departure of the replicated state that is known here.
+    replicated_departures: u64,
 }
 
 impl Directory {
@@ -92,6 +94,7 @@
             services: HashSet::new(),
             endpoints: HashMap::new(),
             departures: Departures::default(),
+            replicated_departures: 0,
         }
     }
 
@@ -119,7 +122,7 @@
     }
 
     /// Whether a configuration has named the service of an announcement.
-    fn is_configured(&self, announcement: &Announcement) -> bool {
+    pub fn is_configured(&self, announcement: &Announcement) -> bool {
         self.services.contains(&announcement.service)
     }
 
@@ -256,6 +259,16 @@
         true
     }
 
+    /// Records the departures in the replicated state that are new. Returns whether there are any.
+    pub fn add_departures(&mut self, departures: &Departures) -> bool {
+        let before = self.change;
+        for departure in departures.since(self.replicated_departures) {
+            self.depart(&departure);
+        }
+        self.replicated_departures = departures.last_number();
+        self.change != before
+    }
+
     /// Marks endpoints that missed announcements as silent and drops those not heard for a long
     /// time. Returns the endpoints that became silent.
     pub fn expire(&mut self) -> Vec<Name> {
--- a/crates/fleet-control/src/lib.rs
+++ b/crates/fleet-control/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cold_admission;
 pub mod consensus_client;
 pub mod control;
+pub mod departure_recorder;
 pub mod directory;
 pub mod load_totals;
 pub mod long_poll;
--- a/crates/fleet-control/src/long_poll.rs
+++ b/crates/fleet-control/src/long_poll.rs
@@ -51,6 +51,8 @@
     let changed = control.directory.borrow().has_changed_since(poll.cursor);
     let confirm_timeout = if changed { CHANGED_CONFIRM_TIMEOUT } else { CONFIRM_TIMEOUT };
     let state = control.consensus.linearizable_read(confirm_timeout).await;
+    // The answer must not say less than the state that it confirms.
+    control.update_directory();
     let directory = control.directory.borrow();
     let latest_state = control.consensus.state();
     Answer::Poll(Box::new(PollAnswer {
--- a/crates/fleet-control/src/machine.rs
+++ b/crates/fleet-control/src/machine.rs
@@ -7,6 +7,8 @@
 use hickoryreel_fleet::Name;
 use hickoryreel_fleet::configuration::Configuration;
 use hickoryreel_fleet::configuration::earlier;
+use hickoryreel_fleet::departure::Departure;
+use hickoryreel_fleet::departure::Departures;
 use hickoryreel_fleet::former_keys;
 use hickoryreel_fleet::roll_out::Phase;
 use hickoryreel_fleet::roll_out::RollOut;
@@ -55,6 +57,9 @@
         /// arrives after a later order has no effect.
         earlier_orders: u64,
     },
+    /// Records that endpoints drain or have deregistered, so that a late announcement does not bring
+    /// them back after all processes have restarted.
+    RecordDepartures(Vec<Departure>),
 }
 
 impl Command {
@@ -83,50 +88,19 @@
     evacuation_orders: BTreeMap<Name, u64>,
     /// Keys of earlier configurations.
     pub former_keys: Arc<former_keys::History>,
+    /// Endpoints that have left.
+    pub departures: Arc<Departures>,
 }
 
 /// First number of a snapshot. The first builds began theirs with the number of the configuration,
 /// which is never as large.
-const SNAPSHOT_FORMAT: u64 = u64::MAX - 1;
+const SNAPSHOT_FORMAT: u64 = u64::MAX - 2;
 
-/// First number of a snapshot of a build that remembered no former keys.
-const SNAPSHOT_FORMAT_WITHOUT_FORMER_KEYS: u64 = u64::MAX;
-
-/// The replicated state in a snapshot of a build that remembered no former keys.
-#[derive(Deserialize)]
-struct MachineWithoutFormerKeys {
-    configuration: Arc<Configuration>,
-    source: Bytes,
-    roll_outs: Arc<RollOuts>,
-    revision: u64,
-    last_serial: u64,
-    evacuated: Arc<Vec<Name>>,
-    evacuation_orders: BTreeMap<Name, u64>,
-}
+/// First number of a snapshot of a build that remembered no departures.
+const SNAPSHOT_FORMAT_WITHOUT_DEPARTURES: u64 = u64::MAX - 1;
 
-impl From<MachineWithoutFormerKeys> for Machine {
-    fn from(earlier: MachineWithoutFormerKeys) -> Self {
-        let MachineWithoutFormerKeys {
-            configuration,
-            source,
-            roll_outs,
-            revision,
-            last_serial,
-            evacuated,
-            evacuation_orders,
-        } = earlier;
-        Self {
-            configuration,
-            source,
-            roll_outs,
-            revision,
-            last_serial,
-            evacuated,
-            evacuation_orders,
-            former_keys: Arc::default(),
-        }
-    }
-}
+/// First number of a snapshot of a build that remembered neither former keys nor departures.
+const SNAPSHOT_FORMAT_WITHOUT_FORMER_KEYS: u64 = u64::MAX;
 
 /// The replicated state in a snapshot of the first builds.
 #[derive(Deserialize)]
@@ -165,6 +139,7 @@
             Command::SetEvacuation { zone, evacuated, earlier_orders } => {
                 self.set_evacuation(zone, evacuated, earlier_orders);
             }
+            Command::RecordDepartures(departures) => self.record_departures(&departures),
         }
     }
 
@@ -204,6 +179,13 @@
         self.revision += 1;
     }
 
+    fn record_departures(&mut self, recorded: &[Departure]) {
+        let departures = Arc::make_mut(&mut self.departures);
+        for departure in recorded {
+            departures.record(departure, departures.last_number() + 1);
+        }
+    }
+
     /// Starts a roll-out. A resent command has the target of the newest roll-out and changes
     /// nothing.
     fn start_roll_out(&mut self, service: Name, target: Name, length_ms: u64, share: u32) {
@@ -271,10 +253,18 @@
     pub fn restore(data: &[u8]) -> Result<Self, postcard::Error> {
         match postcard::take_from_bytes(data)? {
             (SNAPSHOT_FORMAT, state) => postcard::from_bytes(state),
+            (SNAPSHOT_FORMAT_WITHOUT_DEPARTURES, state) => {
+                Self::restore_with(state, &Departures::default())
+            }
             (SNAPSHOT_FORMAT_WITHOUT_FORMER_KEYS, state) => {
-                postcard::from_bytes::<MachineWithoutFormerKeys>(state).map(Self::from)
+                Self::restore_with(state, &(former_keys::History::default(), Departures::default()))
             }
             _ => postcard::from_bytes::<EarlierMachine>(data).map(Self::from),
         }
     }
+
+    /// Decodes a state without its last fields, which get the values `missing`.
+    fn restore_with(state: &[u8], missing: &impl Serialize) -> Result<Self, postcard::Error> {
+        postcard::from_bytes(&[state, &postcard::to_stdvec(missing)?].concat())
+    }
 }
--- a/crates/fleet-control/src/run.rs
+++ b/crates/fleet-control/src/run.rs
@@ -22,6 +22,7 @@
 
 use crate::consensus_client::ConsensusClient;
 use crate::control::Control;
+use crate::departure_recorder::DepartureRecorder;
 use crate::directory::Directory;
 use crate::long_poll::PollingEntries;
 use crate::members;
@@ -31,6 +32,7 @@
 use crate::peers;
 use crate::peers::Peers;
 use crate::replicated_log;
+use crate::replicated_log::ReplicaState;
 use crate::roll_out;
 use crate::roll_out::Tallies;
 use crate::send_totals::SendTotals;
@@ -64,12 +66,11 @@
     let id = log_handle.state.borrow().id;
     let own = Identity { id, address: settings.link_address.to_string().into() };
     let peers = Rc::new(Peers::new(own, log.clone()));
+    let consensus =
+        ConsensusClient::start(log_handle.clone(), Rc::clone(&peers), settings.held_voters);
     let control = Rc::new(Control {
-        consensus: ConsensusClient::start(
-            log_handle.clone(),
-            Rc::clone(&peers),
-            settings.held_voters,
-        ),
+        departure_recorder: DepartureRecorder::start(consensus.clone(), settings.answer_timeout),
+        consensus,
         peers: Rc::clone(&peers),
         seeds: Rc::new(RefCell::new(settings.seeds.clone())),
         join_requests: JoinRequests::default(),
@@ -99,22 +100,25 @@
     ));
     spawn_local(roll_out::run_controller(log_handle, Rc::clone(&control.tallies), log.clone()));
     spawn_local(expire(Rc::clone(&control)));
-    spawn_local(follow_services(Rc::clone(&control)));
+    spawn_local(follow_state(Rc::clone(&control)));
     info!(log, "control replica is up"; "links" => %control.settings.link_address, "replica" => %id,
         "bootstrap" => control.settings.bootstrap);
     Ok((control, failure))
 }
 
-/// Lets the directory use the endpoints of services as soon as a configuration names them.
-async fn follow_services(control: Rc<Control>) {
+/// Updates the directory as soon as a configuration names services or endpoints have departed.
+async fn follow_state(control: Rc<Control>) {
     let mut state = control.log_handle.state.clone();
-    let mut number = 0;
+    let position = |state: &ReplicaState| {
+        (state.machine.configuration.number, state.machine.departures.last_number())
+    };
+    let mut seen = (0, 0);
     loop {
-        control.update_services();
-        let differs = state.wait_for(|state| state.machine.configuration.number != number).await;
+        control.update_directory();
+        let differs = state.wait_for(|state| position(state) != seen).await;
         // The thread that owns the log has ended.
         let Ok(changed) = differs else { return };
-        number = changed.machine.configuration.number;
+        seen = position(&changed);
     }
 }
 
--- a/crates/fleet-control/tests/cluster.rs
+++ b/crates/fleet-control/tests/cluster.rs
@@ -14,17 +14,21 @@
 use hickoryreel_fleet::configuration::Service;
 use hickoryreel_fleet::endpoint::Announcement;
 use hickoryreel_fleet::link::Answer;
+use hickoryreel_fleet::link::Cursor;
 use hickoryreel_fleet::link::Handler;
 use hickoryreel_fleet::link::Identity;
 use hickoryreel_fleet::link::Poll;
 use hickoryreel_fleet::link::Request;
 use hickoryreel_fleet_control::control::Control;
+use hickoryreel_fleet_control::control::Rejection;
+use hickoryreel_fleet_control::control::Unconfirmed;
 use hickoryreel_fleet_control::long_poll;
 use hickoryreel_fleet_control::members::MAX_ALIVE_SILENCE;
 use hickoryreel_fleet_control::run;
 use hickoryreel_fleet_control::settings::Settings;
 use tempfile::TempDir;
 use tokio::task::LocalSet;
+use yare::parameterized;
 
 /// Time after which the test fails. A few elections take far less; the time itself is not under
 /// test.
@@ -92,6 +96,22 @@
     tokio::time::timeout(TEST_TIMEOUT, accepted).await.expect("the configuration is accepted");
 }
 
+/// The announcement of an endpoint with a sequence number.
+fn announcement(sequence: u64, draining: bool) -> Announcement {
+    Announcement {
+        id: "e1".into(),
+        service: "ledger".into(),
+        address: SocketAddrV4::new(std::net::Ipv4Addr::LOCALHOST, 8_080),
+        zone: "a".into(),
+        version: "v1".into(),
+        slots: 6,
+        draining,
+        warm_up_left_ms: 0,
+        incarnation: 11,
+        sequence,
+    }
+}
+
 async fn newest_configuration(control: &Control) -> Bytes {
     let read = async {
         loop {
@@ -308,29 +328,77 @@
             let seed = free_address().await;
             let replica = start(seed, &[seed], data_dir.path(), true).await;
             put_configuration(&replica, 1).await;
-            let announced = Announcement {
-                id: "e1".into(),
-                service: "ledger".into(),
-                address: SocketAddrV4::new(std::net::Ipv4Addr::LOCALHOST, 8_080),
-                zone: "a".into(),
-                version: "v1".into(),
-                slots: 6,
-                draining: false,
-                warm_up_left_ms: 0,
-                incarnation: 11,
-                sequence: 1,
-            };
-            replica.announce(announced).await.expect("the service is configured");
+            replica.announce(announcement(1, false)).await.expect("the service is configured");
 
-            replica.deregister("e1", Some(10)).await;
+            replica.deregister("e1", Some(10)).await.expect("a single replica is a quorum");
             assert_eq!(replica.directory.borrow().present_count(), 1);
 
-            replica.deregister("e1", None).await;
+            replica.deregister("e1", None).await.expect("a single replica is a quorum");
             assert_eq!(replica.directory.borrow().present_count(), 0);
         })
         .await;
 }
 
+/// Guards against an endpoint that gets requests again after all replicas have restarted, because an
+/// announcement from before it left arrives late.
+#[parameterized(
+    deregistered = { true },
+    draining = { false },
+)]
+#[test_macro(tokio::test)]
+async fn departure_outlives_the_processes(deregisters: bool) {
+    LocalSet::new()
+        .run_until(async {
+            let data_dir = TempDir::new().unwrap();
+            let seed = free_address().await;
+            let before = start(seed, &[seed], data_dir.path(), true).await;
+            put_configuration(&before, 1).await;
+            before.announce(announcement(1, false)).await.expect("the service is configured");
+            let acknowledged = match deregisters {
+                true => before.deregister("e1", None).await.is_ok(),
+                false => before.announce(announcement(3, true)).await.is_ok(),
+            };
+            before.log_handle.stop();
+            wait_until("the log is closed", || before.log_handle.state.has_changed().is_err())
+                .await;
+
+            let address = free_address().await;
+            let restarted = start(address, &[seed], data_dir.path(), false).await;
+            newest_configuration(&restarted).await;
+            restarted.announce(announcement(2, false)).await.expect("the service is configured");
+
+            let updates = restarted.directory.borrow().updates_since(Cursor::default());
+            let usable = updates.iter().any(|update| !update.announcement.draining);
+            assert_eq!((acknowledged, usable), (true, false));
+        })
+        .await;
+}
+
+/// Guards against an endpoint that stops because its departure was acknowledged, though no quorum has
+/// recorded it.
+#[tokio::test]
+async fn departure_is_not_acknowledged_without_a_quorum() {
+    LocalSet::new()
+        .run_until(async {
+            let data_dirs: Vec<TempDir> = (0..2).map(|_| TempDir::new().unwrap()).collect();
+            let seed = free_address().await;
+            let first = start(seed, &[seed], data_dirs[0].path(), true).await;
+            put_configuration(&first, 1).await;
+            let second = start(free_address().await, &[seed], data_dirs[1].path(), true).await;
+            wait_until("the second replica votes", || voters(&second) == 2).await;
+            second.log_handle.stop();
+            first.announce(announcement(1, false)).await.expect("the service is configured");
+
+            let drained = first.announce(announcement(2, true)).await;
+            let deregistered = first.deregister("e1", None).await;
+
+            assert_eq!(drained, Err(Rejection::Unconfirmed));
+            assert_eq!(deregistered, Err(Unconfirmed));
+            assert_eq!(first.directory.borrow().present_count(), 0, "no entry uses it");
+        })
+        .await;
+}
+
 /// Guards against a new configuration that every replica sends to every entry.
 #[tokio::test]
 async fn configuration_is_sent_to_polls_that_want_it() {
--- a/crates/fleet-control/tests/evacuations.rs
+++ b/crates/fleet-control/tests/evacuations.rs
@@ -238,7 +238,7 @@
                     match replica.order(ZONE, evacuated).await {
                         Ok(()) => return,
                         Err(Rejection::Unconfirmed) => tokio::time::sleep(RETRY_DELAY).await,
-                        Err(Rejection::UnknownZone) => panic!("the zone is known"),
+                        Err(rejection) => panic!("{rejection:?} of an order for a known zone"),
                     }
                 }
             }
--- a/crates/fleet-control/tests/machine.rs
+++ b/crates/fleet-control/tests/machine.rs
@@ -9,6 +9,8 @@
 use hickoryreel_fleet::configuration::Target;
 use hickoryreel_fleet::configuration::Workspace;
 use hickoryreel_fleet::configuration::earlier;
+use hickoryreel_fleet::departure;
+use hickoryreel_fleet::departure::Departure;
 use hickoryreel_fleet::former_keys;
 use hickoryreel_fleet::roll_out::Phase;
 use hickoryreel_fleet_control::machine::Command;
@@ -25,6 +27,10 @@
     Command::StartRollOut { service: "drafts".into(), target: target.into(), length_ms, share: 100 }
 }
 
+fn record_departure(incarnation: u64, kind: departure::Kind) -> Command {
+    Command::RecordDepartures(vec![Departure { id: "e1".into(), incarnation, kind }])
+}
+
 fn phase(machine: &Machine) -> Option<Phase> {
     machine.roll_outs.for_service("drafts").map(|roll_out| roll_out.phase)
 }
@@ -108,7 +114,12 @@
 #[test]
 fn snapshot_restores_the_state() {
     let mut machine = Machine::default();
-    for command in [put_configuration(7, "seven"), start_roll_out("v2"), start_roll_out("v3")] {
+    for command in [
+        put_configuration(7, "seven"),
+        start_roll_out("v2"),
+        start_roll_out("v3"),
+        record_departure(10, departure::Kind::Gone),
+    ] {
         machine.apply(command);
     }
 
@@ -298,11 +309,50 @@
     machine.apply(set_evacuation("south", true, 0));
     let snapshot = machine.snapshot();
     let (_, state) = postcard::take_from_bytes::<u64>(&snapshot).unwrap();
-    // The earlier build wrote the same fields except the last one, which is empty here.
+    // The earlier build wrote the same fields except the former keys and the two maps of departures,
+    // which are empty here.
     let mut earlier = postcard::to_stdvec(&u64::MAX).unwrap();
-    earlier.extend(&state[..state.len() - 1]);
+    earlier.extend(&state[..state.len() - 3]);
+
+    let restored = Machine::restore(&earlier).unwrap();
+
+    assert_eq!(format!("{restored:?}"), format!("{machine:?}"));
+}
+
+/// Guards against an upgrade from a build that remembered no departures after which a replica can't read
+/// its snapshot.
+#[test]
+fn snapshot_without_departures_is_read() {
+    let mut machine = Machine::default();
+    machine.apply(with_keys(7, &["key"]));
+    machine.apply(with_keys(8, &["other"]));
+    let snapshot = machine.snapshot();
+    let (_, state) = postcard::take_from_bytes::<u64>(&snapshot).unwrap();
+    let mut earlier = postcard::to_stdvec(&(u64::MAX - 1)).unwrap();
+    earlier.extend(&state[..state.len() - 2]);
 
     let restored = Machine::restore(&earlier).unwrap();
 
     assert_eq!(format!("{restored:?}"), format!("{machine:?}"));
 }
+
+/// Guards against a resent or late departure that replaces a later one or is taken for a new one.
+#[test]
+fn departures_are_recorded_once() {
+    let mut machine = Machine::default();
+    machine.apply(record_departure(11, departure::Kind::Gone));
+    let number = machine.departures.last_number();
+
+    for (incarnation, kind) in [
+        (11, departure::Kind::Gone),
+        (11, departure::Kind::Draining(3)),
+        (10, departure::Kind::Gone),
+    ] {
+        machine.apply(record_departure(incarnation, kind));
+    }
+
+    assert_eq!(machine.departures.last_number(), number);
+    let recorded: Vec<u64> =
+        machine.departures.since(0).map(|departure| departure.incarnation).collect();
+    assert_eq!(recorded, [11]);
+}
