End what a control replica said of endpoints before its restart

An entry kept a restarted replica among those that hear an endpoint, though the replica had forgotten it. If all replicas had restarted, an endpoint that had crashed was never called silent, and requests went on being sent to it until they failed.

After a restart, which the epoch of the cursor shows, the entry waits 5 s for the replica to report the endpoints that it hears anew, and then ends what it said of others. The same holds at once for a replica that the entry no longer polls.

restarted_replica_hears_only_what_it_reports_anew tests it; without the change there is nothing that ends the earlier report.

--- a/crates/fleet-entry/src/control_poll.rs
+++ b/crates/fleet-entry/src/control_poll.rs
@@ -38,6 +38,10 @@
 /// Failed polls in a row after which the entry stops to poll a replica that is not a member.
 const MAX_FAILURES: u32 = 8;
 
+/// Time after the restart of a replica in which it hears all endpoints anew: the time after which it
+/// would call a known one silent.
+const REPORT_TIME: Duration = Duration::from_secs(5);
+
 /// Control replicas that the entry polls.
 #[derive(Default)]
 pub struct PolledReplicas {
@@ -79,6 +83,7 @@
     let mut cursor = Cursor::default();
     let mut failures = 0;
     let mut asked_at = Duration::ZERO;
+    let mut restarted_at = None;
     loop {
         let is_urgent = entry.confirmation_wanted_at.get() > asked_at;
         asked_at = boot_time();
@@ -98,14 +103,31 @@
                 info!(entry.log, "replica is no longer polled"; "peer" => %address);
                 polled.addresses.borrow_mut().remove(&address);
                 polled.sources.borrow_mut().remove(address);
+                entry.directory.borrow_mut().record_restart(address);
+                forget_unreported(&entry, address);
                 return;
             }
             tokio::time::sleep(RETRY_DELAY).await;
             continue;
         };
         failures = 0;
+        if cursor.epoch != answer.cursor.epoch && cursor != Cursor::default() {
+            entry.directory.borrow_mut().record_restart(address);
+            restarted_at = Some(asked_at);
+        }
         cursor = answer.cursor;
         apply_answer(&entry, &polled, asked_at, *answer, address);
+        if restarted_at.is_some_and(|restarted_at| asked_at >= restarted_at + REPORT_TIME) {
+            restarted_at = None;
+            forget_unreported(&entry, address);
+        }
+    }
+}
+
+fn forget_unreported(entry: &Entry, replica: SocketAddr) {
+    for id in entry.directory.borrow_mut().forget_unreported(replica) {
+        info!(entry.log, "endpoint changed"; "endpoint" => &*id, "change" => ?Change::Silent,
+            "replica" => %replica);
     }
 }
 
--- a/crates/fleet-entry/src/directory.rs
+++ b/crates/fleet-entry/src/directory.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -23,6 +24,8 @@
     services: HashMap<Name, Vec<Rc<Endpoint>>>,
     /// Endpoints that drain or have deregistered, whether they are known or not.
     departures: Departures,
+    /// Endpoints that a replica heard before it restarted, and has not reported since.
+    unreported: HashMap<SocketAddr, HashSet<Name>>,
     /// See [`Endpoint::version_since`], by service and version. Restarts of all endpoints of a version
     /// don't make it a newer one.
     version_starts: HashMap<Name, BTreeMap<Name, (u64, usize)>>,
@@ -51,6 +54,9 @@
     /// Applies an update from one replica.
     pub fn apply(&mut self, update: EndpointUpdate, replica: SocketAddr) -> Change {
         let EndpointUpdate { mut announcement, status } = update;
+        if let Some(unreported) = self.unreported.get_mut(&replica) {
+            unreported.remove(&announcement.id);
+        }
         if self.departures.is_gone(&announcement) {
             return Change::None;
         }
@@ -110,6 +116,24 @@
         }
     }
 
+    /// Records that a replica has restarted and forgotten which endpoints it hears.
+    pub fn record_restart(&mut self, replica: SocketAddr) {
+        let heard = self.all().filter(|endpoint| endpoint.is_heard_by(replica));
+        let heard = heard.map(|endpoint| endpoint.id()).collect();
+        self.unreported.insert(replica, heard);
+    }
+
+    /// Ends what a replica said before its restart, after the time in which it hears all endpoints
+    /// anew. Returns the endpoints that no replica hears any more.
+    pub fn forget_unreported(&mut self, replica: SocketAddr) -> Vec<Name> {
+        let mut unreported = self.unreported.remove(&replica).unwrap_or_default();
+        unreported.retain(|id| {
+            let endpoint = self.endpoints.get(id);
+            endpoint.is_some_and(|endpoint| endpoint.set_heard_by(replica, false))
+        });
+        unreported.into_iter().collect()
+    }
+
     /// Applies the departure of an endpoint, which a replica may know though it does not know the
     /// endpoint.
     pub fn depart(&mut self, departure: &Departure) -> Change {
--- a/crates/fleet-entry/src/endpoint.rs
+++ b/crates/fleet-entry/src/endpoint.rs
@@ -297,6 +297,11 @@
         self.heard_by.borrow().is_empty()
     }
 
+    /// Whether a replica receives its announcements.
+    pub fn is_heard_by(&self, replica: SocketAddr) -> bool {
+        self.heard_by.borrow().contains(&replica)
+    }
+
     /// Records whether a replica receives its announcements. Returns whether this changes
     /// [`Self::is_silent`].
     pub fn set_heard_by(&self, replica: SocketAddr, hears: bool) -> bool {
--- a/crates/fleet-entry/tests/state.rs
+++ b/crates/fleet-entry/tests/state.rs
@@ -203,6 +203,33 @@
     assert_eq!(endpoint.announcement.borrow().incarnation, 2);
 }
 
+/// Guards against an endpoint that has crashed and is never called silent, because the replicas that heard
+/// it have restarted and don't know it.
+#[test]
+fn restarted_replica_hears_only_what_it_reports_anew() {
+    let mut directory = Directory::default();
+    for number in [1, 2] {
+        directory.apply(update(2, 1, false, Status::Present), replica(number));
+    }
+    let id = update(2, 1, false, Status::Present).announcement.id;
+    let silent = |directory: &Directory| directory.all().any(|endpoint| endpoint.is_silent());
+
+    directory.record_restart(replica(1));
+    assert!(directory.forget_unreported(replica(1)).is_empty());
+    assert!(!silent(&directory), "the second replica hears it");
+
+    directory.record_restart(replica(2));
+    assert!(!silent(&directory), "the second replica has had no time to hear it");
+    assert_eq!(directory.forget_unreported(replica(2)), [id]);
+    assert!(silent(&directory));
+
+    directory.apply(update(2, 9, false, Status::Present), replica(1));
+    directory.record_restart(replica(1));
+    directory.apply(update(2, 9, false, Status::Present), replica(1));
+    assert!(directory.forget_unreported(replica(1)).is_empty());
+    assert!(!silent(&directory));
+}
+
 /// Guards against removing an endpoint because a replica does not receive its announcements.
 #[test]
 fn silent_endpoint_stays_known() {
