Check the bytes of an answer's head, not only the parsed head

The bytes that arrive while a head is expected are scanned: each head must begin with a status line, and none may begin within it. Otherwise the connection is closed and the outcome is unknown. The parsed status and number of headers are compared with those that were scanned, in case the client had taken bytes in before. HeadLimit becomes HeadCheck, which also keeps the limit on the bytes.

--- a/crates/fleet-entry/src/exchange.rs
+++ b/crates/fleet-entry/src/exchange.rs
@@ -19,8 +19,8 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-use crate::head_limit::HeadLimit;
-use crate::head_limit::LimitedStream;
+use crate::head_check::CheckedStream;
+use crate::head_check::HeadCheck;
 
 /// Over ten round trips between regions; TCP would resend a lost SYN only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -43,7 +43,7 @@
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     idle_timeout: Duration,
-    head_limit: HeadLimit,
+    head_check: HeadCheck,
 }
 
 impl Drop for Connection {
@@ -137,8 +137,8 @@
             .map_err(|_| "no connection in time".to_owned())?
             .map_err(|cause| cause.to_string())?;
         let _ = stream.set_nodelay(true);
-        let head_limit = HeadLimit::default();
-        let stream = LimitedStream::new(stream, head_limit.clone());
+        let head_check = HeadCheck::default();
+        let stream = CheckedStream::new(stream, head_check.clone());
         let handshake =
             http1::Builder::new().max_buf_size(READ_BUFFER).handshake(TokioIo::new(stream));
         let (sender, driver) = handshake.await.map_err(|cause| cause.to_string())?;
@@ -146,7 +146,7 @@
             // The error also reaches the sender of the request.
             let _ = driver.await;
         });
-        Ok(Connection { sender, task: task.abort_handle(), idle_timeout: IDLE_TIMEOUT, head_limit })
+        Ok(Connection { sender, task: task.abort_handle(), idle_timeout: IDLE_TIMEOUT, head_check })
     }
 
     /// Sends a request and waits for the head of its answer. With `fresh`, only a connection that
@@ -168,11 +168,16 @@
                 }
             };
             let request = request().ok_or(Failure::Withdrawn)?;
-            connection.head_limit.expect_head();
+            connection.head_check.expect_head();
             let sent = connection.sender.try_send_request(request).await;
-            connection.head_limit.head_received();
             match sent {
-                Ok(response) => return Ok(Exchange { connection, response }),
+                Ok(response) if connection.head_check.accept_head(&response) => {
+                    return Ok(Exchange { connection, response });
+                }
+                Ok(_) => {
+                    let cause = "part of the answer arrived before the request was sent";
+                    return Err(Failure::Lost(cause.to_owned()));
+                }
                 Err(mut failed) => match failed.take_message() {
                     // Nothing was written because the pooled connection had been closed.
                     Some(_) if reused => {}
--- a/crates/fleet-entry/src/lib.rs
+++ b/crates/fleet-entry/src/lib.rs
@@ -10,7 +10,7 @@
 //! [`exchange`], [`provenance`] decides whether an answer belongs to it, [`outcome`] decides what follows
 //! from the way in which a send ended, and [`relay`] forwards a stream event by event. [`quarantine`] finds
 //! the [`prompt`]s that crash endpoints; what endpoints say of themselves is kept in [`availability`].
-//! What an endpoint may send is bounded by [`head_limit`], [`memory`] and [`progress`], and what waits
+//! What an endpoint may send is bounded by [`head_check`], [`memory`] and [`progress`], and what waits
 //! for a client by [`client_memory`] and
 //! [`client_stream`].
 //! [`control_poll`] keeps the view and the [`directory`] of [`endpoint`]s current over links to the
@@ -36,7 +36,8 @@
 pub mod exchange;
 pub mod explain;
 pub mod forward;
-pub mod head_limit;
+pub mod head_check;
+pub mod head_scanner;
 pub mod in_flight;
 pub mod kept;
 pub mod load_report;
--- a/crates/fleet-entry/tests/endless.rs
+++ b/crates/fleet-entry/tests/endless.rs
@@ -17,7 +17,7 @@
 use harness::serve_with_state;
 use harness::status;
 use harness::wait_until;
-use hickoryreel_fleet_entry::head_limit::MAX_BYTES_BEFORE_HEAD;
+use hickoryreel_fleet_entry::head_check::MAX_BYTES_BEFORE_HEAD;
 use tokio::task::LocalSet;
 use yare::parameterized;
 
