Agree on the version in force of each service

The version in force is replicated state. Entries get it with the roll-outs and pick no third version. A roll-out to the version in force is complete at once.

--- a/crates/fleet-control/src/directory.rs
+++ b/crates/fleet-control/src/directory.rs
@@ -19,6 +19,9 @@
 use hickoryreel_fleet::endpoint::WARM_UP_TOLERANCE;
 use hickoryreel_fleet::link::Cursor;
 
+use crate::version_adoption::Present;
+use crate::version_adoption::Versions;
+
 /// Consecutive missed announcements after which an endpoint counts as silent. An announcement may
 /// arrive seconds late.
 const MAX_MISSED_ANNOUNCEMENTS: u32 = 4;
@@ -312,6 +315,27 @@
         self.departures.since(from).collect()
     }
 
+    /// Returns the versions of a service of which endpoints are present.
+    pub fn versions(&self, service: &str) -> Versions {
+        let mut versions = Versions::new();
+        for known in self.endpoints.values() {
+            let announcement = &known.update.announcement;
+            let is_present = known.update.status == Status::Present && known.change > 0;
+            if !is_present || *announcement.service != *service {
+                continue;
+            }
+            let (version, since) = (announcement.version.clone(), announcement.incarnation);
+            match versions.iter_mut().find(|present| present.version == version) {
+                Some(present) => {
+                    present.since = present.since.min(since);
+                    present.endpoints += 1;
+                }
+                None => versions.push(Present { version, since, endpoints: 1 }),
+            }
+        }
+        versions
+    }
+
     /// Returns the number of endpoints that are present.
     pub fn present_count(&self) -> usize {
         let known = self.endpoints.values().filter(|known| known.change > 0);
--- a/crates/fleet-control/src/lib.rs
+++ b/crates/fleet-control/src/lib.rs
@@ -5,7 +5,8 @@
 //! publishes the result. Announcements go to the [`directory`] and to the other replicas. Entries
 //! get updates of both through long polls ([`long_poll`]). The leader limits the requests to endpoints
 //! that warm up ([`cold_admission`]). On the leader, controllers change the
-//! [`members`] and advance the [`roll_out`]s.
+//! [`members`], advance the [`roll_out`]s and find the first version of a service
+//! ([`version_adoption`]).
 
 pub mod cold_admission;
 pub mod consensus_client;
@@ -23,3 +24,4 @@
 pub mod run;
 pub mod send_totals;
 pub mod settings;
+pub mod version_adoption;
--- a/crates/fleet-control/src/long_poll.rs
+++ b/crates/fleet-control/src/long_poll.rs
@@ -76,6 +76,7 @@
         number,
         revision: machine.revision,
         roll_outs: is_revised.then(|| (*machine.roll_outs).clone()),
+        versions: is_revised.then(|| (*machine.versions).clone()),
         evacuated: is_revised.then(|| (*machine.evacuated).clone()),
         configuration: is_outdated.then(|| Box::new((*machine.configuration).clone())),
         former_keys: if is_outdated {
--- a/crates/fleet-control/src/machine.rs
+++ b/crates/fleet-control/src/machine.rs
@@ -60,6 +60,8 @@
     /// Records that endpoints drain or have deregistered, so that a late announcement does not bring
     /// them back after all processes have restarted.
     RecordDepartures(Vec<Departure>),
+    /// Puts a version of a service in force without a roll-out, unless another one than `replaced` is.
+    AdoptVersion { service: Name, version: Name, replaced: Option<Name> },
 }
 
 impl Command {
@@ -77,8 +79,8 @@
     /// The configuration as the operator sent it.
     pub source: Bytes,
     pub roll_outs: Arc<RollOuts>,
-    /// Increases with each new roll-out, each change of a phase or a share, and each start or end
-    /// of an evacuation.
+    /// Increases with each new roll-out, each change of a phase, a share or a version in force, and
+    /// each start or end of an evacuation.
     pub revision: u64,
     /// Number of the newest roll-out.
     last_serial: u64,
@@ -90,16 +92,18 @@
     pub former_keys: Arc<former_keys::History>,
     /// Endpoints that have left.
     pub departures: Arc<Departures>,
+    /// Version in force of each service that has one. Without a roll-out only it gets requests.
+    pub versions: Arc<BTreeMap<Name, Name>>,
 }
 
 /// First number of a snapshot. The first builds began theirs with the number of the configuration,
 /// which is never as large.
 const SNAPSHOT_FORMAT: u64 = u64::MAX - 2;
 
-/// First number of a snapshot of a build that remembered no departures.
+/// First number of a snapshot of a build that remembered neither departures nor versions in force.
 const SNAPSHOT_FORMAT_WITHOUT_DEPARTURES: u64 = u64::MAX - 1;
 
-/// First number of a snapshot of a build that remembered neither former keys nor departures.
+/// The same of a build that remembered no former keys either.
 const SNAPSHOT_FORMAT_WITHOUT_FORMER_KEYS: u64 = u64::MAX;
 
 /// The replicated state in a snapshot of the first builds.
@@ -140,6 +144,9 @@
                 self.set_evacuation(zone, evacuated, earlier_orders);
             }
             Command::RecordDepartures(departures) => self.record_departures(&departures),
+            Command::AdoptVersion { service, version, replaced } => {
+                self.adopt_version(service, version, replaced.as_ref());
+            }
         }
     }
 
@@ -179,6 +186,17 @@
         self.revision += 1;
     }
 
+    fn adopt_version(&mut self, service: Name, version: Name, replaced: Option<&Name>) {
+        let is_running = |roll_out: &RollOut| roll_out.phase.is_running();
+        if self.versions.get(&service) != replaced
+            || self.roll_outs.for_service(&service).is_some_and(is_running)
+        {
+            return;
+        }
+        Arc::make_mut(&mut self.versions).insert(service, version);
+        self.revision += 1;
+    }
+
     fn record_departures(&mut self, recorded: &[Departure]) {
         let departures = Arc::make_mut(&mut self.departures);
         for departure in recorded {
@@ -193,12 +211,13 @@
             return;
         }
         self.last_serial += 1;
+        let is_in_force = self.versions.get(&service) == Some(&target);
         let started = RollOut {
             serial: self.last_serial,
             service,
             target,
             length_ms,
-            phase: Phase::Pending,
+            phase: if is_in_force { Phase::Complete } else { Phase::Pending },
             share,
             elapsed_ms: 0,
         };
@@ -225,6 +244,10 @@
             return;
         }
         roll_out.phase = phase;
+        if phase == Phase::Complete {
+            let versions = Arc::make_mut(&mut self.versions);
+            versions.insert(roll_out.service.clone(), roll_out.target.clone());
+        }
         if phase == Phase::RolledBack {
             let withdrawn = (roll_out.service.clone(), roll_out.target.clone());
             roll_outs.withdrawn.push(withdrawn);
@@ -251,20 +274,32 @@
 
     /// Decodes a state encoded by [`Machine::snapshot`] of this or an earlier build.
     pub fn restore(data: &[u8]) -> Result<Self, postcard::Error> {
-        match postcard::take_from_bytes(data)? {
-            (SNAPSHOT_FORMAT, state) => postcard::from_bytes(state),
+        let without_versions = (Departures::default(), BTreeMap::<Name, Name>::new());
+        let earlier = match postcard::take_from_bytes(data)? {
+            (SNAPSHOT_FORMAT, state) => return postcard::from_bytes(state),
             (SNAPSHOT_FORMAT_WITHOUT_DEPARTURES, state) => {
-                Self::restore_with(state, &Departures::default())
+                Self::restore_with(state, &without_versions)
             }
             (SNAPSHOT_FORMAT_WITHOUT_FORMER_KEYS, state) => {
-                Self::restore_with(state, &(former_keys::History::default(), Departures::default()))
+                Self::restore_with(state, &(former_keys::History::default(), without_versions))
             }
             _ => postcard::from_bytes::<EarlierMachine>(data).map(Self::from),
-        }
+        };
+        earlier.map(Self::with_completed_versions)
     }
 
     /// Decodes a state without its last fields, which get the values `missing`.
     fn restore_with(state: &[u8], missing: &impl Serialize) -> Result<Self, postcard::Error> {
         postcard::from_bytes(&[state, &postcard::to_stdvec(missing)?].concat())
     }
+
+    /// Puts the targets of roll-outs in force that an earlier build has completed.
+    fn with_completed_versions(mut self) -> Self {
+        let is_complete = |roll_out: &&RollOut| roll_out.phase == Phase::Complete;
+        for roll_out in self.roll_outs.newest.iter().filter(is_complete) {
+            let versions = Arc::make_mut(&mut self.versions);
+            versions.insert(roll_out.service.clone(), roll_out.target.clone());
+        }
+        self
+    }
 }
--- a/crates/fleet-control/src/run.rs
+++ b/crates/fleet-control/src/run.rs
@@ -37,6 +37,7 @@
 use crate::roll_out::Tallies;
 use crate::send_totals::SendTotals;
 use crate::settings::Settings;
+use crate::version_adoption;
 
 /// Capacity of the outbox for consensus messages. The protocol resends messages that do not fit.
 const OUTBOX_CAPACITY: usize = 4_096;
@@ -99,6 +100,7 @@
         log.clone(),
     ));
     spawn_local(roll_out::run_controller(log_handle, Rc::clone(&control.tallies), log.clone()));
+    spawn_local(version_adoption::run_controller(Rc::clone(&control)));
     spawn_local(expire(Rc::clone(&control)));
     spawn_local(follow_state(Rc::clone(&control)));
     info!(log, "control replica is up"; "links" => %control.settings.link_address, "replica" => %id,
--- a/crates/fleet-control/tests/cluster.rs
+++ b/crates/fleet-control/tests/cluster.rs
@@ -374,6 +374,37 @@
         .await;
 }
 
+/// Guards against a version in use that is forgotten when its endpoints have been replaced and all
+/// processes have restarted.
+#[tokio::test]
+async fn first_version_outlives_its_endpoints_and_the_processes() {
+    LocalSet::new()
+        .run_until(async {
+            let data_dir = TempDir::new().unwrap();
+            let seed = free_address().await;
+            let before = start(seed, &[seed], data_dir.path(), true).await;
+            put_configuration(&before, 1).await;
+            before.announce(announcement(1, false)).await.expect("the service is configured");
+            let version = |control: &Control| {
+                let state = control.consensus.state();
+                state.machine.versions.get("ledger").map(|version| version.to_string())
+            };
+            wait_until("the version is in force", || version(&before).is_some()).await;
+            before.log_handle.stop();
+            wait_until("the log is closed", || before.log_handle.state.has_changed().is_err())
+                .await;
+
+            let address = free_address().await;
+            let restarted = start(address, &[seed], data_dir.path(), false).await;
+            newest_configuration(&restarted).await;
+            let other = Announcement { version: "v0".into(), ..announcement(2, false) };
+            restarted.announce(other).await.expect("the service is configured");
+
+            assert_eq!(version(&restarted).as_deref(), Some("v1"));
+        })
+        .await;
+}
+
 /// Guards against an endpoint that stops because its departure was acknowledged, though no quorum has
 /// recorded it.
 #[tokio::test]
--- a/crates/fleet-control/tests/machine.rs
+++ b/crates/fleet-control/tests/machine.rs
@@ -31,6 +31,19 @@
     Command::RecordDepartures(vec![Departure { id: "e1".into(), incarnation, kind }])
 }
 
+fn adopt_version(version: &str, replaced: Option<&str>) -> Command {
+    let replaced = replaced.map(Into::into);
+    Command::AdoptVersion { service: "drafts".into(), version: version.into(), replaced }
+}
+
+fn update_roll_out(serial: u64, phase: Phase) -> Command {
+    Command::UpdateRollOut { serial, phase, elapsed_ms: 20_000 }
+}
+
+fn version(machine: &Machine) -> Option<&str> {
+    machine.versions.get("drafts").map(|version| &**version)
+}
+
 fn phase(machine: &Machine) -> Option<Phase> {
     machine.roll_outs.for_service("drafts").map(|roll_out| roll_out.phase)
 }
@@ -116,6 +129,7 @@
     let mut machine = Machine::default();
     for command in [
         put_configuration(7, "seven"),
+        adopt_version("v1", None),
         start_roll_out("v2"),
         start_roll_out("v3"),
         record_departure(10, departure::Kind::Gone),
@@ -309,10 +323,10 @@
     machine.apply(set_evacuation("south", true, 0));
     let snapshot = machine.snapshot();
     let (_, state) = postcard::take_from_bytes::<u64>(&snapshot).unwrap();
-    // The earlier build wrote the same fields except the former keys and the two maps of departures,
-    // which are empty here.
+    // The earlier build wrote the same fields except the former keys, the two maps of departures and
+    // the versions in force, which are empty here.
     let mut earlier = postcard::to_stdvec(&u64::MAX).unwrap();
-    earlier.extend(&state[..state.len() - 3]);
+    earlier.extend(&state[..state.len() - 4]);
 
     let restored = Machine::restore(&earlier).unwrap();
 
@@ -329,7 +343,7 @@
     let snapshot = machine.snapshot();
     let (_, state) = postcard::take_from_bytes::<u64>(&snapshot).unwrap();
     let mut earlier = postcard::to_stdvec(&(u64::MAX - 1)).unwrap();
-    earlier.extend(&state[..state.len() - 2]);
+    earlier.extend(&state[..state.len() - 3]);
 
     let restored = Machine::restore(&earlier).unwrap();
 
@@ -356,3 +370,67 @@
         machine.departures.since(0).map(|departure| departure.incarnation).collect();
     assert_eq!(recorded, [11]);
 }
+
+/// Guards against a version that comes into force without an order, because two leaders see different
+/// endpoints or a command arrives late.
+#[test]
+fn version_is_adopted_only_in_place_of_the_one_that_was_seen() {
+    let mut machine = Machine::default();
+    machine.apply(adopt_version("v1", None));
+    let revision = machine.revision;
+    machine.apply(adopt_version("v2", None));
+    assert_eq!((version(&machine), machine.revision), (Some("v1"), revision));
+
+    machine.apply(start_roll_out("v2"));
+    machine.apply(adopt_version("v3", Some("v1")));
+    assert_eq!(version(&machine), Some("v1"), "a roll-out decides");
+
+    machine.apply(update_roll_out(1, Phase::RolledBack));
+    machine.apply(adopt_version("v3", Some("v1")));
+    assert_eq!(version(&machine), Some("v3"));
+}
+
+/// Guards against a version that stays in force after it was replaced, and one that comes into force by a
+/// roll-out that fails.
+#[parameterized(
+    complete = { Phase::Complete, "v2" },
+    rolled_back = { Phase::RolledBack, "v1" },
+    moving = { Phase::Moving, "v1" },
+)]
+fn completed_roll_out_puts_its_target_in_force(end: Phase, expected: &str) {
+    let mut machine = Machine::default();
+    machine.apply(adopt_version("v1", None));
+    machine.apply(start_roll_out("v2"));
+
+    machine.apply(update_roll_out(1, end));
+
+    let restored = Machine::restore(&machine.snapshot()).unwrap();
+    assert_eq!(version(&restored), Some(expected));
+}
+
+/// Guards against a roll-out to the version in force that takes the service down: its share of the
+/// requests has a version, and the rest none.
+#[test]
+fn roll_out_to_the_version_in_force_is_complete_at_once() {
+    let mut machine = Machine::default();
+    machine.apply(adopt_version("v1", None));
+
+    machine.apply(start_roll_out("v1"));
+
+    assert_eq!((phase(&machine), version(&machine)), (Some(Phase::Complete), Some("v1")));
+}
+
+/// Guards against an upgrade after which the version that the build before had rolled out is not the one
+/// in force.
+#[test]
+fn version_in_force_follows_from_a_roll_out_of_an_earlier_build() {
+    let mut machine = Machine::default();
+    machine.apply(start_roll_out("v2"));
+    machine.apply(update_roll_out(1, Phase::Complete));
+    let roll_outs = &*machine.roll_outs;
+    let state = (earlier_configuration(), "source".as_bytes(), roll_outs, 5_u64, 1_u64);
+
+    let restored = Machine::restore(&postcard::to_stdvec(&state).unwrap()).unwrap();
+
+    assert_eq!(version(&restored), Some("v2"));
+}
--- a/crates/fleet-entry/src/pick.rs
+++ b/crates/fleet-entry/src/pick.rs
@@ -76,6 +76,8 @@
     pub metadata: &'a RequestMetadata,
     pub service: &'a Name,
     pub roll_outs: &'a RollOuts,
+    /// Version in force of the service; `None` if none has been agreed on yet.
+    pub version_in_force: Option<&'a Name>,
     /// Ids of the endpoints to which the request was sent before.
     pub tried: &'a [Name],
     /// Number of entries in the fleet.
@@ -95,6 +97,11 @@
 }
 
 impl PickContext<'_> {
+    /// Whether a version is in force, or no other one has been agreed on yet.
+    fn may_be_in_force(&self, version: &Name) -> bool {
+        self.version_in_force.is_none_or(|in_force| in_force == version)
+    }
+
     /// Whether the KV cache of an endpoint holds the prompt beside those that all entries have there.
     fn has_memory(&self, endpoint: &Endpoint) -> bool {
         self.memory_tokens.is_none_or(|capacity| {
@@ -127,21 +134,26 @@
         if context.roll_outs.is_withdrawn(context.service, &version) {
             return false;
         }
-        match roll_out {
-            None => true,
-            Some(roll_out) => match roll_out.phase {
-                Phase::Pending => version != roll_out.target,
-                Phase::Trial => (version == roll_out.target) == in_trial(context, roll_out.share),
-                Phase::Moving | Phase::Complete => version == roll_out.target,
-                Phase::RolledBack => version != roll_out.target,
-            },
+        let Some(roll_out) = roll_out else { return context.may_be_in_force(&version) };
+        let is_target = version == roll_out.target;
+        let is_old = !is_target && context.may_be_in_force(&version);
+        match roll_out.phase {
+            Phase::Pending | Phase::RolledBack => is_old,
+            Phase::Trial if in_trial(context, roll_out.share) => is_target,
+            Phase::Trial => is_old,
+            Phase::Moving => is_target,
+            // The target, unless it has had no endpoint for long.
+            Phase::Complete => {
+                context.version_in_force.map_or(is_target, |in_force| *in_force == version)
+            }
         }
     };
     let mut chosen = permitted.clone();
     chosen.retain(allowed);
-    // Endpoints of a new version may announce themselves before its roll-out is ordered or this entry
-    // learns of it. The names of versions have no order.
-    let is_unordered = roll_out.is_none_or(|roll_out| roll_out.phase == Phase::RolledBack);
+    // No version has been agreed on yet. Endpoints of a new one may announce themselves before its
+    // roll-out is ordered or this entry learns of it. The names of versions have no order.
+    let is_unordered = context.version_in_force.is_none()
+        && roll_out.is_none_or(|roll_out| roll_out.phase == Phase::RolledBack);
     let oldest = chosen.iter().map(|endpoint| endpoint.version_since.get()).min();
     if let Some(oldest) = oldest.filter(|_| is_unordered) {
         chosen.retain(|endpoint| endpoint.version_since.get() == oldest);
@@ -150,10 +162,12 @@
         chosen.is_empty() && roll_out.is_some_and(|roll_out| roll_out.phase.is_running());
     if trial_without_endpoint {
         let usable = |endpoint: &Endpoint| {
-            !context.roll_outs.is_withdrawn(context.service, &endpoint.version())
-                && (roll_out.is_some_and(|roll_out| {
-                    roll_out.phase == Phase::Moving || roll_out.target != endpoint.version()
-                }))
+            let version = endpoint.version();
+            !context.roll_outs.is_withdrawn(context.service, &version)
+                && roll_out.is_some_and(|roll_out| match version == roll_out.target {
+                    true => roll_out.phase == Phase::Moving,
+                    false => context.may_be_in_force(&version),
+                })
         };
         chosen = permitted;
         chosen.retain(usable);
--- a/crates/fleet-entry/src/routed.rs
+++ b/crates/fleet-entry/src/routed.rs
@@ -87,6 +87,7 @@
         metadata,
         service,
         roll_outs: &view.roll_outs,
+        version_in_force: view.version_in_force(service),
         tried,
         entries: entry.entries.get(),
         token_ms,
--- a/crates/fleet-entry/src/view.rs
+++ b/crates/fleet-entry/src/view.rs
@@ -1,5 +1,6 @@
 //! The entry's copy of the agreed state, and how long it may be relied on.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -77,9 +78,11 @@
     /// The configuration in force; `None` before the first one is known.
     pub index: Option<Arc<Index>>,
     pub roll_outs: RollOuts,
+    /// Version in force of each service that has one.
+    versions: BTreeMap<Name, Name>,
     /// Availability zones whose endpoints get no requests.
     pub evacuated: Vec<Name>,
-    /// Revision of the roll-outs and evacuations.
+    /// Revision of the roll-outs, the versions in force and the evacuations.
     pub revision: u64,
     /// Keys of earlier configurations.
     former_keys: FormerKeys,
@@ -107,6 +110,7 @@
             && confirmed.revision > self.revision
         {
             self.roll_outs = roll_outs;
+            self.versions = confirmed.versions.unwrap_or_default();
             self.evacuated = evacuated;
             self.revision = confirmed.revision;
             changed = true;
@@ -123,6 +127,11 @@
         self.index.as_ref().map_or(0, |index| index.configuration.number)
     }
 
+    /// Version in force of a service; `None` if none has been agreed on yet.
+    pub fn version_in_force(&self, service: &str) -> Option<&Name> {
+        self.versions.get(service)
+    }
+
     /// Whether a word is an API key of this or an earlier configuration.
     pub fn is_key(&self, word: &str) -> bool {
         let is_current = self.index.as_ref().is_some_and(|index| index.workspace(word).is_some());
--- a/crates/fleet-entry/tests/admission.rs
+++ b/crates/fleet-entry/tests/admission.rs
@@ -504,6 +504,7 @@
         metadata: &metadata,
         service: &service,
         roll_outs: &roll_outs,
+        version_in_force: None,
         tried: &[],
         entries: 1,
         token_ms: Some(0.1),
--- a/crates/fleet-entry/tests/common/mod.rs
+++ b/crates/fleet-entry/tests/common/mod.rs
@@ -66,6 +66,7 @@
         number: configuration.number,
         revision: 0,
         roll_outs: None,
+        versions: None,
         evacuated: None,
         configuration: Some(Box::new(configuration)),
         former_keys: Vec::new(),
--- a/crates/fleet-entry/tests/explain.rs
+++ b/crates/fleet-entry/tests/explain.rs
@@ -160,6 +160,7 @@
         number: configuration.number,
         revision: 1,
         roll_outs: Some(roll_outs),
+        versions: None,
         evacuated: Some(names(evacuated)),
         configuration: Some(Box::new(configuration)),
         former_keys: Vec::new(),
--- a/crates/fleet-entry/tests/extremes.rs
+++ b/crates/fleet-entry/tests/extremes.rs
@@ -167,6 +167,7 @@
         metadata: &metadata,
         service: &"service".into(),
         roll_outs: &RollOuts::default(),
+        version_in_force: None,
         tried: &[],
         entries: 1,
         token_ms: Some(0.01),
--- a/crates/fleet-entry/tests/pick.rs
+++ b/crates/fleet-entry/tests/pick.rs
@@ -103,6 +103,7 @@
         metadata: &metadata,
         service: &service,
         roll_outs: &roll_outs,
+        version_in_force: None,
         tried: &[],
         entries: ENTRIES,
         token_ms: Some(token_ms),
@@ -237,8 +238,13 @@
 /// An endpoint's number, its version and its start.
 type Started = (usize, &'static str, u64);
 
-/// Returns the versions that get requests after announcements in this order.
-fn chosen_versions(announced: &[Started], roll_outs: &RollOuts) -> HashSet<Name> {
+/// Returns the versions that get requests after announcements in this order, `None` among them if there
+/// is no endpoint for some.
+fn versions_of_choices(
+    announced: &[Started],
+    roll_outs: &RollOuts,
+    in_force: Option<&str>,
+) -> HashSet<Option<Name>> {
     let mut directory = Directory::default();
     for (number, version, incarnation) in announced {
         let port = 9_000 + u16::try_from(*number).expect("few endpoints");
@@ -253,6 +259,7 @@
         directory.apply(update, SocketAddr::from(([10, 0, 0, 1], 7_000)));
     }
     let (route, service) = (route(), Name::from("service"));
+    let in_force = in_force.map(Name::from);
     let settings = Settings::default();
     let choices = (0..50).map(|id| {
         let metadata = RequestMetadata { id: id.to_string(), ..RequestMetadata::default() };
@@ -261,6 +268,7 @@
             metadata: &metadata,
             service: &service,
             roll_outs,
+            version_in_force: in_force.as_ref(),
             tried: &[],
             entries: 1,
             token_ms: Some(0.1),
@@ -271,11 +279,98 @@
             memory_tokens: None,
         };
         let choice = pick::choose(&context, directory.for_service("service"));
-        choice.expect("one is usable").endpoint.version()
+        choice.map(|choice| choice.endpoint.version())
     });
     choices.collect()
 }
 
+/// Like [`versions_of_choices`], before a version has been agreed on. There is an endpoint for each
+/// request.
+fn chosen_versions(announced: &[Started], roll_outs: &RollOuts) -> HashSet<Name> {
+    let versions = versions_of_choices(announced, roll_outs, None);
+    versions.into_iter().map(|version| version.expect("one is usable")).collect()
+}
+
+/// A roll-out of v10 in a phase, with a share of 0.2.
+fn roll_out_to_v10(phase: Phase) -> RollOuts {
+    RollOuts {
+        newest: vec![RollOut {
+            serial: 1,
+            service: "service".into(),
+            target: "v10".into(),
+            length_ms: 20_000,
+            phase,
+            share: 200,
+            elapsed_ms: 15_000,
+        }],
+        withdrawn: Vec::new(),
+    }
+}
+
+/// Guards against an entry that has just started and takes a version that no order has named for the one
+/// in use, because all endpoints of that one have been replaced since.
+#[test]
+fn version_in_force_gets_all_requests_without_a_roll_out() {
+    let announced = [(0, "v10", 10), (1, "v9", 50), (2, "v8", 5)];
+
+    let versions = versions_of_choices(&announced, &RollOuts::default(), Some("v9"));
+
+    assert_eq!(versions, HashSet::from([Some(Name::from("v9"))]));
+}
+
+/// Guards against requests to a version that no order has named, when the one in force has no endpoint.
+#[test]
+fn version_without_an_order_gets_no_requests_instead_of_the_one_in_force() {
+    let announced = [(0, "v10", 10), (2, "v8", 5)];
+
+    let versions = versions_of_choices(&announced, &RollOuts::default(), Some("v9"));
+
+    assert_eq!(versions, HashSet::from([None]));
+}
+
+/// Guards against requests to a version that is neither in force nor the target of the roll-out.
+#[parameterized(
+    pending = { Phase::Pending, &["v9"] },
+    trial = { Phase::Trial, &["v9", "v10"] },
+    moving = { Phase::Moving, &["v10"] },
+    rolled_back = { Phase::RolledBack, &["v9"] },
+)]
+fn third_version_gets_no_requests_during_a_roll_out(phase: Phase, expected: &[&str]) {
+    let announced = [(0, "v10", 10), (1, "v9", 50), (2, "v8", 5)];
+
+    let versions = versions_of_choices(&announced, &roll_out_to_v10(phase), Some("v9"));
+
+    assert_eq!(versions, expected.iter().map(|version| Some(Name::from(*version))).collect());
+}
+
+/// Guards against a roll-out that takes a service down because its target has no endpoint.
+#[parameterized(
+    trial = { Phase::Trial },
+    moving = { Phase::Moving },
+)]
+fn version_in_force_serves_while_the_target_has_no_endpoint(phase: Phase) {
+    let announced = [(1, "v9", 50), (2, "v8", 5)];
+
+    let versions = versions_of_choices(&announced, &roll_out_to_v10(phase), Some("v9"));
+
+    assert_eq!(versions, HashSet::from([Some(Name::from("v9"))]));
+}
+
+/// Guards against a completed roll-out whose target has had no endpoint for so long that another version
+/// was put in force, and that still takes the service down.
+#[parameterized(
+    target = { "v10" },
+    other = { "v9" },
+)]
+fn version_in_force_counts_after_a_completed_roll_out(in_force: &str) {
+    let announced = [(0, "v10", 10), (1, "v9", 50), (2, "v8", 5)];
+    let roll_outs = roll_out_to_v10(Phase::Complete);
+
+    let versions = versions_of_choices(&announced, &roll_outs, Some(in_force));
+
+    assert_eq!(versions, HashSet::from([Some(Name::from(in_force))]));
+}
+
 /// Guards against a version that gets requests before its roll-out is ordered.
 #[parameterized(
     names_in_order = { &[(0, "v1", 10), (1, "v2", 50)], "v1" },
--- a/crates/fleet-entry/tests/placement.rs
+++ b/crates/fleet-entry/tests/placement.rs
@@ -148,6 +148,7 @@
             metadata: &metadata,
             service: &"service".into(),
             roll_outs: &roll_outs,
+            version_in_force: None,
             tried: &[],
             entries: 3,
             token_ms: Some(0.05),
--- a/crates/fleet-entry/tests/regions.rs
+++ b/crates/fleet-entry/tests/regions.rs
@@ -85,6 +85,7 @@
         number,
         revision,
         roll_outs: Some(RollOuts::default()),
+        versions: None,
         evacuated: Some(evacuated),
         configuration: None,
         former_keys: Vec::new(),
--- a/crates/fleet/src/link/message.rs
+++ b/crates/fleet/src/link/message.rs
@@ -1,5 +1,6 @@
 //! Requests and answers that processes exchange over links.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use hickoryreel_consensus::Message;
@@ -113,10 +114,12 @@
 pub struct Confirmed {
     /// Number of the newest configuration; 0 if there is none.
     pub number: u64,
-    /// Revision of the roll-outs and evacuations.
+    /// Revision of the roll-outs, the versions in force and the evacuations.
     pub revision: u64,
     /// Present if the entry has an older revision.
     pub roll_outs: Option<RollOuts>,
+    /// Version in force of each service that has one; present if the entry has an older revision.
+    pub versions: Option<BTreeMap<Name, Name>>,
     /// Availability zones whose endpoints get no requests; present if the entry has an older
     /// revision.
     pub evacuated: Option<Vec<Name>>,
--- a/crates/operator/tests/route.rs
+++ b/crates/operator/tests/route.rs
@@ -110,6 +110,7 @@
                     number: 7,
                     revision: 1,
                     roll_outs: Some(Default::default()),
+                    versions: None,
                     evacuated: Some(vec!["north-b".into()]),
                     configuration: Some(Box::new(configuration())),
                     former_keys: Vec::new(),
