--- a/crates/fleet-entry/src/view.rs
+++ b/crates/fleet-entry/src/view.rs
@@ -11,6 +11,7 @@
 use hickoryreel_fleet::configuration::Route;
 use hickoryreel_fleet::configuration::Service;
 use hickoryreel_fleet::configuration::Workspace;
+use hickoryreel_fleet::configuration::host_key;
 use hickoryreel_fleet::former_keys;
 use hickoryreel_fleet::link::Confirmed;
 use hickoryreel_fleet::roll_out::RollOuts;
@@ -34,8 +35,7 @@
     fn new(configuration: Configuration) -> Self {
         let mut hosts: HashMap<Name, Vec<Arc<Route>>> = HashMap::new();
         for route in &configuration.routes {
-            let host = route.host.to_ascii_lowercase().into();
-            hosts.entry(host).or_default().push(Arc::new(route.clone()));
+            hosts.entry(host_key(&route.host)).or_default().push(Arc::new(route.clone()));
         }
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -28,6 +28,11 @@
     pub limits: Limits,
 }
 
+/// Returns the form of a host in which hosts are compared: their names have no case.
+pub fn host_key(host: &str) -> Name {
+    host.to_ascii_lowercase().into()
+}
+
 impl Configuration {
     /// API keys of all workspaces.
     pub fn keys(&self) -> impl Iterator<Item = &str> {
@@ -206,7 +211,8 @@
             if route.timeout_ms == 0 {
                 return Err(Invalid::ZeroTimeout { route: name() });
             }
-            if let Some(first) = locations.insert((&route.host, &route.prefix), &route.name) {
+            let location = (host_key(&route.host), &route.prefix);
+            if let Some(first) = locations.insert(location, &route.name) {
                 return Err(Invalid::DuplicateRoute { first: first.to_string(), second: name() });
             }
         }
@@ -214,18 +220,14 @@
     }
 
     fn validate_keys(&self) -> Result<(), Invalid> {
-        let mut owners: HashMap<&str, &Name> = HashMap::new();
-        for workspace in self.workspaces.iter().flatten() {
+        // Two workspaces may have one name.
+        let mut owners: HashMap<&str, (usize, &Name)> = HashMap::new();
+        for (number, workspace) in self.workspaces.iter().flatten().enumerate() {
             for key in &workspace.keys {
-                match owners.insert(key, &workspace.name) {
-                    Some(first) if *first != workspace.name => {
-                        let first = first.to_string();
-                        return Err(Invalid::DuplicateKey {
-                            first,
-                            second: workspace.name.to_string(),
-                        });
-                    }
-                    _ => {}
+                let owner = owners.insert(key, (number, &workspace.name));
+                if let Some((_, first)) = owner.filter(|(owner, _)| *owner != number) {
+                    let (first, second) = (first.to_string(), workspace.name.to_string());
+                    return Err(Invalid::DuplicateKey { first, second });
                 }
             }
         }
--- a/crates/fleet/tests/configuration.rs
+++ b/crates/fleet/tests/configuration.rs
@@ -77,7 +77,14 @@
     zero_weight = { |configuration| configuration.routes[0].targets[0].weight = 0 },
     zero_timeout = { |configuration| configuration.routes[1].timeout_ms = 0 },
     duplicate_route = { |configuration| configuration.routes[1].prefix = "/a/".into() },
+    duplicate_route_in_another_case = { |configuration| {
+        configuration.routes[1] = Route { host: "Host.EXAMPLE".into(), ..route("b", "/a/") };
+    } },
     duplicate_key = { |configuration| workspaces(configuration)[1].keys.push("k1".into()) },
+    duplicate_key_under_one_name = { |configuration| {
+        workspaces(configuration)[1].keys.push("k1".into());
+        workspaces(configuration)[1].name = "w1".into();
+    } },
 )]
 fn invalid_configuration_is_refused(invalidate: fn(&mut Configuration)) {
     let mut configuration = valid();
