--- a/crates/fleet-control/tests/cluster.rs
+++ b/crates/fleet-control/tests/cluster.rs
@@ -112,6 +112,20 @@
     }
 }
 
+/// The first poll of an entry.
+fn first_poll() -> Poll {
+    Poll {
+        entry: "entry".into(),
+        incarnation: 1,
+        configuration: 0,
+        wants_configuration: true,
+        revision: 0,
+        cursor: Cursor::default(),
+        wait_ms: 1_000,
+        tallies: Vec::new(),
+    }
+}
+
 async fn newest_configuration(control: &Control) -> Bytes {
     let read = async {
         loop {
@@ -374,6 +388,31 @@
         .await;
 }
 
+/// Guards against entries that don't learn of a departure, because the replica that they poll has had no
+/// announcement of the endpoint, nor the call with which it deregistered.
+#[tokio::test]
+async fn departure_is_in_the_answers_of_all_replicas() {
+    LocalSet::new()
+        .run_until(async {
+            let data_dirs: Vec<TempDir> = (0..2).map(|_| TempDir::new().unwrap()).collect();
+            let seed = free_address().await;
+            let first = start(seed, &[seed], data_dirs[0].path(), true).await;
+            let second = start(free_address().await, &[seed], data_dirs[1].path(), true).await;
+            put_configuration(&first, 1).await;
+            wait_until("the second replica votes", || voters(&second) == 2).await;
+
+            first.deregister("e1", Some(11)).await.expect("both replicas run");
+
+            for replica in [&first, &second] {
+                let answer = long_poll::answer(Rc::clone(replica), first_poll()).await;
+                let Answer::Poll(answer) = answer else { panic!("not an answer to a poll") };
+                let departed: Vec<_> = answer.departures.iter().map(|gone| &*gone.id).collect();
+                assert_eq!(departed, ["e1"]);
+            }
+        })
+        .await;
+}
+
 /// Guards against a version in use that is forgotten when its endpoints have been replaced and all
 /// processes have restarted.
 #[tokio::test]
