--- a/crates/fleet-control/src/departure_recorder.rs
+++ b/crates/fleet-control/src/departure_recorder.rs
@@ -15,11 +15,12 @@
 /// Maximum number of departures that wait to be recorded. More are not recorded.
 const QUEUE_CAPACITY: usize = 4_096;
 
-type Entry = (Departure, oneshot::Sender<()>);
+/// A departure, and the channel over which its caller learns that it is recorded.
+type Waiting = (Departure, oneshot::Sender<()>);
 
 /// Queue of departures that wait to be recorded.
 pub struct DepartureRecorder {
-    queue: mpsc::Sender<Entry>,
+    queue: mpsc::Sender<Waiting>,
     timeout: Duration,
 }
 
@@ -27,8 +28,8 @@
     /// Starts the task that proposes the commands on the current `LocalSet`. A departure that is not
     /// recorded after `timeout` is given up.
     pub fn start(consensus: ConsensusClient, timeout: Duration) -> Self {
-        let (queue, entries) = mpsc::channel(QUEUE_CAPACITY);
-        tokio::task::spawn_local(record(consensus, timeout, entries));
+        let (queue, waiting) = mpsc::channel(QUEUE_CAPACITY);
+        tokio::task::spawn_local(record(consensus, timeout, waiting));
         Self { queue, timeout }
     }
 
@@ -40,10 +41,18 @@
     }
 }
 
-async fn record(consensus: ConsensusClient, timeout: Duration, mut entries: mpsc::Receiver<Entry>) {
-    let mut batch: Vec<Entry> = Vec::new();
-    while entries.recv_many(&mut batch, MAX_BATCH).await > 0 {
+async fn record(
+    consensus: ConsensusClient,
+    timeout: Duration,
+    mut waiting: mpsc::Receiver<Waiting>,
+) {
+    let mut batch: Vec<Waiting> = Vec::new();
+    while waiting.recv_many(&mut batch, MAX_BATCH).await > 0 {
+        // The callers of a batch that took long may have given up the next one.
         batch.retain(|(_, reply)| !reply.is_closed());
+        if batch.is_empty() {
+            continue;
+        }
         let departures = batch.iter().map(|(departure, _)| departure.clone()).collect();
         let command = Command::RecordDepartures(departures);
         let is_recorded = consensus.propose(command.encode(), timeout).await;
--- a/crates/fleet-entry/src/control_poll.rs
+++ b/crates/fleet-entry/src/control_poll.rs
@@ -124,6 +124,7 @@
     }
 }
 
+/// Ends what a replica said of endpoints before its restart, or before it was removed.
 fn forget_unreported(entry: &Entry, replica: SocketAddr) {
     for id in entry.directory.borrow_mut().forget_unreported(replica) {
         info!(entry.log, "endpoint changed"; "endpoint" => &*id, "change" => ?Change::Silent,
