Keep the check of voter_model as strict for series without a sudden end

Since acknowledgements may wait, the model let the voters be too few for the tolerated losses whenever they did, also after planned replacements. That is allowed after a sudden end only.

--- a/crates/fleet-control/tests/voter_model.rs
+++ b/crates/fleet-control/tests/voter_model.rs
@@ -454,8 +454,9 @@
         self.members.voters().map(|id| id.0.to_string()).collect::<Vec<_>>().join(" ")
     }
 
-    /// Checks that the voters survive the loss of the disks that may still be lost if something is
-    /// acknowledged, that a quorum of them runs, and that acknowledgements don't wait for long.
+    /// Checks that the voters survive the loss of the disks that may still be lost, or after a sudden end
+    /// that nothing is acknowledged, that a quorum of them runs, and that acknowledgements don't wait for
+    /// long.
     fn check(&mut self) -> Result<(), String> {
         let quorum = self.members.quorum();
         let voters = |vm: &&Vm| self.members.is_voter(ReplicaId(vm.id));
@@ -484,7 +485,8 @@
         if self.now > self.acknowledged_at + MAX_UNACKNOWLEDGED {
             return Err(format!("acknowledges nothing since {}", self.acknowledged_at));
         }
-        if left < quorum && acknowledges {
+        // Without a sudden end, the voters must survive the losses whether acknowledgements wait or not.
+        if left < quorum && (acknowledges || !self.had_sudden_end) {
             return Err(format!("{holders} disks, {lost_disks} lost: {}", self.voters()));
         }
         if self.lost_count() <= self.tolerated && self.running_voters() < quorum {
