--- a/crates/fleet-control/tests/cluster.rs
+++ b/crates/fleet-control/tests/cluster.rs
@@ -67,6 +67,34 @@
     started.expect("the replica starts").0
 }
 
+/// Starts three replicas that form a cluster, with the first data directories.
+async fn start_three_seeds(data_dirs: &[TempDir]) -> ([SocketAddrV4; 3], Vec<Rc<Control>>) {
+    let seeds = [free_address().await, free_address().await, free_address().await];
+    let mut replicas = Vec::new();
+    for (seed, data_dir) in seeds.iter().zip(data_dirs) {
+        replicas.push(start(*seed, &seeds, data_dir.path(), true).await);
+    }
+    (seeds, replicas)
+}
+
+/// Starts a seed and a replica that joins it.
+async fn start_two_voters(data_dirs: &[TempDir]) -> (Rc<Control>, Rc<Control>) {
+    let seed = free_address().await;
+    let first = start(seed, &[seed], data_dirs[0].path(), true).await;
+    let second = start(free_address().await, &[seed], data_dirs[1].path(), true).await;
+    wait_until("the second replica votes", || voters(&second) == 2).await;
+    (first, second)
+}
+
+/// Stops the only replica of a cluster and starts one with its data directory, up to its first read.
+async fn restart(before: &Control, data_dir: &Path) -> Rc<Control> {
+    before.log_handle.stop();
+    wait_until("the log is closed", || before.log_handle.state.has_changed().is_err()).await;
+    let restarted = start(free_address().await, &before.settings.seeds, data_dir, false).await;
+    newest_configuration(&restarted).await;
+    restarted
+}
+
 async fn wait_until(expected: &str, check: impl Fn() -> bool) {
     let reached = async {
         while !check() {
@@ -149,11 +177,7 @@
     LocalSet::new()
         .run_until(async {
             let data_dirs: Vec<TempDir> = (0..6).map(|_| TempDir::new().unwrap()).collect();
-            let seeds = [free_address().await, free_address().await, free_address().await];
-            let mut replicas = Vec::new();
-            for (seed, data_dir) in seeds.iter().zip(&data_dirs) {
-                replicas.push(start(*seed, &seeds, data_dir.path(), true).await);
-            }
+            let (seeds, replicas) = start_three_seeds(&data_dirs).await;
             put_configuration(&replicas[1], 3).await;
             for replica in &replicas {
                 assert_eq!(newest_configuration(replica).await, "3");
@@ -249,11 +273,7 @@
     LocalSet::new()
         .run_until(async {
             let data_dirs: Vec<TempDir> = (0..5).map(|_| TempDir::new().unwrap()).collect();
-            let seeds = [free_address().await, free_address().await, free_address().await];
-            let mut replicas = Vec::new();
-            for (seed, data_dir) in seeds.iter().zip(&data_dirs) {
-                replicas.push(start(*seed, &seeds, data_dir.path(), true).await);
-            }
+            let (seeds, mut replicas) = start_three_seeds(&data_dirs).await;
             for data_dir in &data_dirs[3..] {
                 let address = free_address().await;
                 replicas.push(start(address, &seeds, data_dir.path(), false).await);
@@ -278,11 +298,7 @@
     LocalSet::new()
         .run_until(async {
             let data_dirs: Vec<TempDir> = (0..4).map(|_| TempDir::new().unwrap()).collect();
-            let seeds = [free_address().await, free_address().await, free_address().await];
-            let mut replicas = Vec::new();
-            for (seed, data_dir) in seeds.iter().zip(&data_dirs) {
-                replicas.push(start(*seed, &seeds, data_dir.path(), true).await);
-            }
+            let (seeds, mut replicas) = start_three_seeds(&data_dirs).await;
             put_configuration(&replicas[0], 1).await;
             let successor = start(free_address().await, &seeds, data_dirs[3].path(), false).await;
             wait_until("the successor votes", || voters(&successor) == 4).await;
@@ -307,10 +323,7 @@
     LocalSet::new()
         .run_until(async {
             let data_dirs: Vec<TempDir> = (0..2).map(|_| TempDir::new().unwrap()).collect();
-            let seed = free_address().await;
-            let first = start(seed, &[seed], data_dirs[0].path(), true).await;
-            let second = start(free_address().await, &[seed], data_dirs[1].path(), true).await;
-            wait_until("the second replica votes", || voters(&second) == 2).await;
+            let (first, second) = start_two_voters(&data_dirs).await;
             let leads = |control: &Control| control.consensus.state().role == Role::Leader;
             let returned =
                 Identity { id: ReplicaId(9), address: free_address().await.to_string().into() };
@@ -372,13 +385,8 @@
                 true => before.deregister("e1", None).await.is_ok(),
                 false => before.announce(announcement(3, true)).await.is_ok(),
             };
-            before.log_handle.stop();
-            wait_until("the log is closed", || before.log_handle.state.has_changed().is_err())
-                .await;
 
-            let address = free_address().await;
-            let restarted = start(address, &[seed], data_dir.path(), false).await;
-            newest_configuration(&restarted).await;
+            let restarted = restart(&before, data_dir.path()).await;
             restarted.announce(announcement(2, false)).await.expect("the service is configured");
 
             let updates = restarted.directory.borrow().updates_since(Cursor::default());
@@ -395,11 +403,8 @@
     LocalSet::new()
         .run_until(async {
             let data_dirs: Vec<TempDir> = (0..2).map(|_| TempDir::new().unwrap()).collect();
-            let seed = free_address().await;
-            let first = start(seed, &[seed], data_dirs[0].path(), true).await;
-            let second = start(free_address().await, &[seed], data_dirs[1].path(), true).await;
+            let (first, second) = start_two_voters(&data_dirs).await;
             put_configuration(&first, 1).await;
-            wait_until("the second replica votes", || voters(&second) == 2).await;
 
             first.deregister("e1", Some(11)).await.expect("both replicas run");
 
@@ -429,13 +434,8 @@
                 state.machine.versions.get("ledger").map(|version| version.to_string())
             };
             wait_until("the version is in force", || version(&before).is_some()).await;
-            before.log_handle.stop();
-            wait_until("the log is closed", || before.log_handle.state.has_changed().is_err())
-                .await;
 
-            let address = free_address().await;
-            let restarted = start(address, &[seed], data_dir.path(), false).await;
-            newest_configuration(&restarted).await;
+            let restarted = restart(&before, data_dir.path()).await;
             let other = Announcement { version: "v0".into(), ..announcement(2, false) };
             restarted.announce(other).await.expect("the service is configured");
 
@@ -451,11 +451,8 @@
     LocalSet::new()
         .run_until(async {
             let data_dirs: Vec<TempDir> = (0..2).map(|_| TempDir::new().unwrap()).collect();
-            let seed = free_address().await;
-            let first = start(seed, &[seed], data_dirs[0].path(), true).await;
+            let (first, second) = start_two_voters(&data_dirs).await;
             put_configuration(&first, 1).await;
-            let second = start(free_address().await, &[seed], data_dirs[1].path(), true).await;
-            wait_until("the second replica votes", || voters(&second) == 2).await;
             second.log_handle.stop();
             first.announce(announcement(1, false)).await.expect("the service is configured");
 
